--- /dev/null
+++ b/Makefile
@@ -0,0 +1,54 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+SEED ?= 7
+MINUTES ?= 2
+
+.PHONY: demo test lint format idl examples soak bench slopes clean
+
+$(VENV)/.installed: pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet -c constraints.txt -e '.[dev]'
+	touch $@
+
+demo: $(VENV)/.installed
+	$(BIN)/python examples/demo.py
+
+test: $(VENV)/.installed
+	$(BIN)/python -m unittest discover -s tests -t .
+
+lint: $(VENV)/.installed
+	$(BIN)/ruff check src tests examples
+	$(BIN)/ruff format --check src tests examples
+	$(BIN)/flake8 src tests examples
+	$(BIN)/mypy
+
+format: $(VENV)/.installed
+	$(BIN)/ruff check --fix src tests examples
+	$(BIN)/ruff format src tests examples
+
+# Needs Debian's thrift-compiler; the generated code is committed.
+idl:
+	rm -rf build/idl && mkdir -p build/idl
+	thrift --gen py -out build/idl idl/hemlockkeel.thrift
+	rm -rf src/hemlockkeel/_internal/rpc/gen/hk
+	cp -r build/idl/hemlockkeel/_internal/rpc/gen/hk \
+	    src/hemlockkeel/_internal/rpc/gen/
+	rm -f src/hemlockkeel/_internal/rpc/gen/hk/*-remote
+
+examples: $(VENV)/.installed
+	$(BIN)/python examples/generate.py
+
+soak: $(VENV)/.installed
+	$(BIN)/python -m hemlockkeel_bench.soak --seed $(SEED) \
+	    --minutes $(MINUTES)
+
+bench: $(VENV)/.installed
+	$(BIN)/python -m hemlockkeel_bench --profile bushline --compare
+	$(BIN)/python -m hemlockkeel_bench --profile summons --compare
+
+slopes: $(VENV)/.installed
+	$(BIN)/python -m hemlockkeel_bench.slopes
+
+clean:
+	rm -rf $(VENV) build .mypy_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/src/hemlockkeel/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation of hemlockkeel; not a public interface."""
--- /dev/null
+++ b/src/hemlockkeel/_internal/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent role: the process beside each target."""
--- /dev/null
+++ b/src/hemlockkeel/_internal/agent/backend.py
@@ -0,0 +1,56 @@
+"""How an agent runs work on its target."""
+
+import abc
+import dataclasses
+
+from hemlockkeel._internal.models import members
+from hemlockkeel._internal.models import outcomes
+from hemlockkeel._internal.rpc.gen.hk import ttypes
+
+
+class Backend(abc.ABC):
+    """Runs work orders and reports load."""
+
+    @abc.abstractmethod
+    def describe(self) -> members.TargetInfo:
+        """Return what the target announces about itself.
+
+        :raises UnreachableError: when the target does not answer.
+        """
+
+    @abc.abstractmethod
+    def start(self) -> None:
+        """Start serving."""
+
+    @abc.abstractmethod
+    def stop(self) -> None:
+        """Stop serving."""
+
+    @abc.abstractmethod
+    def submit(self, order: ttypes.WorkOrder) -> outcomes.Refused | None:
+        """Queue a work order, or refuse it as not run."""
+
+    @abc.abstractmethod
+    def cancel(self, request_id: str, attempt: int) -> bool:
+        """Stop an attempt; tell whether it was known."""
+
+    @abc.abstractmethod
+    def get_load(self) -> ttypes.LoadReport:
+        """Return the current load."""
+
+    @abc.abstractmethod
+    def count_unfinished(self) -> int:
+        """Return how much work is queued or running."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Attempt:
+    """Key of one attempt in the engine."""
+
+    request_id: str
+    number: int
+
+    @property
+    def engine_id(self) -> str:
+        """Return the id that the engine knows it by."""
+        return f"{self.request_id}.{self.number}"
--- /dev/null
+++ b/src/hemlockkeel/_internal/agent/crashes.py
@@ -0,0 +1,83 @@
+"""Reports an engine's crash once, with everything that was running."""
+
+import concurrent.futures
+import threading
+
+from hemlockkeel._internal import exceptions
+from hemlockkeel._internal.follower import control_client
+from hemlockkeel._internal.rpc.gen.hk import ttypes
+from hemlockkeel._internal.state import commands
+from hemlockkeel._internal.utils import logs
+
+REPORT_DEADLINE_S = 1.0
+MAX_KNOWN_BOOTS = 64
+
+
+class CrashReporter:
+    """One report a boot of the engine.
+
+    Failed runs wait for the report, so that a caller who sends the request
+    again finds it suspected.
+    """
+
+    def __init__(
+        self, control: control_client.ControlClient, target_id: str
+    ) -> None:
+        self.control = control
+        self.target_id = target_id
+        self.lock = threading.Lock()
+        self.reports: dict[str, concurrent.futures.Future[None]] = {}
+
+    def report(self, boot_id: str, digests: list[str]) -> None:
+        """Report a crash, or wait for the report under way."""
+        with self.lock:
+            future = self.reports.get(boot_id)
+            first = future is None
+            if future is None:
+                future = concurrent.futures.Future()
+                self.reports[boot_id] = future
+                self.forget_old()
+        if not first:
+            concurrent.futures.wait([future], REPORT_DEADLINE_S)
+            return
+        try:
+            self.send(boot_id, digests)
+        finally:
+            future.set_result(None)
+
+    def forget_old(self) -> None:
+        """Keep the table of boots small."""
+        while len(self.reports) > MAX_KNOWN_BOOTS:
+            self.reports.pop(next(iter(self.reports)))
+
+    def send(self, boot_id: str, digests: list[str]) -> None:
+        """Commit the report; a failure leaves the crash uncounted."""
+        logs.log_state(
+            "engine_crashed",
+            target=self.target_id,
+            boot=boot_id,
+            running=len(digests),
+        )
+        if not digests:
+            return
+        try:
+            self.control.propose(
+                commands.ReportCrash(
+                    target_id=self.target_id,
+                    boot_id=boot_id,
+                    digests=digests,
+                ),
+                REPORT_DEADLINE_S,
+            )
+        except (exceptions.ControlUnavailableError, ttypes.RpcFault) as fault:
+            logs.log_fault("crash_report_lost", reason=fault)
+
+    def clear(self, digest: str) -> None:
+        """Commit that a suspected request ran without a crash."""
+        try:
+            self.control.propose(
+                commands.ClearSuspect(digests=[digest]), REPORT_DEADLINE_S
+            )
+        except (exceptions.ControlUnavailableError, ttypes.RpcFault):
+            # The suspicion expires by itself.
+            return
--- /dev/null
+++ b/src/hemlockkeel/_internal/agent/engine_backend.py
@@ -0,0 +1,509 @@
+"""Runs work on a model engine: queue, batch, adapter loads, crashes."""
+
+import collections.abc
+import concurrent.futures
+import dataclasses
+import threading
+import time
+
+from hemlockkeel._internal import exceptions
+from hemlockkeel._internal.agent import answers
+from hemlockkeel._internal.agent import backend
+from hemlockkeel._internal.agent import crashes
+from hemlockkeel._internal.engines import base
+from hemlockkeel._internal.follower import follower
+from hemlockkeel._internal.models import adapters
+from hemlockkeel._internal.models import ids
+from hemlockkeel._internal.models import members
+from hemlockkeel._internal.models import outcomes
+from hemlockkeel._internal.policy import eviction
+from hemlockkeel._internal.policy import pool
+from hemlockkeel._internal.rpc.gen.hk import ttypes
+from hemlockkeel._internal.utils import digests
+from hemlockkeel._internal.utils import logs
+from hemlockkeel._internal.utils import metrics
+
+MONITOR_S = 0.1
+ORDERING_STATES = (
+    follower.FollowerState.READY,
+    follower.FollowerState.LEAVING,
+)
+MAX_EVENT_PREFIXES = 64
+# An engine's load report may lag by this much behind its runs.
+ORPHAN_WAIT_S = 60.0
+
+
+@dataclasses.dataclass
+class Active:
+    """One attempt that was accepted and has not ended."""
+
+    order: ttypes.WorkOrder
+    work: pool.Work
+    attempt: backend.Attempt
+    cancelled: bool = False
+    started: bool = False
+
+
+class EngineBackend(backend.Backend):
+    """Queue and batch of one engine."""
+
+    def __init__(
+        self,
+        engine: base.Engine,
+        service: str,
+        target_id: str,
+        store: answers.AnswerStore,
+        follow: follower.Follower,
+        reporter: crashes.CrashReporter,
+        policy: eviction.EvictionPolicy,
+        counters: metrics.Metrics,
+        max_queued: int = 256,
+    ) -> None:
+        self.engine = engine
+        self.service = service
+        self.target_id = target_id
+        self.store = store
+        self.follow = follow
+        self.reporter = reporter
+        self.policy = policy
+        self.counters = counters
+        self.max_queued = max_queued
+        self.identity = engine.get_identity()
+        self.boot_id = self.identity.boot_id
+        self.lock = threading.RLock()
+        self.pool = self.make_pool()
+        # Runs of an older agent may use any adapter that is loaded.
+        self.orphans_until = 0.0
+        self.adopt_engine_state()
+        self.active: dict[str, Active] = {}
+        self.load_changed = threading.Event()
+        self.stopping = threading.Event()
+        workers = self.identity.batch_slots + 2
+        self.executor = concurrent.futures.ThreadPoolExecutor(
+            workers, "engine-run"
+        )
+        self.monitor = threading.Thread(
+            target=self.watch, name="engine-monitor", daemon=True
+        )
+        self.event_sequence = 0
+        self.prefixes: dict[str, None] = {}
+
+    def make_pool(self) -> pool.Pool:
+        """Return an empty pool of the engine's size."""
+        limits = pool.PoolLimits(
+            self.identity.batch_slots,
+            self.identity.adapter_slots,
+            self.max_queued,
+        )
+        return pool.Pool(limits, self.policy)
+
+    def adopt_engine_state(self) -> None:
+        """Learn what the engine holds from before this agent's start."""
+        report = self.engine.get_report()
+        now = time.monotonic()
+        for text in report.loaded:
+            ref = adapters.parse_adapter(text)
+            if self.pool.get_free_slots() <= 0:
+                break
+            self.pool.begin_load(ref, now)
+            self.pool.end_load(ref, True, now)
+        if report.running + report.queued > 0:
+            self.orphans_until = now + ORPHAN_WAIT_S
+
+    def has_orphans(self) -> bool:
+        """Tell whether runs of an older agent may still use adapters."""
+        if time.monotonic() >= self.orphans_until:
+            return False
+        report = self.engine.get_report()
+        with self.lock:
+            own = len(self.pool.running)
+        if report.running + report.queued > own:
+            return True
+        self.orphans_until = 0.0
+        return False
+
+    def describe(self) -> members.TargetInfo:
+        return members.TargetInfo(
+            self.target_id,
+            members.TargetKind.ENGINE,
+            self.service,
+            self.identity.base_model,
+            self.identity.batch_slots,
+            self.identity.adapter_slots,
+        )
+
+    def start(self) -> None:
+        self.monitor.start()
+
+    def stop(self) -> None:
+        self.stopping.set()
+        self.load_changed.set()
+        if self.monitor.is_alive():
+            self.monitor.join(2.0)
+        self.executor.shutdown(wait=False, cancel_futures=True)
+
+    # Work
+
+    def submit(self, order: ttypes.WorkOrder) -> outcomes.Refused | None:
+        if order.base_model and order.base_model != self.identity.base_model:
+            return outcomes.refuse(
+                outcomes.RefusalCode.STALE_TARGET,
+                f"this target serves {self.identity.base_model}, not "
+                f"{order.base_model}",
+            )
+        now = time.monotonic()
+        active = make_active(order, now)
+        with self.lock:
+            refusal = self.pool.admit(active.work, now)
+            if refusal is not None:
+                return refusal
+            self.active[order.request_id] = active
+            shed = self.pool.take_shed()
+            if active.work.ref is not None:
+                self.pool.note_rate(active.work.ref, order.popularity, now)
+        self.refuse_all(
+            shed, outcomes.RefusalCode.BUSY, "gave way to more urgent work"
+        )
+        if active.work in shed:
+            return None
+        self.advance()
+        return None
+
+    def advance(self) -> None:
+        """Start whatever can run and look for loads."""
+        now = time.monotonic()
+        with self.lock:
+            expired = self.pool.take_expired(now)
+            started = self.pool.start_ready(now)
+            moved = self.pool.release_for_starving(now)
+            for work in started:
+                self.active[work.request_id].started = True
+        self.refuse_all(
+            expired,
+            outcomes.RefusalCode.DEADLINE,
+            "the deadline passed before the request could start",
+        )
+        self.refuse_all(
+            moved, outcomes.RefusalCode.BUSY, "the adapter's slot is needed"
+        )
+        for work in started:
+            self.note_stall(work, now)
+            self.executor.submit(self.run, self.active[work.request_id])
+        self.load_changed.set()
+
+    def note_stall(self, work: pool.Work, now: float) -> None:
+        """Record how long work waited for its adapter to be loaded."""
+        with self.lock:
+            slot = self.pool.slots.get(work.ref) if work.ref else None
+        answer = self.store.answers.get(work.request_id)
+        if slot is None or answer is None:
+            return
+        stall_s = max(0.0, slot.ready_at - work.arrived)
+        answer.load_stall_us = int(stall_s * 1e6)
+        self.counters.time(metrics.Timer.LOAD_STALL, stall_s)
+        if stall_s == 0.0:
+            self.counters.count(metrics.Counter.ADAPTER_HITS)
+
+    def refuse_all(
+        self,
+        works: collections.abc.Iterable[pool.Work],
+        code: outcomes.RefusalCode,
+        message: str,
+    ) -> None:
+        """End queued work as not run."""
+        for work in works:
+            with self.lock:
+                active = self.active.pop(work.request_id, None)
+            if active is None:
+                continue
+            refusal = outcomes.refuse(code, message)
+            self.store.end(
+                answers.make_failure(
+                    work.request_id, active.attempt.number, refusal
+                )
+            )
+
+    def run(self, active: Active) -> None:
+        """Run one attempt to its end."""
+        try:
+            self.stream(active)
+        except base.RunFailedError as fault:
+            self.handle_failure(active, fault)
+        except Exception as fault:
+            logs.log_fault("run_failed", reason=repr(fault))
+            self.end_failed(
+                active,
+                outcomes.Refused(
+                    outcomes.RefusalCode.INTERNAL,
+                    "the agent failed while the request ran",
+                    outcomes.Verdict.MAY_HAVE_RUN,
+                ),
+            )
+        finally:
+            with self.lock:
+                self.pool.finish(active.work.request_id, time.monotonic())
+                self.active.pop(active.work.request_id, None)
+            self.advance()
+
+    def stream(self, active: Active) -> None:
+        """Copy the engine's answer into the store."""
+        order = active.order
+        fence = ids.Fence(self.follow.incarnation)
+        run_id = ids.RequestId(active.attempt.engine_id)
+        run_order = base.RunOrder(
+            run_id,
+            active.work.ref,
+            self.identity.base_model,
+            order.body,
+            active.work.rank,
+            fence,
+        )
+        if order.resume_attempt >= 0:
+            held = backend.Attempt(order.request_id, order.resume_attempt)
+            run_id = ids.RequestId(held.engine_id)
+            events = self.engine.resume(run_id, 0)
+        else:
+            self.check_may_order()
+            events = self.engine.run(run_order)
+        tokens: list[str] = []
+        while True:
+            try:
+                self.copy_events(active, events, tokens)
+                return
+            except base.RunFailedError as fault:
+                if not fault.crashed or not self.is_same_boot():
+                    raise
+                # Only the connection broke; the engine still has the run.
+                events = self.engine.resume(run_id, len(tokens))
+
+    def check_may_order(self) -> None:
+        """Require that this agent may still give its engine orders."""
+        state = self.follow.get_state()
+        if state in ORDERING_STATES:
+            return
+        raise base.RunFailedError(
+            outcomes.RefusalCode.NOT_READY,
+            f"the agent may not give orders now ({state.value})",
+            outcomes.Verdict.NOT_RUN,
+        )
+
+    def copy_events(
+        self,
+        active: Active,
+        events: collections.abc.Iterator[base.Event],
+        tokens: list[str],
+    ) -> None:
+        """Copy events until the answer ends; check them on the way."""
+        for event in events:
+            if isinstance(event, base.Finished):
+                self.check_end(active, event, tokens)
+                self.end_whole(active, tokens)
+                return
+            if event.offset != len(tokens):
+                self.counters.count(metrics.Counter.FRAMES_DROPPED)
+                continue
+            self.store.add_tokens(
+                active.order.request_id,
+                active.attempt.number,
+                event.offset,
+                event.tokens,
+            )
+            tokens.extend(event.tokens)
+
+    def check_end(
+        self, active: Active, event: base.Finished, tokens: list[str]
+    ) -> None:
+        """Check an answer's adapter, length and digest.
+
+        :raises RunFailedError: when the answer is not the request's own.
+        """
+        digest = digests.AnswerDigest()
+        digest.add(tokens)
+        wanted = str(active.work.ref or self.identity.base_model)
+        right = (event.length, event.digest, event.ref) == (
+            len(tokens),
+            digest.value(),
+            wanted,
+        )
+        if right:
+            return
+        self.counters.count(metrics.Counter.ANSWERS_REJECTED)
+        raise base.RunFailedError(
+            outcomes.RefusalCode.LOST,
+            "the engine's answer is not whole or not of this adapter",
+            outcomes.Verdict.MAY_HAVE_RUN,
+        )
+
+    def end_whole(self, active: Active, tokens: list[str]) -> None:
+        """End an answer that is whole."""
+        if active.work.suspect:
+            self.reporter.clear(active.work.digest)
+        self.store.end(
+            answers.make_end(
+                active.order.request_id, active.attempt.number, tokens
+            )
+        )
+
+    def end_failed(self, active: Active, refusal: outcomes.Refused) -> None:
+        """End an answer without the whole of it."""
+        self.store.end(
+            answers.make_failure(
+                active.order.request_id, active.attempt.number, refusal
+            )
+        )
+
+    def handle_failure(
+        self, active: Active, fault: base.RunFailedError
+    ) -> None:
+        """End a failed attempt; report a crash first."""
+        if active.cancelled:
+            verdict = outcomes.Verdict.MAY_HAVE_RUN
+            refusal = outcomes.Refused(
+                outcomes.RefusalCode.LOST, "the request was cancelled", verdict
+            )
+            self.end_failed(active, refusal)
+            return
+        if fault.crashed:
+            self.report_crash()
+        self.end_failed(
+            active,
+            outcomes.Refused(fault.code, fault.message, fault.verdict),
+        )
+
+    def report_crash(self) -> None:
+        """Report that the engine crashed with what is running."""
+        with self.lock:
+            running = sorted(
+                {work.digest for work in self.pool.running.values()}
+            )
+            boot_id = self.boot_id
+        self.reporter.report(boot_id, running)
+
+    def is_same_boot(self) -> bool:
+        """Tell whether the engine still runs since the same start."""
+        try:
+            return self.engine.get_identity().boot_id == self.boot_id
+        except exceptions.UnreachableError:
+            return False
+
+    def cancel(self, request_id: str, attempt: int) -> bool:
+        with self.lock:
+            active = self.active.get(request_id)
+            if active is None or active.attempt.number != attempt:
+                return False
+            active.cancelled = True
+            withdrawn = self.pool.withdraw(request_id)
+        if withdrawn is not None:
+            self.refuse_all(
+                [withdrawn],
+                outcomes.RefusalCode.LOST,
+                "the request was cancelled before it ran",
+            )
+            return True
+        fence = ids.Fence(self.follow.incarnation)
+        try:
+            self.engine.cancel(ids.RequestId(active.attempt.engine_id), fence)
+        except (exceptions.UnreachableError, exceptions.EngineOrderError):
+            return False
+        return True
+
+    # Watching the engine
+
+    def watch(self) -> None:
+        """Notice restarts and cache events until stopped."""
+        while not self.stopping.wait(MONITOR_S):
+            try:
+                self.check_boot(self.engine.get_identity())
+                self.follow_events()
+            except (
+                exceptions.UnreachableError,
+                exceptions.EngineOrderError,
+                ValueError,
+            ):
+                continue
+            self.advance()
+
+    def check_boot(self, identity: base.Identity) -> None:
+        """Forget adapters when the engine has restarted."""
+        if identity.boot_id == self.boot_id:
+            return
+        self.counters.count(metrics.Counter.ENGINE_RESTARTS)
+        logs.log_state(
+            "engine_restarted", target=self.target_id, boot=identity.boot_id
+        )
+        if self.pool.running:
+            self.report_crash()
+        with self.lock:
+            self.identity = identity
+            self.boot_id = identity.boot_id
+            self.pool.reset_slots()
+            self.event_sequence = 0
+            self.prefixes.clear()
+        self.store.note_load_change()
+
+    def follow_events(self) -> None:
+        """Follow cache events; a gap makes earlier ones untrusted."""
+        for event in self.engine.get_events(self.event_sequence):
+            if self.event_sequence and event.sequence != (
+                self.event_sequence + 1
+            ):
+                self.counters.count(metrics.Counter.EVENT_GAPS)
+                self.prefixes.clear()
+            self.event_sequence = event.sequence
+            if event.present:
+                self.prefixes[event.prefix] = None
+            else:
+                self.prefixes.pop(event.prefix, None)
+        while len(self.prefixes) > MAX_EVENT_PREFIXES:
+            self.prefixes.pop(next(iter(self.prefixes)))
+
+    # Load report
+
+    def get_load(self) -> ttypes.LoadReport:
+        now = time.monotonic()
+        with self.lock:
+            return ttypes.LoadReport(
+                running=len(self.pool.running),
+                queued=len(self.pool.queue),
+                batch_slots=self.identity.batch_slots,
+                adapters=[str(ref) for ref in self.pool.get_ready()],
+                loading=[str(ref) for ref in self.pool.get_loading()],
+                adapters_epoch=self.pool.epoch,
+                accepting=(
+                    self.follow.get_state() is follower.FollowerState.READY
+                ),
+                adapter_slots=self.identity.adapter_slots,
+                incarnation=self.follow.incarnation,
+                prefixes=list(self.prefixes),
+                eviction_value=self.pool.get_eviction_value(now),
+                free_slots=self.pool.get_free_slots(),
+            )
+
+    def count_unfinished(self) -> int:
+        with self.lock:
+            return len(self.active)
+
+
+def make_active(order: ttypes.WorkOrder, now: float) -> Active:
+    """Return the agent's form of a work order."""
+    ref = None
+    if order.adapter:
+        ref = adapters.AdapterRef(
+            ids.AdapterName(order.adapter),
+            ids.AdapterVersion(order.adapter_version),
+        )
+    work = pool.Work(
+        request_id=order.request_id,
+        ref=ref,
+        rank=order.priority,
+        arrived=now,
+        deadline=now + order.deadline_ms / 1000.0,
+        digest=order.content_digest,
+        caller=order.caller,
+        suspect=order.suspect,
+        idempotent=order.idempotent,
+        hold_s=order.hold_ms / 1000.0,
+        stall_weight=order.stall_weight,
+    )
+    attempt = backend.Attempt(order.request_id, order.attempt)
+    return Active(order, work, attempt)
--- /dev/null
+++ b/src/hemlockkeel/_internal/agent/loader.py
@@ -0,0 +1,206 @@
+"""Loads adapters, one permit of the control leader at a time."""
+
+import concurrent.futures
+import threading
+import time
+
+from hemlockkeel._internal import exceptions
+from hemlockkeel._internal.agent import engine_backend
+from hemlockkeel._internal.follower import control_client
+from hemlockkeel._internal.follower import follower
+from hemlockkeel._internal.models import adapters
+from hemlockkeel._internal.models import ids
+from hemlockkeel._internal.models import outcomes
+from hemlockkeel._internal.rpc.gen.hk import ttypes
+from hemlockkeel._internal.utils import logs
+from hemlockkeel._internal.utils import metrics
+
+PERMIT_WAIT_S = 0.2
+CALL_DEADLINE_S = 1.5
+IDLE_S = 0.2
+PAUSE_S = 0.05
+MAX_WANTS = 16
+
+
+class Loader:
+    """Asks for permits and carries loads out."""
+
+    def __init__(
+        self,
+        work: engine_backend.EngineBackend,
+        control: control_client.ControlClient,
+        follow: follower.Follower,
+        counters: metrics.Metrics,
+    ) -> None:
+        self.backend = work
+        self.control = control
+        self.follow = follow
+        self.counters = counters
+        self.stopping = threading.Event()
+        self.lock = threading.Lock()
+        self.in_progress: dict[adapters.AdapterRef, None] = {}
+        self.executor = concurrent.futures.ThreadPoolExecutor(2, "load")
+        self.thread = threading.Thread(
+            target=self.run, name="loader", daemon=True
+        )
+
+    def start(self) -> None:
+        """Start loading."""
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Stop loading."""
+        self.stopping.set()
+        self.backend.load_changed.set()
+        if self.thread.is_alive():
+            self.thread.join(3.0)
+        self.executor.shutdown(wait=False, cancel_futures=True)
+
+    def run(self) -> None:
+        """Ask for permits whenever something waits for a load."""
+        while not self.stopping.is_set():
+            self.backend.load_changed.wait(IDLE_S)
+            self.backend.load_changed.clear()
+            wants = self.find_wants()
+            if not wants or self.stopping.is_set():
+                continue
+            self.ask(wants)
+            # More work may wait than one exchange has served.
+            self.backend.load_changed.set()
+
+    def find_wants(self) -> list[ttypes.LoadWant]:
+        """Return the loads that could start if permits were given."""
+        if self.follow.get_state() not in engine_backend.ORDERING_STATES:
+            return []
+        now = time.monotonic()
+        with self.backend.lock:
+            pool = self.backend.pool
+            room = pool.get_free_slots() + len(pool.find_evictable())
+            wanted = pool.find_wanted(now)
+        with self.lock:
+            wanted = [w for w in wanted if w.ref not in self.in_progress]
+            room -= len(self.in_progress)
+        wanted.sort(key=lambda want: -want.weight)
+        if room <= 0:
+            return []
+        return [
+            ttypes.LoadWant(
+                want.ref.name,
+                want.ref.version,
+                want.weight,
+                int((now - want.since) * 1000),
+                False,
+            )
+            for want in wanted[: min(room, MAX_WANTS)]
+        ]
+
+    def ask(self, wants: list[ttypes.LoadWant]) -> None:
+        """Exchange wants for permits and start the loads."""
+        granted = self.exchange(wants, [], PERMIT_WAIT_S)
+        if granted is None:
+            self.stopping.wait(PAUSE_S)
+            return
+        for text in granted:
+            ref = adapters.parse_adapter(text)
+            with self.lock:
+                self.in_progress[ref] = None
+            self.executor.submit(self.load, ref)
+
+    def exchange(
+        self,
+        wants: list[ttypes.LoadWant],
+        finished: list[adapters.AdapterRef],
+        wait_s: float,
+    ) -> list[str] | None:
+        """Call the control leader; None when it does not answer."""
+        with self.lock:
+            in_progress = [str(ref) for ref in self.in_progress]
+        request = ttypes.PermitRequest(
+            member_id=self.follow.description.member_id,
+            incarnation=self.follow.incarnation,
+            site=self.follow.description.site,
+            wants=wants,
+            in_progress=in_progress,
+            finished=[str(ref) for ref in finished],
+            wait_ms=int(wait_s * 1000),
+        )
+        try:
+            reply = self.control.call("permits", request, CALL_DEADLINE_S)
+        except (exceptions.ControlUnavailableError, ttypes.RpcFault):
+            return None
+        granted: list[str] = reply.granted
+        return granted
+
+    def load(self, ref: adapters.AdapterRef) -> None:
+        """Use one permit, then give it back."""
+        try:
+            self.use_permit(ref)
+        except Exception as fault:
+            logs.log_fault("load_failed", adapter=ref, reason=repr(fault))
+        finally:
+            with self.lock:
+                self.in_progress.pop(ref, None)
+            self.backend.advance()
+            granted = self.exchange(self.find_wants(), [ref], 0.0)
+            for text in granted or []:
+                following = adapters.parse_adapter(text)
+                with self.lock:
+                    self.in_progress[following] = None
+                self.executor.submit(self.load, following)
+
+    def use_permit(self, ref: adapters.AdapterRef) -> None:
+        """Evict if needed and load one adapter."""
+        now = time.monotonic()
+        fence = ids.Fence(self.follow.incarnation)
+        orphans = self.backend.has_orphans()
+        with self.backend.lock:
+            pool = self.backend.pool
+            if ref in pool.slots:
+                return
+            if ref not in pool.get_users():
+                # Nobody waits for this load any more.
+                return
+            victim = None
+            if pool.get_free_slots() <= 0:
+                victim = None if orphans else pool.choose_victim(now)
+                if victim is None:
+                    return
+                pool.evict(victim)
+            pool.begin_load(ref, now)
+            boot_id = self.backend.boot_id
+        self.carry_out(ref, victim, fence, boot_id)
+
+    def carry_out(
+        self,
+        ref: adapters.AdapterRef,
+        victim: adapters.AdapterRef | None,
+        fence: ids.Fence,
+        boot_id: str,
+    ) -> None:
+        """Order the engine to unload and load; update the pool."""
+        begun = time.monotonic()
+        loaded = False
+        try:
+            if victim is not None:
+                self.counters.count(metrics.Counter.ADAPTER_EVICTIONS)
+                self.backend.engine.unload_adapter(victim, fence)
+            self.backend.engine.load_adapter(ref, fence)
+            loaded = True
+        except (
+            exceptions.EngineOrderError,
+            exceptions.UnreachableError,
+        ) as fault:
+            self.counters.count(metrics.Counter.ADAPTER_LOADS_FAILED)
+            logs.log_state("adapter_load_failed", adapter=ref, reason=fault)
+        now = time.monotonic()
+        self.counters.count(metrics.Counter.ADAPTER_LOADS)
+        self.counters.time(metrics.Timer.LOAD, now - begun)
+        with self.backend.lock:
+            same = boot_id == self.backend.boot_id
+            moved = self.backend.pool.end_load(ref, loaded and same, now)
+        self.backend.refuse_all(
+            moved,
+            outcomes.RefusalCode.LOAD_FAILED,
+            f"loading {ref} failed on this target",
+        )
+        self.backend.store.note_load_change()
--- /dev/null
+++ b/src/hemlockkeel/_internal/agent/process.py
@@ -0,0 +1,223 @@
+"""Assembles and runs an agent."""
+
+import dataclasses
+import threading
+import time
+
+from hemlockkeel._internal import exceptions
+from hemlockkeel._internal.agent import answers
+from hemlockkeel._internal.agent import backend
+from hemlockkeel._internal.agent import crashes
+from hemlockkeel._internal.agent import engine_backend
+from hemlockkeel._internal.agent import loader
+from hemlockkeel._internal.agent import plain_backend
+from hemlockkeel._internal.agent import service
+from hemlockkeel._internal.control import leases
+from hemlockkeel._internal.engines import http_engine
+from hemlockkeel._internal.follower import control_client
+from hemlockkeel._internal.follower import follower
+from hemlockkeel._internal.models import members
+from hemlockkeel._internal.policy import eviction
+from hemlockkeel._internal.rpc import client
+from hemlockkeel._internal.rpc import server
+from hemlockkeel._internal.rpc.gen.hk import Agent
+from hemlockkeel._internal.utils import clock
+from hemlockkeel._internal.utils import logs
+from hemlockkeel._internal.utils import metrics
+
+TARGET_WAIT_S = 0.2
+HOUSEKEEPING_S = 5.0
+DRAIN_POLL_S = 0.05
+# Answers that nobody fetches do not hold a stopping agent for longer.
+UNREAD_WAIT_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True)
+class AgentSettings:
+    """Settings of an agent."""
+
+    target_id: str
+    service: str
+    target_address: str
+    control: list[str]
+    secret: str
+    data_centre: str
+    site: str
+    kind: members.TargetKind = members.TargetKind.ENGINE
+    host: str = "127.0.0.1"
+    port: int = 0
+    max_connections: int = 256
+    max_queued: int = 256
+    eviction_policy: eviction.EvictionPolicy = dataclasses.field(
+        default_factory=eviction.LeastRate
+    )
+
+
+class AgentProcess:
+    """One agent with its server, target and loader."""
+
+    def __init__(
+        self, settings: AgentSettings, counters: metrics.Metrics
+    ) -> None:
+        self.settings = settings
+        self.counters = counters
+        self.stopping = threading.Event()
+        self.store = answers.AnswerStore()
+        self.rpc = server.RpcServer(
+            Agent.Processor,
+            self,
+            settings.secret,
+            settings.host,
+            settings.port,
+            settings.max_connections,
+            counters,
+        )
+        self.control = control_client.ControlClient(
+            settings.control, settings.secret, settings.target_id
+        )
+        self.follow = follower.Follower(
+            members.Description(
+                settings.target_id,
+                members.Role.AGENT,
+                self.rpc.address,
+                settings.data_centre,
+                settings.site,
+            ),
+            self.control,
+            clock.SystemClock(),
+        )
+        self.service = service.AgentService(
+            self.follow, self.store, settings.target_id
+        )
+        self.rpc.service = self.service
+        self.loader: loader.Loader | None = None
+        self.backend: backend.Backend | None = None
+        self.thread = threading.Thread(
+            target=self.run, name="agent", daemon=True
+        )
+
+    @property
+    def address(self) -> str:
+        """Return the address of the thrift service."""
+        return self.rpc.address
+
+    def start(self) -> None:
+        """Start; the target is announced once it answers."""
+        self.thread.start()
+
+    def run(self) -> None:
+        """Wait for the target, serve it, and tidy up until stopped."""
+        while not self.stopping.is_set():
+            try:
+                self.backend = self.make_backend()
+                break
+            except exceptions.UnreachableError:
+                self.stopping.wait(TARGET_WAIT_S)
+        if self.stopping.is_set() or self.backend is None:
+            return
+        self.announce(self.backend)
+        while not self.stopping.wait(HOUSEKEEPING_S):
+            self.store.expire(time.monotonic())
+
+    def announce(self, target: backend.Backend) -> None:
+        """Register the target and start serving it."""
+        self.service.backend = target
+        self.follow.description = add_target(
+            self.follow.description, target.describe()
+        )
+        target.start()
+        if isinstance(target, engine_backend.EngineBackend):
+            self.wait_for_older_agent(target)
+            self.loader = loader.Loader(
+                target, self.control, self.follow, self.counters
+            )
+            self.loader.start()
+        self.rpc.start()
+        self.follow.start()
+        logs.log_state(
+            "agent_started",
+            target=self.settings.target_id,
+            address=self.address,
+        )
+
+    def wait_for_older_agent(
+        self, target: engine_backend.EngineBackend
+    ) -> None:
+        """Let an older agent's lease run out.
+
+        An engine that ignores fencing numbers would take orders from both.
+        """
+        if target.identity.obeys_fencing:
+            return
+        self.stopping.wait(leases.LEASE_S * (1.0 + leases.DRIFT_SHARE))
+
+    def make_backend(self) -> backend.Backend:
+        """Connect to the target.
+
+        :raises UnreachableError: when it does not answer yet.
+        """
+        host, port = client.parse_address(self.settings.target_address)
+        if self.settings.kind is members.TargetKind.PLAIN:
+            return plain_backend.PlainBackend(
+                host,
+                port,
+                self.settings.service,
+                self.settings.target_id,
+                self.store,
+                self.follow,
+                max_queued=self.settings.max_queued,
+            )
+        return engine_backend.EngineBackend(
+            http_engine.HttpEngine(host, port),
+            self.settings.service,
+            self.settings.target_id,
+            self.store,
+            self.follow,
+            crashes.CrashReporter(self.control, self.settings.target_id),
+            self.settings.eviction_policy,
+            self.counters,
+            self.settings.max_queued,
+        )
+
+    def drain(self) -> None:
+        """Announce leaving, then wait until no work is left.
+
+        Work that was accepted ends whole, and its answers are fetched,
+        before this returns.
+        """
+        self.follow.leave()
+        while not self.stopping.is_set() and self.count_unfinished() > 0:
+            self.stopping.wait(DRAIN_POLL_S)
+        deadline = time.monotonic() + UNREAD_WAIT_S
+        while self.store.count_open() > 0 and time.monotonic() < deadline:
+            self.stopping.wait(DRAIN_POLL_S)
+
+    def count_unfinished(self) -> int:
+        """Return how much accepted work has not ended."""
+        return self.backend.count_unfinished() if self.backend else 0
+
+    def stop(self) -> None:
+        """Stop at once."""
+        self.stopping.set()
+        self.follow.stop()
+        if self.loader is not None:
+            self.loader.stop()
+        if self.backend is not None:
+            self.backend.stop()
+        self.rpc.stop()
+        self.control.close()
+
+
+def add_target(
+    description: members.Description, target: members.TargetInfo
+) -> members.Description:
+    """Return a description with its target."""
+    return members.Description(
+        description.member_id,
+        description.role,
+        description.address,
+        description.data_centre,
+        description.site,
+        target,
+        description.start_nonce,
+    )
--- /dev/null
+++ b/src/hemlockkeel/_internal/agent/service.py
@@ -0,0 +1,139 @@
+"""The thrift service of an agent."""
+
+import collections.abc
+import time
+
+from hemlockkeel._internal.agent import answers
+from hemlockkeel._internal.agent import backend
+from hemlockkeel._internal.follower import follower
+from hemlockkeel._internal.models import outcomes
+from hemlockkeel._internal.rpc.gen.hk import ttypes
+
+MAX_WAIT_S = 2.0
+
+_STATE_REFUSALS = {
+    follower.FollowerState.LEAVING: (
+        outcomes.RefusalCode.LEAVING,
+        "the target is leaving",
+    ),
+    follower.FollowerState.JOINING: (
+        outcomes.RefusalCode.NOT_READY,
+        "the agent is not registered yet",
+    ),
+    follower.FollowerState.LEASE_LOST: (
+        outcomes.RefusalCode.NOT_READY,
+        "the agent has lost its lease",
+    ),
+    follower.FollowerState.SUPERSEDED: (
+        outcomes.RefusalCode.STALE_TARGET,
+        "another agent has taken this target over",
+    ),
+}
+
+
+class AgentService:
+    """Takes work orders and serves answers by offset."""
+
+    def __init__(
+        self,
+        follow: follower.Follower,
+        store: answers.AnswerStore,
+        target_id: str,
+        wall: collections.abc.Callable[[], float] = time.time,
+    ) -> None:
+        self.follow = follow
+        self.store = store
+        self.target_id = target_id
+        self.wall = wall
+        self.backend: backend.Backend | None = None
+
+    def submit(self, order: ttypes.WorkOrder) -> ttypes.OrderReceipt:
+        """Take a work order or refuse it as not run."""
+        refusal = self.check(order)
+        if refusal is None:
+            refusal = self.store.open(order)
+            if refusal is None:
+                refusal = self.queue(order)
+        return self.make_receipt(refusal)
+
+    def queue(self, order: ttypes.WorkOrder) -> outcomes.Refused | None:
+        """Queue an order whose answer is open."""
+        assert self.backend is not None
+        refusal = self.backend.submit(order)
+        if refusal is not None:
+            self.store.discard(order.request_id)
+        return refusal
+
+    def check(self, order: ttypes.WorkOrder) -> outcomes.Refused | None:
+        """Return the reason against an order."""
+        state = self.follow.get_state()
+        if state in _STATE_REFUSALS:
+            code, message = _STATE_REFUSALS[state]
+            return outcomes.refuse(code, message)
+        mine = (self.target_id, self.follow.incarnation)
+        if (order.target_id, order.target_incarnation) != mine:
+            return outcomes.refuse(
+                outcomes.RefusalCode.STALE_TARGET,
+                "the order names another incarnation of this target",
+            )
+        catalog = self.follow.catalog
+        if catalog.is_quarantined(order.content_digest, self.wall()):
+            return outcomes.refuse(
+                outcomes.RefusalCode.QUARANTINED,
+                "requests like this one crashed several targets",
+            )
+        if catalog.is_suspect(order.content_digest):
+            order.suspect = True
+        return None
+
+    def make_receipt(
+        self, refusal: outcomes.Refused | None
+    ) -> ttypes.OrderReceipt:
+        """Return the answer to an order."""
+        assert self.backend is not None
+        load = self.backend.get_load()
+        if refusal is None:
+            return ttypes.OrderReceipt(
+                True, "", "", outcomes.Verdict.MAY_HAVE_RUN, 0, load
+            )
+        return ttypes.OrderReceipt(
+            False,
+            refusal.code.code,
+            refusal.message,
+            refusal.verdict,
+            refusal.retry_after_ms or 0,
+            load,
+        )
+
+    def poll(self, request: ttypes.PollRequest) -> ttypes.PollReply:
+        """Return new frames for an entry, waiting for some."""
+        assert self.backend is not None
+        frames = self.store.poll(
+            (request.owner, request.owner_incarnation),
+            request.acknowledged,
+            min(request.wait_ms / 1000.0, MAX_WAIT_S),
+        )
+        return ttypes.PollReply(
+            frames,
+            self.backend.get_load(),
+            self.target_id,
+            self.follow.incarnation,
+        )
+
+    def attach(self, request: ttypes.AttachRequest) -> ttypes.AttachReply:
+        """Move an answer to an entry, from an offset."""
+        answer, blocked = self.store.attach(request)
+        return ttypes.AttachReply(
+            known=answer is not None,
+            blocked=blocked,
+            target_incarnation=self.follow.incarnation,
+            content_digest=answer.content_digest if answer else "",
+        )
+
+    def cancel(self, request: ttypes.CancelRequest) -> bool:
+        """Stop an attempt, if the caller is the one that reads it."""
+        assert self.backend is not None
+        owner = (request.owner, request.owner_incarnation)
+        if not self.store.is_owner(request.request_id, owner):
+            return False
+        return self.backend.cancel(request.request_id, request.attempt)
--- /dev/null
+++ b/src/hemlockkeel/_internal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Argument parsing and exit codes of the two programs."""
--- /dev/null
+++ b/src/hemlockkeel/_internal/cli/main.py
@@ -0,0 +1,60 @@
+"""Command line of ``hemlockkeel``."""
+
+import sys
+import typing
+
+import typer
+import typer.core
+import typer.main
+
+from hemlockkeel._internal import commands
+from hemlockkeel._internal import exceptions
+from hemlockkeel._internal.cli import exit_codes
+
+
+class LazyGroup(typer.core.TyperGroup):
+    """Imports a command's module only when the command is run."""
+
+    def list_commands(self, ctx: typing.Any) -> list[str]:
+        return list(commands.COMMANDS)
+
+    def get_command(self, ctx: typing.Any, cmd_name: str) -> typing.Any:
+        if cmd_name not in commands.COMMANDS:
+            return None
+        found = typer.main.get_command(commands.load_command(cmd_name))
+        found.name = cmd_name
+        return found
+
+
+app = typer.Typer(
+    cls=LazyGroup,
+    add_completion=False,
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+    help="Operate hemlockkeel. Exit codes: 0 done, 1 failed, 2 invalid "
+    "input, 4 refused, 5 no control leader, 6 accepted but not in force "
+    "everywhere yet.",
+)
+
+
+@app.callback()
+def main() -> None:
+    """Operate hemlockkeel."""
+
+
+def run() -> None:
+    """Entry point of the program."""
+    try:
+        app()
+    except exceptions.OperatorApiError as fault:
+        fail(fault, exit_codes.REFUSED)
+    except exceptions.ControlUnavailableError as fault:
+        fail(fault, exit_codes.UNAVAILABLE)
+    except exceptions.HemlockkeelError as fault:
+        fail(fault, exit_codes.USAGE)
+
+
+def fail(fault: Exception, code: int) -> typing.NoReturn:
+    """Tell an error and exit."""
+    typer.echo(f"hemlockkeel: {fault}", err=True)
+    sys.exit(code)
--- /dev/null
+++ b/src/hemlockkeel/_internal/cli/operator_client.py
@@ -0,0 +1,101 @@
+"""Calls the operators' interface of whichever control member leads."""
+
+import contextlib
+import http.client
+import json
+import time
+import typing
+import urllib.parse
+
+from hemlockkeel._internal import exceptions
+
+TIMEOUT_S = 30.0
+PAUSE_S = 0.1
+DEADLINE_S = 10.0
+RETRIED_STATUS = 503
+
+
+class OperatorClient:
+    """Tries each control URL until one leads."""
+
+    def __init__(self, urls: list[str], token: str) -> None:
+        if not urls:
+            raise exceptions.BadSettingError(
+                "--control-url is missing; set it to http://host:port,..."
+            )
+        self.urls = urls
+        self.token = token
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: typing.Any = None,
+        deadline_s: float = DEADLINE_S,
+    ) -> typing.Any:
+        """Call the leader and return its JSON reply.
+
+        Changes carry a change id, so sending one again is safe.
+
+        :raises ControlUnavailableError: when no leader answers in time.
+        :raises OperatorApiError: when the leader refuses.
+        """
+        deadline = time.monotonic() + deadline_s
+        while True:
+            reasons = []
+            for url in self.urls:
+                try:
+                    status, reply = self.exchange(url, method, path, body)
+                except (OSError, http.client.HTTPException) as fault:
+                    reasons.append(f"{url}: {fault}")
+                    continue
+                if status != RETRIED_STATUS:
+                    return check_reply(status, reply)
+                reasons.append(f"{url}: {get_message(reply)}")
+            if time.monotonic() >= deadline:
+                raise exceptions.ControlUnavailableError(
+                    "no control leader answered: " + "; ".join(reasons)
+                )
+            time.sleep(PAUSE_S)
+
+    def exchange(
+        self, url: str, method: str, path: str, body: typing.Any
+    ) -> tuple[int, typing.Any]:
+        """Send one call to one member."""
+        parts = urllib.parse.urlsplit(url)
+        connection = http.client.HTTPConnection(
+            parts.hostname or "", parts.port, timeout=TIMEOUT_S
+        )
+        data = None if body is None else json.dumps(body).encode()
+        headers = {"Authorization": f"Bearer {self.token}"}
+        with contextlib.closing(connection):
+            connection.request(method, path, data, headers)
+            response = connection.getresponse()
+            payload = response.read()
+        if response.getheader("Content-Type") != "application/json":
+            return response.status, payload
+        return response.status, json.loads(payload)
+
+
+def get_message(reply: typing.Any) -> str:
+    """Return the message of an error reply."""
+    if isinstance(reply, dict) and "error" in reply:
+        return str(reply["error"]["message"])
+    return str(reply)[:200]
+
+
+def check_reply(status: int, reply: typing.Any) -> typing.Any:
+    """Return a good reply.
+
+    :raises OperatorApiError: for any other one.
+    """
+    if status < http.client.BAD_REQUEST:
+        return reply
+    if isinstance(reply, dict) and "reasons" in reply:
+        reasons = "\n".join(f"  - {reason}" for reason in reply["reasons"])
+        message = f"{reply['status']}:\n{reasons}"
+        raise exceptions.OperatorApiError(message, status, reply["status"])
+    code = "error"
+    if isinstance(reply, dict) and "error" in reply:
+        code = str(reply["error"]["code"])
+    raise exceptions.OperatorApiError(get_message(reply), status, code)
--- /dev/null
+++ b/src/hemlockkeel/_internal/commands/__init__.py
@@ -0,0 +1,29 @@
+"""Commands of ``hemlockkeel``: one module each, imported when run."""
+
+import importlib
+import typing
+
+import typer
+
+COMMANDS: dict[str, str] = {
+    "apply": "apply",
+    "diff": "diff",
+    "status": "status",
+    "targets": "targets",
+    "drain": "drain",
+    "undrain": "undrain",
+    "audit": "audit",
+    "quarantine": "quarantine",
+    "control": "control",
+    "backup": "backup",
+    "restore": "restore",
+    "request": "request",
+    "version": "version",
+}
+"""Command names and the modules in this package that hold them."""
+
+
+def load_command(name: str) -> typer.Typer:
+    """Import a command's module and return its application."""
+    module = importlib.import_module(f"{__name__}.{COMMANDS[name]}")
+    return typing.cast(typer.Typer, module.app)
--- /dev/null
+++ b/src/hemlockkeel/_internal/commands/backup.py
@@ -0,0 +1,26 @@
+"""``hemlockkeel backup``: copy the accepted state to a file."""
+
+import pathlib
+import typing
+
+import typer
+
+from hemlockkeel._internal.cli import options
+from hemlockkeel._internal.consensus import storage
+
+app = typer.Typer(add_completion=False)
+
+
+@app.command()
+def backup(
+    to: typing.Annotated[pathlib.Path, typer.Argument(help="file to write")],
+    control_url: options.ControlUrl = "",
+    admin_token: options.AdminToken = "",
+    as_json: options.AsJson = False,
+) -> None:
+    """Write the leader's whole state to a file that lasts."""
+    client = options.make_client(control_url, admin_token)
+    data: bytes = client.call("GET", "/v1/backup")
+    storage.write_file(to, data)
+    value = {"file": str(to), "bytes": len(data)}
+    options.show(value, as_json, f"{len(data)} bytes written to {to}")
--- /dev/null
+++ b/src/hemlockkeel/_internal/commands/control.py
@@ -0,0 +1,111 @@
+"""``hemlockkeel control``: members of the quorum."""
+
+import enum
+import time
+import typing
+
+import typer
+
+from hemlockkeel._internal import exceptions
+from hemlockkeel._internal.cli import operator_client
+from hemlockkeel._internal.cli import options
+
+app = typer.Typer(add_completion=False)
+CATCH_UP_S = 60.0
+POLL_S = 0.1
+
+
+class Action(enum.Enum):
+    """What to do with the quorum."""
+
+    LIST = "list"
+    ADD = "add"
+    REMOVE = "remove"
+    REPLACE = "replace"
+
+
+@app.command()
+def control(
+    action: typing.Annotated[Action, typer.Argument(help="what to do")],
+    member: typing.Annotated[
+        str, typer.Argument(help="member id (add, remove: the old one)")
+    ] = "",
+    new_member: typing.Annotated[
+        str, typer.Argument(help="member id that replaces it (replace)")
+    ] = "",
+    address: typing.Annotated[
+        str,
+        typer.Option("--address", help="host:port of the new member"),
+    ] = "",
+    control_url: options.ControlUrl = "",
+    admin_token: options.AdminToken = "",
+    operator: options.Operator = "",
+    as_json: options.AsJson = False,
+) -> None:
+    """List, add, remove or replace members, one at a time.
+
+    A new member votes only once it has caught up; a replacement adds the
+    new member first and removes the old one after that.
+    """
+    client = options.make_client(control_url, admin_token)
+    name = options.get_operator(operator)
+    match action:
+        case Action.ADD:
+            add(client, member, address, name)
+        case Action.REMOVE:
+            need(member, "the id of the member to remove")
+            change(client, {"operator": name, "remove_id": member})
+        case Action.REPLACE:
+            need(member, "the id of the member to replace")
+            add(client, new_member, address, name)
+            change(client, {"operator": name, "remove_id": member})
+    reply = client.call("GET", "/v1/status")["control"]
+    rows = [["MEMBER", "ADDRESS", "VOTES", "LEADS"]]
+    for peer in reply["peers"]:
+        rows.append(
+            [
+                peer["member_id"],
+                peer["address"],
+                "yes" if peer["voter"] else "not yet",
+                "yes" if peer["member_id"] == reply["leader"] else "",
+            ]
+        )
+    options.show(reply, as_json, options.format_table(rows))
+
+
+def need(value: str, what: str) -> None:
+    """Require an argument."""
+    if not value:
+        raise exceptions.BadSettingError(f"an argument is missing: {what}")
+
+
+def change(
+    client: operator_client.OperatorClient, body: dict[str, str]
+) -> typing.Any:
+    """Commit one change of members."""
+    return client.call("POST", "/v1/control", body)
+
+
+def add(
+    client: operator_client.OperatorClient,
+    member: str,
+    address: str,
+    operator: str,
+) -> None:
+    """Add a member and wait until it votes."""
+    need(member, "the id of the new member; its start line shows it")
+    need(address, "--address, host:port of the new member")
+    change(
+        client,
+        {"operator": operator, "add_id": member, "add_address": address},
+    )
+    deadline = time.monotonic() + CATCH_UP_S
+    while time.monotonic() < deadline:
+        reply = client.call("GET", "/v1/status")["control"]
+        voting = [p["member_id"] for p in reply["peers"] if p["voter"]]
+        if member in voting:
+            return
+        time.sleep(POLL_S)
+    raise exceptions.ControlUnavailableError(
+        f"member {member} has not caught up; check that it runs at {address}"
+    )
--- /dev/null
+++ b/src/hemlockkeel/_internal/commands/drain.py
@@ -0,0 +1,24 @@
+"""``hemlockkeel drain``: stop sending work to a target."""
+
+import typing
+
+import typer
+
+from hemlockkeel._internal.cli import options
+from hemlockkeel._internal.commands import drains
+
+app = typer.Typer(add_completion=False)
+
+
+@app.command()
+def drain(
+    target: typing.Annotated[str, typer.Argument(help="target id")],
+    control_url: options.ControlUrl = "",
+    admin_token: options.AdminToken = "",
+    operator: options.Operator = "",
+    change_id: options.ChangeId = "",
+    as_json: options.AsJson = False,
+) -> None:
+    """Send a target no new work; what it runs ends whole."""
+    client = options.make_client(control_url, admin_token)
+    drains.set_drain(client, target, True, operator, change_id, as_json)
--- /dev/null
+++ b/src/hemlockkeel/_internal/commands/drains.py
@@ -0,0 +1,27 @@
+"""What ``drain`` and ``undrain`` share."""
+
+from hemlockkeel._internal.cli import operator_client
+from hemlockkeel._internal.cli import options
+
+
+def set_drain(
+    client: operator_client.OperatorClient,
+    target: str,
+    drained: bool,
+    operator: str,
+    change_id: str,
+    as_json: bool,
+) -> None:
+    """Commit a drain or its end and tell the outcome."""
+    reply = client.call(
+        "POST",
+        "/v1/drains",
+        {
+            "change_id": options.get_change_id(change_id),
+            "operator": options.get_operator(operator),
+            "target_id": target,
+            "drained": drained,
+        },
+    )
+    what = "is drained" if drained else "takes work again"
+    options.show(reply, as_json, f"target {target} {what}")
--- /dev/null
+++ b/src/hemlockkeel/_internal/commands/plan.py
@@ -0,0 +1,84 @@
+"""Computes the change that declaration files ask for."""
+
+import dataclasses
+import pathlib
+
+from hemlockkeel._internal import exceptions
+from hemlockkeel._internal.cli import operator_client
+from hemlockkeel._internal.models import items
+from hemlockkeel._internal.state import files
+
+MAX_SHOWN = 40
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """A change and the version it was computed from."""
+
+    version: int
+    writes: list[items.Write]
+    current: dict[str, bytes]
+
+
+def make_plan(
+    client: operator_client.OperatorClient,
+    base: pathlib.Path,
+    overlays: list[str],
+) -> Plan:
+    """Compare files with the accepted configuration.
+
+    Overlays of sites that are not named stay as they are.
+    """
+    paths = parse_overlays(overlays)
+    wanted = files.make_wanted(base, paths)
+    reply = client.call("GET", "/v1/config")
+    current = {key: text.encode() for key, text in reply["items"].items()}
+    layers = frozenset([items.BASE_LAYER, *paths])
+    writes = files.diff_items(current, wanted, layers)
+    return Plan(reply["version"], writes, current)
+
+
+def parse_overlays(texts: list[str]) -> dict[str, pathlib.Path]:
+    """Parse ``SITE=FILE`` flags."""
+    found: dict[str, pathlib.Path] = {}
+    for text in texts:
+        site, separator, path = text.partition("=")
+        if not separator or not site or not path:
+            raise exceptions.BadDeclarationError(
+                f"--overlay '{text}' must have the form SITE=FILE"
+            )
+        if site in found:
+            raise exceptions.BadDeclarationError(
+                f"--overlay names site '{site}' twice; keep one"
+            )
+        found[site] = pathlib.Path(path)
+    return found
+
+
+def describe_plan(plan: Plan) -> str:
+    """Return the change, a line an item."""
+    if not plan.writes:
+        return f"no changes against version {plan.version}"
+    lines = [f"{len(plan.writes)} items change against {plan.version}:"]
+    for write in plan.writes[:MAX_SHOWN]:
+        lines.append(describe_write(write, plan.current.get(write.key)))
+    if len(plan.writes) > MAX_SHOWN:
+        lines.append(f"  and {len(plan.writes) - MAX_SHOWN} more")
+    return "\n".join(lines)
+
+
+def describe_write(write: items.Write, old: bytes | None) -> str:
+    """Return one changed item."""
+    if write.value is None:
+        return f"- {write.key}"
+    if old is None:
+        return f"+ {write.key} {write.value.decode()}"
+    return f"~ {write.key} {old.decode()} -> {write.value.decode()}"
+
+
+def encode_writes(writes: list[items.Write]) -> dict[str, str | None]:
+    """Return the JSON form of a change."""
+    return {
+        write.key: None if write.value is None else write.value.decode()
+        for write in writes
+    }
--- /dev/null
+++ b/src/hemlockkeel/_internal/commands/request.py
@@ -0,0 +1,106 @@
+"""``hemlockkeel request``: send one request and print its answer."""
+
+import contextlib
+import http.client
+import json
+import typing
+import urllib.parse
+
+import typer
+
+from hemlockkeel._internal.cli import exit_codes
+from hemlockkeel._internal.cli import options
+
+app = typer.Typer(add_completion=False)
+TIMEOUT_S = 300.0
+DATA = "data: "
+
+
+@app.command()
+def request(
+    prompt: typing.Annotated[str, typer.Argument(help="prompt or body")],
+    model: typing.Annotated[
+        str, typer.Option("--model", help="adapter and version, name@version")
+    ] = "",
+    service: typing.Annotated[
+        str,
+        typer.Option("--service", help="plain service path, NAME/PATH"),
+    ] = "",
+    entry_url: typing.Annotated[
+        str,
+        typer.Option(
+            "--entry-url",
+            envvar="HEMLOCKKEEL_ENTRY_URL",
+            help="an entry, http://host:port",
+        ),
+    ] = "http://127.0.0.1:8080",
+    max_tokens: typing.Annotated[int, typer.Option("--max-tokens")] = 16,
+    key: typing.Annotated[
+        str, typer.Option("--key", help="idempotency key")
+    ] = "",
+    as_json: options.AsJson = False,
+) -> None:
+    """Send one request, streaming its answer."""
+    headers = {"Content-Type": "application/json"}
+    if key:
+        headers["Idempotency-Key"] = key
+    path, body = make_call(prompt, model, service, max_tokens, as_json)
+    parts = urllib.parse.urlsplit(entry_url)
+    connection = http.client.HTTPConnection(
+        parts.hostname or "", parts.port, timeout=TIMEOUT_S
+    )
+    with contextlib.closing(connection):
+        try:
+            connection.request("POST", path, body, headers)
+            response = connection.getresponse()
+        except OSError as fault:
+            text = f"hemlockkeel: no entry at {entry_url}: {fault}"
+            typer.echo(text, err=True)
+            raise typer.Exit(exit_codes.UNAVAILABLE) from fault
+        show_answer(response)
+
+
+def make_call(
+    prompt: str, model: str, service: str, max_tokens: int, as_json: bool
+) -> tuple[str, bytes]:
+    """Return the path and body of a call."""
+    if service:
+        return f"/services/{service}", prompt.encode()
+    body = {
+        "model": model,
+        "prompt": prompt,
+        "max_tokens": max_tokens,
+        "stream": not as_json,
+    }
+    return "/v1/completions", json.dumps(body).encode()
+
+
+def show_answer(response: http.client.HTTPResponse) -> None:
+    """Print an answer as it comes; a refusal ends with an exit code."""
+    kind = response.getheader("Content-Type", "")
+    if not kind.startswith("text/event-stream"):
+        text = response.read().decode(errors="replace")
+        typer.echo(text)
+        if response.status >= http.client.BAD_REQUEST:
+            raise typer.Exit(exit_codes.FAILED)
+        return
+    failed = False
+    for raw in response:
+        line = raw.decode(errors="replace").rstrip("\n")
+        failed = failed or line == "event: error"
+        if line.startswith(DATA):
+            show_event(line[len(DATA) :])
+    typer.echo("")
+    if failed:
+        raise typer.Exit(exit_codes.FAILED)
+
+
+def show_event(text: str) -> None:
+    """Print the text of one event."""
+    if text == "[DONE]":
+        return
+    event = json.loads(text)
+    if "error" in event:
+        typer.echo(text, err=True)
+        return
+    typer.echo(event["choices"][0].get("text", ""), nl=False)
--- /dev/null
+++ b/src/hemlockkeel/_internal/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log of the control instances."""
--- /dev/null
+++ b/src/hemlockkeel/_internal/consensus/core.py
@@ -0,0 +1,755 @@
+"""Raft without threads, sockets, disks or clocks of its own.
+
+Calls pass the time in and collect effects; the driver stores the hard state
+and the entries of an `Effects`, syncs them, and only then sends its messages
+and reports `RaftCore.on_persisted`.
+"""
+
+import dataclasses
+import enum
+import random
+
+import msgspec
+
+from hemlockkeel._internal import exceptions
+from hemlockkeel._internal.consensus import log as log_module
+from hemlockkeel._internal.consensus import messages
+
+MAX_ENTRIES_PER_APPEND = 512
+SNAPSHOT_CHUNK_BYTES = 1 << 20
+# Share of the election timeout that a leader lease lasts; the rest allows
+# for clock drift between members.
+LEASE_SHARE = 0.8
+
+
+class State(enum.Enum):
+    """Part that a member plays in its term."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre_candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclasses.dataclass(frozen=True)
+class Timing:
+    """Lengths in seconds."""
+
+    heartbeat_s: float = 0.1
+    election_min_s: float = 0.6
+    election_max_s: float = 1.2
+
+
+@dataclasses.dataclass
+class Effects:
+    """What the driver has to do, in the order of the fields."""
+
+    hard_state: messages.HardState | None = None
+    entries: list[messages.Entry] = dataclasses.field(default_factory=list)
+    install: tuple[messages.SnapshotMeta, bytes] | None = None
+    outgoing: list[messages.AnyMessage] = dataclasses.field(
+        default_factory=list
+    )
+    committed: list[messages.Entry] = dataclasses.field(default_factory=list)
+
+    @property
+    def empty(self) -> bool:
+        """Tell whether there is nothing to do."""
+        return not (
+            self.hard_state
+            or self.entries
+            or self.install
+            or self.outgoing
+            or self.committed
+        )
+
+
+@dataclasses.dataclass
+class Progress:
+    """What a leader knows of one peer."""
+
+    match: int = 0
+    next: int = 1
+    # Leader's monotonic send time of the latest append the peer answered.
+    acked_at: float = float("-inf")
+    snapshot_offset: int = 0
+    in_flight: bool = False
+    sent_at: float = float("-inf")
+
+
+@dataclasses.dataclass
+class Saved:
+    """State recovered from disk."""
+
+    hard_state: messages.HardState
+    log: log_module.Log
+    snapshot: tuple[messages.SnapshotMeta, bytes] | None = None
+
+
+class RaftCore:
+    """One member's consensus state."""
+
+    def __init__(
+        self,
+        member_id: str,
+        saved: Saved,
+        timing: Timing,
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        self.member_id = member_id
+        self.timing = timing
+        self.rng = rng
+        self.term = saved.hard_state.term
+        self.voted_for = saved.hard_state.voted_for
+        self.log = saved.log
+        self.snapshot = saved.snapshot
+        self.commit = saved.snapshot[0].index if saved.snapshot else 0
+        self.persisted_index = self.log.last_index
+        self.state = State.FOLLOWER
+        self.leader_id = ""
+        # A member that voted before a restart may still be bound by a
+        # leader's lease, so it waits as if it had just heard from one.
+        self.leader_heard_at = now
+        self.election_at = 0.0
+        self.votes: set[str] = set()
+        self.progress: dict[str, Progress] = {}
+        self.heartbeat_at = 0.0
+        self.term_start_index = 0
+        self.leader_since = now
+        self.incoming: tuple[messages.SnapshotMeta, bytearray] | None = None
+        self.effects = Effects()
+        self.membership = self.find_membership()
+        self.reset_election(now)
+
+    # Membership
+
+    def find_membership(self) -> messages.Membership:
+        """Return the latest membership in the log or snapshot."""
+        for entry in reversed(self.log.entries):
+            if entry.kind is messages.EntryKind.MEMBERSHIP:
+                return messages.decode_membership(entry.data)
+        if self.snapshot is not None:
+            return self.snapshot[0].membership
+        return messages.Membership([])
+
+    def find_membership_at(self, index: int) -> messages.Membership:
+        """Return the membership in force at an index."""
+        for entry in reversed(self.log.entries):
+            if entry.index > index:
+                continue
+            if entry.kind is messages.EntryKind.MEMBERSHIP:
+                return messages.decode_membership(entry.data)
+        if self.snapshot is not None:
+            return self.snapshot[0].membership
+        return messages.Membership([])
+
+    @property
+    def is_voter(self) -> bool:
+        """Tell whether this member votes."""
+        return self.member_id in self.membership.voters
+
+    @property
+    def other_peers(self) -> list[str]:
+        """Return the ids of the other members."""
+        return [
+            peer.member_id
+            for peer in self.membership.peers
+            if peer.member_id != self.member_id
+        ]
+
+    def has_pending_membership(self) -> bool:
+        """Tell whether a membership entry is not committed yet."""
+        return any(
+            entry.kind is messages.EntryKind.MEMBERSHIP
+            for entry in self.log.entries[
+                max(0, self.commit - self.log.base_index) :
+            ]
+        )
+
+    # Time
+
+    def reset_election(self, now: float) -> None:
+        """Draw the next election timeout."""
+        low, high = self.timing.election_min_s, self.timing.election_max_s
+        self.election_at = now + self.rng.uniform(low, high)
+
+    def tick(self, now: float) -> None:
+        """Advance time."""
+        if self.state is State.LEADER:
+            self.tick_leader(now)
+            return
+        if now >= self.election_at and self.is_voter:
+            self.start_pre_vote(now)
+
+    def tick_leader(self, now: float) -> None:
+        """Send heartbeats; step down without a quorum."""
+        heard_at = max(self.get_quorum_time(now), self.leader_since)
+        if now > heard_at + self.timing.election_max_s:
+            self.become_follower(self.term, "", now)
+            return
+        if now < self.heartbeat_at:
+            return
+        self.heartbeat_at = now + self.timing.heartbeat_s
+        for peer in self.other_peers:
+            self.send_append(peer, now, heartbeat=True)
+
+    def get_quorum_time(self, now: float) -> float:
+        """Return the send time that a quorum has answered."""
+        times = sorted(
+            (
+                now
+                if voter == self.member_id
+                else self.progress[voter].acked_at
+                for voter in self.membership.voters
+            ),
+            reverse=True,
+        )
+        if not times:
+            return now
+        return times[self.membership.quorum - 1]
+
+    def has_lease(self, now: float) -> bool:
+        """Tell whether this member is certainly the only leader now."""
+        if self.state is not State.LEADER:
+            return False
+        if self.commit < self.term_start_index:
+            return False
+        lease_s = self.timing.election_min_s * LEASE_SHARE
+        return now < self.get_quorum_time(now) + lease_s
+
+    # Elections
+
+    def start_pre_vote(self, now: float) -> None:
+        """Ask whether an election could succeed."""
+        self.state = State.PRE_CANDIDATE
+        self.leader_id = ""
+        self.votes = {self.member_id}
+        self.reset_election(now)
+        if len(self.votes) >= self.membership.quorum:
+            self.start_election(now)
+            return
+        self.send_vote_requests(self.term + 1, pre=True)
+
+    def start_election(self, now: float) -> None:
+        """Stand for leader in the next term."""
+        self.state = State.CANDIDATE
+        self.set_term(self.term + 1, self.member_id)
+        self.votes = {self.member_id}
+        self.reset_election(now)
+        if len(self.votes) >= self.membership.quorum:
+            self.become_leader(now)
+            return
+        self.send_vote_requests(self.term, pre=False)
+
+    def send_vote_requests(self, term: int, pre: bool) -> None:
+        """Send a vote request to every other voter."""
+        for voter in self.membership.voters:
+            if voter == self.member_id:
+                continue
+            self.effects.outgoing.append(
+                messages.VoteRequest(
+                    term=term,
+                    sender=self.member_id,
+                    receiver=voter,
+                    last_index=self.log.last_index,
+                    last_term=self.log.last_term,
+                    pre=pre,
+                )
+            )
+
+    def set_term(self, term: int, voted_for: str) -> None:
+        """Change term and vote; the driver stores them."""
+        exceptions.require(
+            term > self.term
+            or (term == self.term and self.voted_for in ("", voted_for)),
+            "term or vote went back",
+        )
+        self.term = term
+        self.voted_for = voted_for
+        self.effects.hard_state = messages.HardState(term, voted_for)
+
+    def become_follower(self, term: int, leader_id: str, now: float) -> None:
+        """Follow a leader, or wait for one."""
+        if term > self.term:
+            self.set_term(term, "")
+        self.state = State.FOLLOWER
+        self.leader_id = leader_id
+        self.progress = {}
+        self.reset_election(now)
+
+    def become_leader(self, now: float) -> None:
+        """Take the lead of the current term."""
+        self.state = State.LEADER
+        self.leader_id = self.member_id
+        self.term_start_index = self.log.last_index + 1
+        self.progress = {}
+        self.leader_since = now
+        for peer in self.other_peers:
+            self.progress[peer] = Progress(next=self.log.last_index + 1)
+        self.heartbeat_at = now + self.timing.heartbeat_s
+        self.append_own(messages.EntryKind.NOOP, b"")
+        self.broadcast(now)
+
+    # Proposals
+
+    def propose(
+        self, kind: messages.EntryKind, data: bytes, now: float
+    ) -> int | None:
+        """Append an entry; return its index, or None if not leading."""
+        if self.state is not State.LEADER:
+            return None
+        if kind is messages.EntryKind.MEMBERSHIP:
+            if not self.may_change_membership(data):
+                return None
+        index = self.append_own(kind, data)
+        self.broadcast(now)
+        return index
+
+    def may_change_membership(self, data: bytes) -> bool:
+        """Tell whether a membership change is safe now."""
+        if self.has_pending_membership():
+            return False
+        if self.commit < self.term_start_index:
+            return False
+        before = set(self.membership.voters)
+        after = set(messages.decode_membership(data).voters)
+        return bool(after) and len(before ^ after) <= 1
+
+    def append_own(self, kind: messages.EntryKind, data: bytes) -> int:
+        """Append an entry of the current term."""
+        index = self.log.last_index + 1
+        entry = messages.Entry(index, self.term, kind, data)
+        self.log.append(entry)
+        self.effects.entries.append(entry)
+        if kind is messages.EntryKind.MEMBERSHIP:
+            self.adopt_membership()
+        return index
+
+    def adopt_membership(self) -> None:
+        """Use the latest membership in the log."""
+        self.membership = self.find_membership()
+        if self.state is not State.LEADER:
+            return
+        peers = set(self.other_peers)
+        for gone in set(self.progress) - peers:
+            del self.progress[gone]
+        for peer in peers - set(self.progress):
+            self.progress[peer] = Progress(next=self.log.last_index + 1)
+
+    def on_persisted(self, index: int, now: float) -> None:
+        """Learn that the log is on disk up to an index."""
+        self.persisted_index = min(index, self.log.last_index)
+        if self.state is State.LEADER:
+            self.advance_commit(now)
+
+    # Replication
+
+    def broadcast(self, now: float) -> None:
+        """Send new entries to every peer that is not busy."""
+        for peer in self.other_peers:
+            self.send_append(peer, now, heartbeat=False)
+
+    def send_append(self, peer: str, now: float, heartbeat: bool) -> None:
+        """Send entries, a snapshot chunk or a heartbeat to a peer."""
+        progress = self.progress[peer]
+        lost = now - progress.sent_at > 2 * self.timing.heartbeat_s
+        if progress.in_flight and not (heartbeat and lost):
+            if heartbeat:
+                self.send_entries(peer, progress, [], now)
+            return
+        if progress.next <= self.log.base_index:
+            self.send_snapshot(peer, progress, now)
+            return
+        entries = self.log.slice(progress.next - 1, MAX_ENTRIES_PER_APPEND)
+        if not entries and not heartbeat:
+            return
+        progress.in_flight = bool(entries)
+        progress.sent_at = now
+        self.send_entries(peer, progress, entries, now)
+
+    def send_entries(
+        self,
+        peer: str,
+        progress: Progress,
+        entries: list[messages.Entry],
+        now: float,
+    ) -> None:
+        """Send an append request."""
+        previous = progress.next - 1
+        term = self.log.get_term(previous)
+        if term is None:
+            # The peer needs a snapshot; this only keeps it from voting.
+            previous, term = 0, 0
+            entries = []
+        self.effects.outgoing.append(
+            messages.AppendRequest(
+                term=self.term,
+                sender=self.member_id,
+                receiver=peer,
+                previous_index=previous,
+                previous_term=term,
+                entries=entries,
+                commit=self.commit,
+                sent_at=now,
+            )
+        )
+
+    def send_snapshot(self, peer: str, progress: Progress, now: float) -> None:
+        """Send the next chunk of the snapshot."""
+        assert self.snapshot is not None
+        meta, data = self.snapshot
+        offset = min(progress.snapshot_offset, len(data))
+        progress.in_flight = True
+        progress.sent_at = now
+        self.effects.outgoing.append(
+            messages.SnapshotChunk(
+                term=self.term,
+                sender=self.member_id,
+                receiver=peer,
+                meta=meta,
+                offset=offset,
+                total=len(data),
+                data=data[offset : offset + SNAPSHOT_CHUNK_BYTES],
+                sent_at=now,
+            )
+        )
+
+    def advance_commit(self, now: float) -> None:
+        """Commit what a quorum has stored in this term."""
+        matches = sorted(
+            (
+                self.persisted_index
+                if voter == self.member_id
+                else self.progress[voter].match
+                for voter in self.membership.voters
+            ),
+            reverse=True,
+        )
+        if not matches:
+            return
+        index = matches[self.membership.quorum - 1]
+        if index > self.commit and self.log.get_term(index) == self.term:
+            self.set_commit(index)
+            self.check_own_removal(now)
+
+    def set_commit(self, index: int) -> None:
+        """Hand committed entries to the driver."""
+        index = min(index, self.log.last_index)
+        if index <= self.commit:
+            return
+        start = self.commit
+        self.commit = index
+        self.effects.committed.extend(self.log.slice(start, index - start))
+
+    def check_own_removal(self, now: float) -> None:
+        """Step down once this member's own removal is committed."""
+        if self.is_voter or self.has_pending_membership():
+            return
+        self.become_follower(self.term, "", now)
+
+    # Messages
+
+    def receive(self, message: messages.AnyMessage, now: float) -> None:
+        """Handle a message from another member."""
+        if message.receiver != self.member_id:
+            return
+        if isinstance(message, messages.VoteRequest):
+            self.handle_vote_request(message, now)
+            return
+        if isinstance(message, messages.VoteReply):
+            self.handle_vote_reply(message, now)
+            return
+        if message.term > self.term:
+            self.become_follower(message.term, "", now)
+        match message:
+            case messages.AppendRequest():
+                self.handle_append(message, now)
+            case messages.SnapshotChunk():
+                self.handle_chunk(message, now)
+            case messages.AppendReply():
+                self.handle_append_reply(message, now)
+            case messages.SnapshotReply():
+                self.handle_snapshot_reply(message, now)
+
+    def handle_vote_request(
+        self, message: messages.VoteRequest, now: float
+    ) -> None:
+        """Grant or refuse a vote or pre-vote."""
+        lease = now < self.leader_heard_at + self.timing.election_min_s
+        if lease or self.state is State.LEADER:
+            # A live leader's lease forbids a change of term.
+            if message.term >= self.term:
+                return
+        if message.pre:
+            granted = message.term > self.term and self.is_current(message)
+            self.reply_vote(message, granted, message.term)
+            return
+        if message.term > self.term:
+            self.become_follower(message.term, "", now)
+        granted = (
+            message.term == self.term
+            and self.voted_for in ("", message.sender)
+            and self.is_current(message)
+        )
+        if granted:
+            self.set_term(self.term, message.sender)
+            self.reset_election(now)
+        self.reply_vote(message, granted, self.term)
+
+    def is_current(self, message: messages.VoteRequest) -> bool:
+        """Tell whether a candidate's log is at least as new as ours."""
+        return (message.last_term, message.last_index) >= (
+            self.log.last_term,
+            self.log.last_index,
+        )
+
+    def reply_vote(
+        self, message: messages.VoteRequest, granted: bool, term: int
+    ) -> None:
+        """Answer a vote request."""
+        self.effects.outgoing.append(
+            messages.VoteReply(
+                term=term if granted else self.term,
+                sender=self.member_id,
+                receiver=message.sender,
+                granted=granted,
+                pre=message.pre,
+            )
+        )
+
+    def handle_vote_reply(
+        self, message: messages.VoteReply, now: float
+    ) -> None:
+        """Count a vote."""
+        if not message.granted:
+            if message.term > self.term:
+                self.become_follower(message.term, "", now)
+            return
+        if message.sender not in self.membership.voters:
+            return
+        if message.pre:
+            if self.state is not State.PRE_CANDIDATE:
+                return
+            if message.term != self.term + 1:
+                return
+            self.votes.add(message.sender)
+            if len(self.votes) >= self.membership.quorum:
+                self.start_election(now)
+            return
+        if self.state is not State.CANDIDATE or message.term != self.term:
+            return
+        self.votes.add(message.sender)
+        if len(self.votes) >= self.membership.quorum:
+            self.become_leader(now)
+
+    def follow(self, leader_id: str, now: float) -> None:
+        """Note a sign of life from the term's leader."""
+        exceptions.require(
+            self.state is not State.LEADER,
+            "two leaders in term %d",
+            self.term,
+        )
+        exceptions.require(
+            self.leader_id in ("", leader_id),
+            "term %d has leaders %s and %s",
+            self.term,
+            self.leader_id,
+            leader_id,
+        )
+        self.state = State.FOLLOWER
+        self.leader_id = leader_id
+        self.leader_heard_at = now
+        self.reset_election(now)
+
+    def handle_append(
+        self, message: messages.AppendRequest, now: float
+    ) -> None:
+        """Store entries that follow the local log."""
+        if message.term < self.term:
+            self.reply_append(message, False, self.log.last_index)
+            return
+        self.follow(message.sender, now)
+        previous = message.previous_index
+        entries = message.entries
+        if previous < self.log.base_index:
+            # Entries up to the local snapshot are committed already.
+            entries = [e for e in entries if e.index > self.log.base_index]
+            previous = self.log.base_index
+            if message.previous_index + len(message.entries) < previous:
+                self.reply_append(message, True, message.previous_index)
+                return
+        elif self.log.get_term(previous) != message.previous_term:
+            hint = min(self.log.last_index, previous - 1)
+            self.reply_append(message, False, max(hint, self.commit))
+            return
+        self.store_entries(entries)
+        match = previous + len(entries)
+        self.set_commit(min(message.commit, match))
+        self.reply_append(message, True, match)
+
+    def store_entries(self, entries: list[messages.Entry]) -> None:
+        """Append entries, replacing a tail that differs."""
+        membership_changed = False
+        for entry in entries:
+            term = self.log.get_term(entry.index)
+            if term == entry.term:
+                continue
+            if term is not None:
+                exceptions.require(
+                    entry.index > self.commit,
+                    "committed entry %d would change",
+                    entry.index,
+                )
+                self.log.truncate(entry.index)
+                self.drop_unstored(entry.index)
+                membership_changed = True
+            self.log.append(entry)
+            self.effects.entries.append(entry)
+            if entry.kind is messages.EntryKind.MEMBERSHIP:
+                membership_changed = True
+        if membership_changed:
+            self.adopt_membership()
+
+    def drop_unstored(self, index: int) -> None:
+        """Forget entries that wait for storage at and after an index."""
+        self.effects.entries = [
+            entry for entry in self.effects.entries if entry.index < index
+        ]
+        self.persisted_index = min(self.persisted_index, index - 1)
+
+    def reply_append(
+        self, message: messages.AppendRequest, success: bool, index: int
+    ) -> None:
+        """Answer an append request."""
+        self.effects.outgoing.append(
+            messages.AppendReply(
+                term=self.term,
+                sender=self.member_id,
+                receiver=message.sender,
+                success=success,
+                index=index,
+                sent_at=message.sent_at,
+            )
+        )
+
+    def handle_append_reply(
+        self, message: messages.AppendReply, now: float
+    ) -> None:
+        """Update a peer's progress."""
+        progress = self.progress.get(message.sender)
+        if self.state is not State.LEADER or progress is None:
+            return
+        if message.term < self.term:
+            return
+        progress.acked_at = max(progress.acked_at, message.sent_at)
+        progress.in_flight = False
+        if message.success:
+            progress.match = max(progress.match, message.index)
+            progress.next = max(progress.next, progress.match + 1)
+            self.advance_commit(now)
+        else:
+            progress.next = max(progress.match, message.index) + 1
+        if progress.next <= self.log.last_index:
+            self.send_append(message.sender, now, heartbeat=False)
+
+    def handle_chunk(
+        self, message: messages.SnapshotChunk, now: float
+    ) -> None:
+        """Collect a snapshot."""
+        if message.term < self.term:
+            self.reply_chunk(message, 0, False)
+            return
+        self.follow(message.sender, now)
+        meta = message.meta
+        if meta.index <= self.commit:
+            self.reply_chunk(message, message.total, True)
+            return
+        if self.incoming is None or self.incoming[0] != meta:
+            self.incoming = (meta, bytearray())
+        buffer = self.incoming[1]
+        if message.offset == len(buffer):
+            buffer += message.data
+        if len(buffer) < message.total:
+            self.reply_chunk(message, len(buffer), False)
+            return
+        self.install(meta, bytes(buffer))
+        self.reply_chunk(message, message.total, True)
+
+    def install(self, meta: messages.SnapshotMeta, data: bytes) -> None:
+        """Replace the log by a snapshot."""
+        exceptions.require(meta.index > self.commit, "snapshot goes back")
+        self.incoming = None
+        self.snapshot = (meta, data)
+        if self.log.get_term(meta.index) == meta.term:
+            self.log.compact(meta.index)
+        else:
+            self.log.reset(meta.index, meta.term)
+        self.effects.entries = [
+            entry
+            for entry in self.effects.entries
+            if meta.index < entry.index <= self.log.last_index
+        ]
+        self.effects.committed = []
+        self.commit = meta.index
+        self.persisted_index = max(self.persisted_index, meta.index)
+        self.persisted_index = min(self.persisted_index, self.log.last_index)
+        self.effects.install = (meta, data)
+        self.membership = self.find_membership()
+
+    def reply_chunk(
+        self, message: messages.SnapshotChunk, offset: int, done: bool
+    ) -> None:
+        """Answer a snapshot chunk."""
+        self.effects.outgoing.append(
+            messages.SnapshotReply(
+                term=self.term,
+                sender=self.member_id,
+                receiver=message.sender,
+                index=message.meta.index,
+                offset=offset,
+                done=done,
+                sent_at=message.sent_at,
+            )
+        )
+
+    def handle_snapshot_reply(
+        self, message: messages.SnapshotReply, now: float
+    ) -> None:
+        """Send the next chunk, or entries after the snapshot."""
+        progress = self.progress.get(message.sender)
+        if self.state is not State.LEADER or progress is None:
+            return
+        if message.term < self.term:
+            return
+        progress.acked_at = max(progress.acked_at, message.sent_at)
+        progress.in_flight = False
+        if message.done:
+            progress.match = max(progress.match, message.index)
+            progress.next = max(progress.next, progress.match + 1)
+            progress.snapshot_offset = 0
+        else:
+            progress.snapshot_offset = message.offset
+        self.send_append(message.sender, now, heartbeat=False)
+
+    # Driver
+
+    def compact(self, index: int, data: bytes, trailing: int) -> None:
+        """Keep a snapshot taken at an applied index and drop old entries."""
+        exceptions.require(index <= self.commit, "snapshot of the future")
+        term = self.log.get_term(index)
+        assert term is not None
+        membership = self.find_membership_at(index)
+        meta = messages.SnapshotMeta(index, term, membership)
+        self.snapshot = (meta, data)
+        self.log.compact(max(index - trailing, self.log.base_index))
+
+    def take_effects(self) -> Effects:
+        """Return what has to be done since the last call."""
+        effects, self.effects = self.effects, Effects()
+        return effects
+
+
+def make_membership_entry(membership: messages.Membership) -> bytes:
+    """Encode a membership for a log entry."""
+    return msgspec.msgpack.encode(membership)
--- /dev/null
+++ b/src/hemlockkeel/_internal/consensus/log.py
@@ -0,0 +1,73 @@
+"""In-memory log of one member, starting after a compacted prefix."""
+
+from hemlockkeel._internal import exceptions
+from hemlockkeel._internal.consensus import messages
+
+
+class Log:
+    """Entries after ``base_index``."""
+
+    def __init__(
+        self,
+        base_index: int = 0,
+        base_term: int = 0,
+        entries: list[messages.Entry] | None = None,
+    ) -> None:
+        self.base_index = base_index
+        self.base_term = base_term
+        self.entries = list(entries or [])
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry."""
+        return self.base_index + len(self.entries)
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry."""
+        return self.entries[-1].term if self.entries else self.base_term
+
+    def get_term(self, index: int) -> int | None:
+        """Return the term at an index; None outside the log."""
+        if index == self.base_index:
+            return self.base_term
+        if index < self.base_index or index > self.last_index:
+            return None
+        return self.entries[index - self.base_index - 1].term
+
+    def get(self, index: int) -> messages.Entry:
+        """Return the entry at an index."""
+        return self.entries[index - self.base_index - 1]
+
+    def slice(self, after: int, limit: int) -> list[messages.Entry]:
+        """Return up to ``limit`` entries after an index."""
+        start = after - self.base_index
+        return self.entries[start : start + limit]
+
+    def append(self, entry: messages.Entry) -> None:
+        """Append an entry at the end."""
+        exceptions.require(
+            entry.index == self.last_index + 1, "gap in the log"
+        )
+        self.entries.append(entry)
+
+    def truncate(self, index: int) -> None:
+        """Remove the entries at and after an index."""
+        del self.entries[index - self.base_index - 1 :]
+
+    def compact(self, index: int) -> None:
+        """Remove the entries up to an index."""
+        if index <= self.base_index:
+            return
+        term = self.get_term(index)
+        exceptions.require(term is not None, "compacting past the log")
+        assert term is not None
+        del self.entries[: index - self.base_index]
+        self.base_index = index
+        self.base_term = term
+
+    def reset(self, index: int, term: int) -> None:
+        """Drop everything; the log starts after a snapshot."""
+        self.entries = []
+        self.base_index = index
+        self.base_term = term
--- /dev/null
+++ b/src/hemlockkeel/_internal/consensus/storage.py
@@ -0,0 +1,334 @@
+"""Durable log and snapshot of one member, under one data folder.
+
+Files: ``identity.json`` (who this disk is), ``log`` (checksummed records)
+and ``snapshot``. A record is its length, its CRC-32 and its bytes. A torn
+record at the end of the log is cut off on start: it was never acknowledged,
+since acknowledgements follow the sync. A bad record before good ones is
+damage, and the member refuses to start.
+"""
+
+import contextlib
+import io
+import os
+import pathlib
+import struct
+import uuid
+import zlib
+
+import msgspec
+
+from hemlockkeel._internal import exceptions
+from hemlockkeel._internal.consensus import core
+from hemlockkeel._internal.consensus import log as log_module
+from hemlockkeel._internal.consensus import messages
+
+RECORD_HEADER = struct.Struct("!II")
+MAX_RECORD_BYTES = 64 * 1024 * 1024
+LOG_NAME = "log"
+SNAPSHOT_NAME = "snapshot"
+IDENTITY_NAME = "identity.json"
+TEMPORARY_SUFFIX = ".new"
+
+Record = messages.HardState | messages.StoredEntries
+
+
+class LogBase(msgspec.Struct, frozen=True, tag=True):
+    """First record of a log file: where its entries start."""
+
+    index: int
+    term: int
+
+
+AnyRecord = LogBase | messages.HardState | messages.StoredEntries
+RECORD_DECODER: msgspec.msgpack.Decoder[AnyRecord] = msgspec.msgpack.Decoder(
+    AnyRecord
+)
+
+
+class Identity(msgspec.Struct, frozen=True):
+    """Who a data folder belongs to; a blank disk gets a new identity."""
+
+    member_id: str
+    cluster_id: str = ""
+
+
+class StoredSnapshot(msgspec.Struct, frozen=True):
+    """Content of the snapshot file."""
+
+    meta: messages.SnapshotMeta
+    data: bytes
+
+
+def pack_record(payload: bytes) -> bytes:
+    """Return a record with its length and checksum."""
+    return RECORD_HEADER.pack(len(payload), zlib.crc32(payload)) + payload
+
+
+def unpack_records(data: bytes) -> tuple[list[bytes], int]:
+    """Return the good records and the length of the good part.
+
+    :raises StorageError: when a bad record has good ones after it.
+    """
+    records: list[bytes] = []
+    position = 0
+    while position < len(data):
+        payload = read_record(data, position)
+        if payload is None:
+            check_torn(data, position)
+            break
+        records.append(payload)
+        position += RECORD_HEADER.size + len(payload)
+    return records, position
+
+
+def read_record(data: bytes, position: int) -> bytes | None:
+    """Return the record at a position; None when it is not whole."""
+    start = position + RECORD_HEADER.size
+    if start > len(data):
+        return None
+    size, checksum = RECORD_HEADER.unpack_from(data, position)
+    payload = data[start : start + size]
+    if size > MAX_RECORD_BYTES or len(payload) < size or size == 0:
+        return None
+    return payload if zlib.crc32(payload) == checksum else None
+
+
+def check_torn(data: bytes, position: int) -> None:
+    """Require that a bad record is the last thing in the log.
+
+    :raises StorageError: when the record is whole but damaged and another
+        good record follows it.
+    """
+    if position + RECORD_HEADER.size > len(data):
+        return
+    size, _ = RECORD_HEADER.unpack_from(data, position)
+    following = position + RECORD_HEADER.size + size
+    if size == 0 or following >= len(data):
+        return
+    if read_record(data, following) is not None:
+        raise exceptions.StorageError(
+            f"the log is damaged at byte {position}; replace this member "
+            "with 'hemlockkeel control replace' and a blank data folder"
+        )
+
+
+def sync_folder(folder: pathlib.Path) -> None:
+    """Sync a folder so that renames inside it last."""
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def write_file(path: pathlib.Path, data: bytes) -> None:
+    """Replace a file so that either the old or the new one is whole."""
+    temporary = path.with_name(path.name + TEMPORARY_SUFFIX)
+    with temporary.open("wb") as stream:
+        stream.write(data)
+        stream.flush()
+        os.fsync(stream.fileno())
+    temporary.replace(path)
+    sync_folder(path.parent)
+
+
+class Storage:
+    """One member's files."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.stream: io.BufferedWriter | None = None
+        self.log_bytes = 0
+        self.open_folder()
+
+    def open_folder(self) -> None:
+        """Create the folder and check that it can be written.
+
+        :raises StorageError: when it cannot.
+        """
+        try:
+            self.folder.mkdir(parents=True, exist_ok=True)
+            probe = self.folder / ("probe" + TEMPORARY_SUFFIX)
+            probe.write_bytes(b"")
+            probe.unlink()
+        except OSError as fault:
+            raise exceptions.StorageError(
+                f"data folder {self.folder} cannot be written: "
+                f"{fault.strerror}; choose another with --data-dir"
+            ) from fault
+
+    def load_identity(self) -> Identity:
+        """Return this disk's identity; a blank disk gets a new one."""
+        path = self.folder / IDENTITY_NAME
+        if path.exists():
+            return msgspec.json.decode(path.read_bytes(), type=Identity)
+        if (self.folder / LOG_NAME).exists():
+            raise exceptions.StorageError(
+                f"{path} is missing but a log exists; restore the folder "
+                "from a backup or start with a blank one"
+            )
+        identity = Identity("control-" + uuid.uuid4().hex[:12])
+        self.save_identity(identity)
+        return identity
+
+    def save_identity(self, identity: Identity) -> None:
+        """Store this disk's identity."""
+        write_file(self.folder / IDENTITY_NAME, msgspec.json.encode(identity))
+
+    def load(self) -> core.Saved:
+        """Recover the stored state and open the log for appending."""
+        snapshot = self.load_snapshot()
+        hard_state, log = self.load_log(snapshot)
+        return core.Saved(hard_state, log, snapshot)
+
+    def load_snapshot(self) -> tuple[messages.SnapshotMeta, bytes] | None:
+        """Return the stored snapshot.
+
+        :raises StorageError: when its checksum is wrong.
+        """
+        path = self.folder / SNAPSHOT_NAME
+        if not path.exists():
+            return None
+        data = path.read_bytes()
+        size, checksum = RECORD_HEADER.unpack_from(data, 0)
+        payload = data[RECORD_HEADER.size :]
+        if len(payload) != size or zlib.crc32(payload) != checksum:
+            raise exceptions.StorageError(
+                f"{path} is damaged; replace this member with 'hemlockkeel "
+                "control replace' and a blank data folder"
+            )
+        stored = msgspec.msgpack.decode(payload, type=StoredSnapshot)
+        return stored.meta, stored.data
+
+    def load_log(
+        self, snapshot: tuple[messages.SnapshotMeta, bytes] | None
+    ) -> tuple[messages.HardState, log_module.Log]:
+        """Recover the log and cut off a torn end."""
+        path = self.folder / LOG_NAME
+        hard_state = messages.HardState(0)
+        log = log_module.Log()
+        if path.exists():
+            payloads, good = unpack_records(path.read_bytes())
+            for payload in payloads:
+                record = RECORD_DECODER.decode(payload)
+                if isinstance(record, messages.HardState):
+                    hard_state = record
+                    continue
+                log = replay_record(log, record)
+            self.cut(path, good)
+        if snapshot is not None and not covers(log, snapshot[0]):
+            # The process stopped between an install and its new log.
+            log = log_module.Log(snapshot[0].index, snapshot[0].term)
+        if not path.exists():
+            self.write_log(hard_state, log)
+        self.open_log()
+        return hard_state, log
+
+    def cut(self, path: pathlib.Path, good: int) -> None:
+        """Cut a torn record off the end of the log."""
+        if good == path.stat().st_size:
+            return
+        with path.open("r+b") as stream:
+            stream.truncate(good)
+            os.fsync(stream.fileno())
+
+    def open_log(self) -> None:
+        """Open the log for appending."""
+        if self.stream is not None:
+            self.stream.close()
+        path = self.folder / LOG_NAME
+        self.stream = path.open("ab")
+        self.log_bytes = path.stat().st_size
+
+    def append(
+        self,
+        hard_state: messages.HardState | None,
+        entries: list[messages.Entry],
+    ) -> None:
+        """Append and sync records; return only once they last.
+
+        :raises StorageError: when writing or syncing fails; the member
+            must then stop, since what is on disk is unknown.
+        """
+        data = b""
+        if hard_state is not None:
+            data += pack_record(msgspec.msgpack.encode(hard_state))
+        if entries:
+            stored = messages.StoredEntries(entries)
+            data += pack_record(msgspec.msgpack.encode(stored))
+        self.write_and_sync(data)
+
+    def write_and_sync(self, data: bytes) -> None:
+        """Write bytes at the end of the log and sync them."""
+        assert self.stream is not None
+        try:
+            self.stream.write(data)
+            self.stream.flush()
+            os.fsync(self.stream.fileno())
+        except OSError as fault:
+            raise exceptions.StorageError(
+                f"cannot write the log in {self.folder}: {fault.strerror}; "
+                "free space or replace the disk, then start again"
+            ) from fault
+        self.log_bytes += len(data)
+
+    def save_snapshot(
+        self,
+        meta: messages.SnapshotMeta,
+        data: bytes,
+        hard_state: messages.HardState,
+        log: log_module.Log,
+    ) -> None:
+        """Store a snapshot, then a log without the compacted entries.
+
+        :raises StorageError: when writing fails.
+        """
+        payload = msgspec.msgpack.encode(StoredSnapshot(meta, data))
+        try:
+            write_file(self.folder / SNAPSHOT_NAME, pack_record(payload))
+            self.write_log(hard_state, log)
+            self.open_log()
+        except OSError as fault:
+            raise exceptions.StorageError(
+                f"cannot write a snapshot in {self.folder}: {fault.strerror}"
+            ) from fault
+
+    def write_log(
+        self, hard_state: messages.HardState, log: log_module.Log
+    ) -> None:
+        """Replace the log file."""
+        base = LogBase(log.base_index, log.base_term)
+        data = pack_record(msgspec.msgpack.encode(base))
+        data += pack_record(msgspec.msgpack.encode(hard_state))
+        if log.entries:
+            stored = messages.StoredEntries(log.entries)
+            data += pack_record(msgspec.msgpack.encode(stored))
+        write_file(self.folder / LOG_NAME, data)
+
+    def close(self) -> None:
+        """Close the log."""
+        if self.stream is None:
+            return
+        with contextlib.suppress(OSError):
+            self.stream.close()
+        self.stream = None
+
+
+def covers(log: log_module.Log, meta: messages.SnapshotMeta) -> bool:
+    """Tell whether a log holds the entry that a snapshot ends with."""
+    return log.get_term(meta.index) == meta.term
+
+
+def replay_record(
+    log: log_module.Log, record: LogBase | messages.StoredEntries
+) -> log_module.Log:
+    """Apply a stored record to the log read so far."""
+    if isinstance(record, LogBase):
+        return log_module.Log(record.index, record.term)
+    for entry in record.entries:
+        if entry.index <= log.base_index:
+            continue
+        if entry.index <= log.last_index:
+            log.truncate(entry.index)
+        log.append(entry)
+    return log
--- /dev/null
+++ b/src/hemlockkeel/_internal/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control role: quorum member, leases, permits, operators."""
--- /dev/null
+++ b/src/hemlockkeel/_internal/control/admin.py
@@ -0,0 +1,454 @@
+"""HTTP interface for operators, on the control role."""
+
+import collections.abc
+import hmac
+import typing
+import urllib.parse
+
+import msgspec
+
+from hemlockkeel._internal import exceptions
+from hemlockkeel._internal.consensus import core
+from hemlockkeel._internal.consensus import messages
+from hemlockkeel._internal.consensus import node
+from hemlockkeel._internal.control import service
+from hemlockkeel._internal.models import items
+from hemlockkeel._internal.rpc.gen.hk import ttypes
+from hemlockkeel._internal.state import backup
+from hemlockkeel._internal.state import commands
+from hemlockkeel._internal.state import queries
+from hemlockkeel._internal.utils import http
+from hemlockkeel._internal.utils import metrics
+
+MAX_BODY_BYTES = 64 * 1024 * 1024
+MEMBERSHIP_TIMEOUT_S = 5.0
+
+_STATUS_CODES = {
+    commands.Status.OK: 200,
+    commands.Status.CONFLICT: 409,
+    commands.Status.INVALID: 422,
+    commands.Status.UNKNOWN: 404,
+}
+
+
+class ChangeBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A change of configuration; values are JSON texts."""
+
+    change_id: str
+    operator: str
+    read_version: int
+    writes: dict[str, str | None]
+
+
+class DrainBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A request to drain or undrain a target."""
+
+    change_id: str
+    operator: str
+    target_id: str
+    drained: bool
+
+
+class ReleaseBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A request to release a quarantined request."""
+
+    change_id: str
+    operator: str
+    digest: str
+
+
+class MembershipBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A change of control members; ``remove`` and ``add`` may be empty."""
+
+    operator: str
+    add_id: str = ""
+    add_address: str = ""
+    remove_id: str = ""
+
+
+_Body = typing.TypeVar("_Body", bound=msgspec.Struct)
+Handler = collections.abc.Callable[[http.Environ, str], http.Response]
+
+
+class AdminApp:
+    """WSGI application of the operators' interface."""
+
+    def __init__(
+        self,
+        control: service.ControlService,
+        token: str,
+        counters: metrics.Metrics,
+    ) -> None:
+        self.control = control
+        self.token = token
+        self.counters = counters
+        self.routes: dict[tuple[str, str], Handler] = {
+            ("GET", "/v1/status"): self.get_status,
+            ("GET", "/v1/config"): self.get_config,
+            ("POST", "/v1/changes"): self.post_change,
+            ("GET", "/v1/versions"): self.get_version,
+            ("GET", "/v1/targets"): self.get_targets,
+            ("POST", "/v1/drains"): self.post_drain,
+            ("GET", "/v1/audit"): self.get_audit,
+            ("GET", "/v1/quarantine"): self.get_quarantine,
+            ("POST", "/v1/quarantine"): self.post_release,
+            ("GET", "/v1/control"): self.get_control,
+            ("POST", "/v1/control"): self.post_control,
+            ("GET", "/v1/requests"): self.get_request,
+            ("GET", "/v1/counters"): self.get_counters,
+            ("GET", "/v1/backup"): self.get_backup,
+        }
+
+    def __call__(
+        self, environ: http.Environ, start_response: http.StartResponse
+    ) -> http.Body:
+        return http.send(self.respond(environ), start_response)
+
+    def respond(self, environ: http.Environ) -> http.Response:
+        """Return the response to any call."""
+        path = http.get_path(environ)
+        if path == "/healthz":
+            return http.make_json(200, {"ok": True})
+        if not self.is_authorized(environ):
+            return http.make_error(
+                401,
+                "unauthorized",
+                "the bearer token is wrong or missing; set "
+                "HEMLOCKKEEL_ADMIN_TOKEN to the control role's token",
+            )
+        method = str(environ["REQUEST_METHOD"])
+        base, argument = split_path(path)
+        handler = self.routes.get((method, base))
+        if handler is None:
+            return http.make_error(
+                404, "not_found", f"no {method} {path} here"
+            )
+        try:
+            return handler(environ, argument)
+        except ttypes.RpcFault as fault:
+            return make_fault_response(fault)
+        except (msgspec.DecodeError, exceptions.BadDeclarationError) as fault:
+            return http.make_error(400, "bad_request", str(fault))
+
+    def is_authorized(self, environ: http.Environ) -> bool:
+        """Tell whether the call carries the bearer token."""
+        given = http.get_header(environ, "Authorization")
+        expected = f"Bearer {self.token}"
+        return hmac.compare_digest(given.encode(), expected.encode())
+
+    # Reads
+
+    def get_status(
+        self, environ: http.Environ, argument: str
+    ) -> http.Response:
+        """Return the state at a glance."""
+        self.control.check_leading()
+        with self.control.applier.lock:
+            state = self.control.applier.state
+            version = state.config.version
+            view_version = state.view.version
+            counts = count_items(state.config.items)
+            members = [describe_member(m) for m in state.members.values()]
+            records = len(state.requests.records)
+        lagging = self.control.find_lagging(version)
+        return http.make_json(
+            200,
+            {
+                "version": version,
+                "view_version": view_version,
+                "in_force": not lagging,
+                "lagging": lagging,
+                "counts": counts,
+                "members": members,
+                "request_records": records,
+                "control": self.describe_control(),
+            },
+        )
+
+    def describe_control(self) -> dict[str, object]:
+        """Return the quorum's state."""
+        consensus = self.control.node
+        with consensus.lock:
+            peers = consensus.core.membership.peers
+            return {
+                "member": consensus.member_id,
+                "state": consensus.core.state.value,
+                "leader": consensus.core.leader_id,
+                "term": consensus.core.term,
+                "commit": consensus.core.commit,
+                "peers": [msgspec.to_builtins(peer) for peer in peers],
+            }
+
+    def get_config(
+        self, environ: http.Environ, argument: str
+    ) -> http.Response:
+        """Return the accepted configuration and its version."""
+        self.control.check_leading()
+        with self.control.applier.lock:
+            state = self.control.applier.state
+            version = state.config.version
+            stored = dict(state.config.items)
+        found = {key: value.decode() for key, value in stored.items()}
+        return http.make_json(200, {"version": version, "items": found})
+
+    def get_version(
+        self, environ: http.Environ, argument: str
+    ) -> http.Response:
+        """Tell whether a version is in force everywhere."""
+        self.control.check_leading()
+        if not argument.isdigit():
+            return http.make_error(
+                400, "bad_request", "name a version: /v1/versions/NUMBER"
+            )
+        lagging = self.control.find_lagging(int(argument))
+        return http.make_json(
+            200,
+            {
+                "version": int(argument),
+                "in_force": not lagging,
+                "lagging": lagging,
+            },
+        )
+
+    def get_targets(
+        self, environ: http.Environ, argument: str
+    ) -> http.Response:
+        """Return every announced target."""
+        self.control.check_leading()
+        with self.control.applier.lock:
+            known = list(self.control.applier.state.members.values())
+        found = [
+            describe_member(member)
+            for member in known
+            if member.description.target is not None
+        ]
+        return http.make_json(200, {"targets": found})
+
+    def get_audit(self, environ: http.Environ, argument: str) -> http.Response:
+        """Return the latest lines of the audit trail."""
+        self.control.check_leading()
+        query = http.get_query(environ)
+        limit = int(query.get("limit", "50") or 50)
+        operator = query.get("operator", "")
+        with self.control.applier.lock:
+            lines = list(self.control.applier.state.audit)
+        chosen = [
+            msgspec.to_builtins(line)
+            for line in lines
+            if not operator or line.operator == operator
+        ]
+        return http.make_json(200, {"audit": chosen[-limit:]})
+
+    def get_quarantine(
+        self, environ: http.Environ, argument: str
+    ) -> http.Response:
+        """Return suspected and quarantined requests."""
+        self.control.check_leading()
+        with self.control.applier.lock:
+            found = list(self.control.applier.state.suspects.suspects.values())
+        return http.make_json(
+            200, {"suspects": [msgspec.to_builtins(s) for s in found]}
+        )
+
+    def get_control(
+        self, environ: http.Environ, argument: str
+    ) -> http.Response:
+        """Return this control member's view of the quorum."""
+        return http.make_json(200, self.describe_control())
+
+    def get_request(
+        self, environ: http.Environ, argument: str
+    ) -> http.Response:
+        """Return the record of an idempotency key."""
+        self.control.check_leading()
+        with self.control.applier.lock:
+            result = queries.answer_query(
+                self.control.applier.state, queries.GetRequest(argument)
+            )
+        if result.record is None:
+            return http.make_error(404, "not_found", "no record of that key")
+        return http.make_json(200, msgspec.to_builtins(result.record))
+
+    def get_counters(
+        self, environ: http.Environ, argument: str
+    ) -> http.Response:
+        """Return this member's counters."""
+        return http.make_json(200, self.counters.snapshot())
+
+    def get_backup(
+        self, environ: http.Environ, argument: str
+    ) -> http.Response:
+        """Return a copy of the whole state."""
+        self.control.check_leading()
+        with self.control.applier.lock:
+            data = backup.make_backup(self.control.applier.state)
+        return http.Response(200, data, "application/octet-stream")
+
+    # Changes
+
+    def commit(self, command: commands.AnyCommand) -> commands.Outcome:
+        """Commit an operator's command."""
+        self.control.check_leading()
+        outcome = self.control.commit(command).outcome
+        assert isinstance(outcome, commands.Outcome)
+        return outcome
+
+    def post_change(
+        self, environ: http.Environ, argument: str
+    ) -> http.Response:
+        """Accept a change everywhere or refuse it with each reason."""
+        body = read_typed(environ, ChangeBody)
+        writes = [
+            items.Write(key, None if value is None else value.encode())
+            for key, value in sorted(body.writes.items())
+        ]
+        outcome = self.commit(
+            commands.ApplyChange(
+                change_id=body.change_id,
+                operator=body.operator,
+                read_version=body.read_version,
+                writes=writes,
+            )
+        )
+        accepted = outcome.status is commands.Status.OK
+        self.counters.count(
+            metrics.Counter.CHANGES_ACCEPTED
+            if accepted
+            else metrics.Counter.CHANGES_REFUSED
+        )
+        return make_outcome_response(outcome)
+
+    def post_drain(
+        self, environ: http.Environ, argument: str
+    ) -> http.Response:
+        """Drain or undrain a target."""
+        body = read_typed(environ, DrainBody)
+        with self.control.applier.lock:
+            state = self.control.applier.state
+            known = bool(state.find_members_of(body.target_id))
+            known = known or body.target_id in state.drains
+        if not known:
+            return http.make_error(
+                404,
+                "not_found",
+                f"no target '{body.target_id}'; 'hemlockkeel targets' "
+                "lists them",
+            )
+        outcome = self.commit(
+            commands.SetDrain(
+                change_id=body.change_id,
+                operator=body.operator,
+                target_id=body.target_id,
+                drained=body.drained,
+            )
+        )
+        return make_outcome_response(outcome)
+
+    def post_release(
+        self, environ: http.Environ, argument: str
+    ) -> http.Response:
+        """Release a quarantined request."""
+        body = read_typed(environ, ReleaseBody)
+        outcome = self.commit(
+            commands.ReleaseQuarantine(
+                change_id=body.change_id,
+                operator=body.operator,
+                digest=body.digest,
+            )
+        )
+        return make_outcome_response(outcome)
+
+    def post_control(
+        self, environ: http.Environ, argument: str
+    ) -> http.Response:
+        """Add, promote or remove one control member."""
+        self.control.check_leading()
+        body = read_typed(environ, MembershipBody)
+        consensus = self.control.node
+        with consensus.lock:
+            current = consensus.core.membership
+        changed = change_membership(current, body)
+        if changed == current:
+            return http.make_json(200, self.describe_control())
+        future = consensus.propose(
+            core.make_membership_entry(changed),
+            messages.EntryKind.MEMBERSHIP,
+        )
+        try:
+            future.result(MEMBERSHIP_TIMEOUT_S)
+        except (
+            node.NotLeaderError,
+            exceptions.ControlUnavailableError,
+            TimeoutError,
+        ):
+            return http.make_error(
+                409,
+                "membership",
+                "the change was not made: another one is under way or the "
+                "lead is new; look at 'hemlockkeel control list' and try "
+                "again",
+            )
+        return http.make_json(200, self.describe_control())
+
+
+def split_path(path: str) -> tuple[str, str]:
+    """Split ``/v1/versions/7`` into the route and its argument."""
+    parts = path.split("/", 3)
+    argument = parts[3] if len(parts) > 3 else ""
+    return "/".join(parts[:3]), urllib.parse.unquote(argument)
+
+
+def change_membership(
+    current: messages.Membership, body: MembershipBody
+) -> messages.Membership:
+    """Return the membership after a change."""
+    peers = [p for p in current.peers if p.member_id != body.remove_id]
+    known = {peer.member_id for peer in peers}
+    if body.add_id and body.add_id not in known:
+        peers.append(messages.Peer(body.add_id, body.add_address, False))
+    return messages.Membership(peers)
+
+
+def read_typed(environ: http.Environ, kind: type[_Body]) -> _Body:
+    """Decode a JSON body."""
+    data = http.read_body(environ, MAX_BODY_BYTES)
+    return msgspec.json.decode(data, type=kind)
+
+
+def make_outcome_response(outcome: commands.Outcome) -> http.Response:
+    """Return the response for a command's outcome."""
+    status = _STATUS_CODES.get(outcome.status, 409)
+    body = {
+        "status": outcome.status.value,
+        "version": outcome.version,
+        "reasons": outcome.reasons,
+    }
+    return http.make_json(status, body)
+
+
+def make_fault_response(fault: ttypes.RpcFault) -> http.Response:
+    """Return the response for a control fault."""
+    ran = fault.verdict == ttypes.Verdict.MAY_HAVE_RUN
+    return http.make_error(
+        503,
+        fault.code,
+        fault.message,
+        [("Retry-After", "1")],
+        leader=fault.leader,
+        may_have_run=ran,
+    )
+
+
+def describe_member(member: object) -> object:
+    """Return a member's public form."""
+    return msgspec.to_builtins(member)
+
+
+def count_items(stored: dict[str, bytes]) -> dict[str, int]:
+    """Return how many items there are of each layer and kind."""
+    counts: dict[str, int] = {}
+    for key in stored:
+        layer, kind, _ = key.split(items.SEPARATOR, 2)
+        name = f"{layer}/{kind}"
+        counts[name] = counts.get(name, 0) + 1
+    return counts
--- /dev/null
+++ b/src/hemlockkeel/_internal/control/peers.py
@@ -0,0 +1,105 @@
+"""Sends consensus messages to other control members."""
+
+import queue
+import threading
+
+from hemlockkeel._internal import exceptions
+from hemlockkeel._internal.consensus import messages
+from hemlockkeel._internal.consensus import node
+from hemlockkeel._internal.rpc import client
+from hemlockkeel._internal.rpc.gen.hk import Control
+from hemlockkeel._internal.rpc.gen.hk import ttypes
+
+MAX_QUEUED_MESSAGES = 256
+SEND_TIMEOUT_S = 1.0
+
+
+class PeerLink:
+    """One peer's queue and the thread that empties it."""
+
+    def __init__(self, rpc: client.RpcClient, own_address: str) -> None:
+        self.rpc = rpc
+        self.own_address = own_address
+        self.cluster_id = ""
+        self.outgoing: queue.Queue[messages.AnyMessage | None] = queue.Queue(
+            MAX_QUEUED_MESSAGES
+        )
+        self.thread = threading.Thread(target=self.run, daemon=True)
+        self.thread.start()
+
+    def put(self, batch: list[messages.AnyMessage]) -> None:
+        """Queue messages; a full queue drops them, as a network may."""
+        for message in batch:
+            try:
+                self.outgoing.put_nowait(message)
+            except queue.Full:
+                return
+
+    def run(self) -> None:
+        """Send what is queued, all of it in one call."""
+        while True:
+            message = self.outgoing.get()
+            if message is None:
+                return
+            batch = [message]
+            while not self.outgoing.empty():
+                following = self.outgoing.get()
+                if following is None:
+                    return
+                batch.append(following)
+            self.send(batch)
+
+    def send(self, batch: list[messages.AnyMessage]) -> None:
+        """Send a batch; a failure loses it."""
+        wire = [
+            ttypes.RaftMessage(
+                self.cluster_id,
+                self.own_address,
+                message.receiver,
+                node.encode_message(message),
+            )
+            for message in batch
+        ]
+        try:
+            self.rpc.call("raft", wire, timeout_s=SEND_TIMEOUT_S)
+        except (
+            exceptions.UnreachableError,
+            exceptions.InterruptedCallError,
+            ttypes.RpcFault,
+        ):
+            return
+
+    def stop(self) -> None:
+        """End the thread."""
+        try:
+            self.outgoing.put_nowait(None)
+        except queue.Full:
+            return
+
+
+class PeerSender(node.Sender):
+    """One link an address."""
+
+    def __init__(self, secret: str, own_address: str, own_id: str) -> None:
+        self.own_address = own_address
+        self.clients = client.ClientCache(Control.Client, secret, own_id)
+        self.links: dict[str, PeerLink] = {}
+        self.cluster_id = ""
+        # Addresses that tests cut off in both directions.
+        self.blocked: set[str] = set()
+
+    def send(self, address: str, batch: list[messages.AnyMessage]) -> None:
+        if address in self.blocked:
+            return
+        link = self.links.get(address)
+        if link is None:
+            link = PeerLink(self.clients.get(address), self.own_address)
+            self.links[address] = link
+        link.cluster_id = self.cluster_id
+        link.put(batch)
+
+    def stop(self) -> None:
+        """End all links."""
+        for link in self.links.values():
+            link.stop()
+        self.clients.close()
--- /dev/null
+++ b/src/hemlockkeel/_internal/control/process.py
@@ -0,0 +1,183 @@
+"""Assembles and runs a control member."""
+
+import dataclasses
+import pathlib
+import threading
+
+from hemlockkeel._internal.consensus import core
+from hemlockkeel._internal.consensus import messages
+from hemlockkeel._internal.consensus import node
+from hemlockkeel._internal.control import admin
+from hemlockkeel._internal.control import applier
+from hemlockkeel._internal.control import controllers
+from hemlockkeel._internal.control import peers
+from hemlockkeel._internal.control import permits
+from hemlockkeel._internal.control import service
+from hemlockkeel._internal.policy import load_queue
+from hemlockkeel._internal.rpc import server
+from hemlockkeel._internal.rpc.gen.hk import Control
+from hemlockkeel._internal.state import machine
+from hemlockkeel._internal.utils import clock
+from hemlockkeel._internal.utils import logs
+from hemlockkeel._internal.utils import metrics
+from hemlockkeel._internal.utils import web_server
+
+LOOP_S = 0.05
+ADMIN_THREADS = 8
+CAUGHT_UP_ENTRIES = 50
+
+
+@dataclasses.dataclass(frozen=True)
+class ControlSettings:
+    """Settings of a control member."""
+
+    data_dir: pathlib.Path
+    secret: str
+    admin_token: str
+    host: str = "127.0.0.1"
+    port: int = 0
+    admin_host: str = "127.0.0.1"
+    admin_port: int = 0
+    bootstrap: bool = False
+    max_connections: int = 1024
+    timing: core.Timing = dataclasses.field(default_factory=core.Timing)
+    load_order: load_queue.LoadOrder = dataclasses.field(
+        default_factory=load_queue.WaitingWork
+    )
+
+
+class ControlProcess:
+    """One control member with its servers."""
+
+    def __init__(
+        self,
+        settings: ControlSettings,
+        counters: metrics.Metrics,
+        time_source: clock.Clock | None = None,
+    ) -> None:
+        self.settings = settings
+        self.clock = time_source or clock.SystemClock()
+        self.stopping = threading.Event()
+        self.applier = applier.StateApplier(machine.StateMachine())
+        self.rpc = server.RpcServer(
+            Control.Processor,
+            self,
+            settings.secret,
+            settings.host,
+            settings.port,
+            settings.max_connections,
+            counters,
+        )
+        self.sender = peers.PeerSender(
+            settings.secret, self.rpc.address, self.rpc.address
+        )
+        self.node = node.Node(
+            settings.data_dir,
+            self.rpc.address,
+            self.applier,
+            self.sender,
+            settings.timing,
+            counters,
+            self.clock,
+            settings.bootstrap,
+        )
+        desk = permits.PermitDesk(settings.load_order, self.clock, counters)
+        self.service = service.ControlService(
+            self.node, self.applier, desk, self.clock, counters
+        )
+        self.rpc.service = self.service
+        self.loop = controllers.LeaderLoop(
+            self.service,
+            [
+                controllers.MemberController(self.service),
+                controllers.ExpiryController(),
+            ],
+        )
+        self.admin = web_server.WebServer(
+            admin.AdminApp(self.service, settings.admin_token, counters),
+            settings.admin_host,
+            settings.admin_port,
+            ADMIN_THREADS,
+            admin.MAX_BODY_BYTES,
+        )
+        self.thread = threading.Thread(
+            target=self.run_loop, name="control-loop", daemon=True
+        )
+
+    @property
+    def address(self) -> str:
+        """Return the address of the thrift service."""
+        return self.rpc.address
+
+    @property
+    def admin_url(self) -> str:
+        """Return the URL of the operators' interface."""
+        return f"http://{self.admin.address}"
+
+    def start(self) -> None:
+        """Start serving."""
+        self.node.start()
+        self.rpc.start()
+        self.admin.start()
+        self.thread.start()
+        logs.log_state(
+            "control_started",
+            member=self.node.member_id,
+            address=self.address,
+            admin=self.admin_url,
+        )
+
+    def run_loop(self) -> None:
+        """Run the leader's controllers until stopped."""
+        while not self.stopping.wait(LOOP_S):
+            self.sender.cluster_id = self.node.cluster_id
+            self.loop.step(self.clock.monotonic())
+            self.promote_learner()
+
+    def promote_learner(self) -> None:
+        """Give a vote to a learner that has caught up."""
+        with self.node.lock:
+            raft = self.node.core
+            if raft.state is not core.State.LEADER:
+                return
+            if raft.has_pending_membership():
+                return
+            learner = find_caught_up(raft)
+            if learner is None:
+                return
+            promoted = messages.Membership(
+                [
+                    messages.Peer(peer.member_id, peer.address, True)
+                    if peer.member_id == learner
+                    else peer
+                    for peer in raft.membership.peers
+                ]
+            )
+        self.node.propose(
+            core.make_membership_entry(promoted),
+            messages.EntryKind.MEMBERSHIP,
+        )
+        logs.log_state("control_promoted", member=learner)
+
+    def stop(self) -> None:
+        """Stop serving."""
+        self.stopping.set()
+        self.admin.stop()
+        self.rpc.stop()
+        self.node.stop()
+        self.sender.stop()
+        if self.thread.is_alive():
+            self.thread.join(2.0)
+
+
+def find_caught_up(raft: core.RaftCore) -> str | None:
+    """Return a learner whose log is nearly as long as the leader's."""
+    for peer in raft.membership.peers:
+        if peer.voter or peer.member_id == raft.member_id:
+            continue
+        progress = raft.progress.get(peer.member_id)
+        if progress is None or progress.match == 0:
+            continue
+        if raft.log.last_index - progress.match <= CAUGHT_UP_ENTRIES:
+            return peer.member_id
+    return None
--- /dev/null
+++ b/src/hemlockkeel/_internal/control/service.py
@@ -0,0 +1,296 @@
+"""The thrift service of a control member."""
+
+import concurrent.futures
+import threading
+
+import msgspec
+
+from hemlockkeel._internal import exceptions
+from hemlockkeel._internal.consensus import messages
+from hemlockkeel._internal.consensus import node
+from hemlockkeel._internal.control import applier
+from hemlockkeel._internal.control import leases
+from hemlockkeel._internal.control import permits
+from hemlockkeel._internal.models import adapters
+from hemlockkeel._internal.models import declarations
+from hemlockkeel._internal.models import items
+from hemlockkeel._internal.models import members
+from hemlockkeel._internal.policy import load_queue
+from hemlockkeel._internal.rpc import server
+from hemlockkeel._internal.rpc.gen.hk import ttypes
+from hemlockkeel._internal.state import commands
+from hemlockkeel._internal.state import queries
+from hemlockkeel._internal.state import view
+from hemlockkeel._internal.utils import clock
+from hemlockkeel._internal.utils import metrics
+
+COMMIT_TIMEOUT_S = 3.0
+RETRY_AFTER_MS = 300
+
+
+class ControlService:
+    """Answers members; only a leader with a lease serves state."""
+
+    def __init__(
+        self,
+        consensus: node.Node,
+        state_applier: applier.StateApplier,
+        desk: permits.PermitDesk,
+        time_source: clock.Clock,
+        counters: metrics.Metrics,
+    ) -> None:
+        self.node = consensus
+        self.applier = state_applier
+        self.desk = desk
+        self.clock = time_source
+        self.counters = counters
+        self.leases = leases.LeaseTable()
+        self.lease_lock = threading.Lock()
+        self.leading = False
+        # Peers that tests cut off; their messages are dropped.
+        self.blocked: set[str] = set()
+
+    # Leadership
+
+    def begin_lead(self) -> None:
+        """Reset what a leader keeps in memory."""
+        with self.applier.lock:
+            incarnations = {
+                member_id: member.incarnation
+                for member_id, member in self.applier.state.members.items()
+            }
+        with self.lease_lock:
+            self.leases.reset(incarnations, self.clock.monotonic())
+        self.desk.reset(leases.HEARTBEAT_S)
+        self.leading = True
+
+    def check_leading(self) -> None:
+        """Require the lead.
+
+        :raises RpcFault: naming the leader when another one leads.
+        """
+        if self.node.has_lease() and self.leading:
+            return
+        leader = self.node.get_leader_address()
+        if leader == self.node.address:
+            leader = ""
+        raise server.make_fault(
+            "not_leader",
+            "this control member does not lead",
+            leader=leader or None,
+            retry_after_ms=RETRY_AFTER_MS,
+        )
+
+    # Consensus
+
+    def raft(self, batch: list[ttypes.RaftMessage]) -> None:
+        """Take messages from another control member."""
+        for wire in batch:
+            if wire.sender_address in self.blocked:
+                continue
+            self.check_cluster(wire)
+            message = messages.MESSAGE_DECODER.decode(wire.body)
+            self.node.receive(message, wire.sender_address)
+
+    def check_cluster(self, wire: ttypes.RaftMessage) -> None:
+        """Refuse messages of another cluster; a blank member joins.
+
+        :raises RpcFault: when the cluster differs.
+        """
+        if wire.cluster_id == self.node.cluster_id:
+            return
+        if not self.node.cluster_id and wire.cluster_id:
+            self.node.join_cluster(wire.cluster_id)
+            return
+        raise server.make_fault(
+            "cluster", "the sender belongs to another cluster"
+        )
+
+    # Members
+
+    def heartbeat(self, beat: ttypes.Heartbeat) -> ttypes.HeartbeatReply:
+        """Renew a member's lease and bring its view up to date."""
+        self.check_leading()
+        self.counters.count(metrics.Counter.HEARTBEATS)
+        description = msgspec.msgpack.decode(
+            beat.description, type=members.Description
+        )
+        with self.applier.lock:
+            self.check_registered(beat)
+            prefixes = view.get_prefixes(
+                description.role, description.site, beat.member_id
+            )
+            delta = self.applier.state.view.make_delta(
+                beat.view_version, prefixes
+            )
+        if beat.leaving:
+            self.note_leaving(beat)
+        with self.lease_lock:
+            self.leases.renew(
+                beat.member_id,
+                beat.incarnation,
+                beat.view_version,
+                self.clock.monotonic(),
+            )
+        # The lease may have run out while this call was held up.
+        self.check_leading()
+        return ttypes.HeartbeatReply(
+            term=self.node.core.term,
+            lease_ms=int(leases.LEASE_S * 1000),
+            interval_ms=int(leases.HEARTBEAT_S * 1000),
+            delta=encode_delta(delta),
+            cluster_id=self.node.cluster_id,
+        )
+
+    def check_registered(self, beat: ttypes.Heartbeat) -> None:
+        """Require that this incarnation of the member is in force.
+
+        :raises RpcFault: telling it to register, or that another process
+            has taken its place.
+        """
+        member = self.applier.state.members.get(beat.member_id)
+        if member is None:
+            raise server.make_fault("unregistered", "register first")
+        if member.incarnation > beat.incarnation:
+            raise server.make_fault(
+                "superseded",
+                f"another process registered as {beat.member_id}; give "
+                "each process its own id or stop the older one",
+            )
+        if member.incarnation < beat.incarnation:
+            raise server.make_fault("unregistered", "register again")
+
+    def note_leaving(self, beat: ttypes.Heartbeat) -> None:
+        """Record that a member is leaving, once."""
+        member = self.applier.state.members.get(beat.member_id)
+        if member is None or member.state is members.MemberState.LEAVING:
+            return
+        self.commit(
+            commands.SetMemberState(
+                member_id=beat.member_id,
+                incarnation=beat.incarnation,
+                state=members.MemberState.LEAVING,
+            )
+        )
+
+    # Commands and queries
+
+    def propose(self, proposal: ttypes.Proposal) -> ttypes.ProposalReply:
+        """Commit a member's command and return its outcome."""
+        command = commands.decode_command(proposal.command)
+        applied = self.commit(command)
+        outcome = applied.outcome
+        assert isinstance(outcome, commands.Outcome)
+        if isinstance(command, commands.RegisterMember):
+            self.note_registration(command, outcome)
+        return ttypes.ProposalReply(commands.encode(outcome), applied.index)
+
+    def note_registration(
+        self, command: commands.RegisterMember, outcome: commands.Outcome
+    ) -> None:
+        """Count a new incarnation as holding a lease from now on."""
+        with self.lease_lock:
+            self.leases.renew(
+                command.description.member_id,
+                outcome.incarnation,
+                0,
+                self.clock.monotonic(),
+            )
+
+    def commit(self, command: commands.AnyCommand) -> node.Applied:
+        """Commit a command stamped with the leader's time.
+
+        :raises RpcFault: not run when this member does not lead; may have
+            run when the outcome is not known in time.
+        """
+        stamped = msgspec.structs.replace(command, at=self.clock.wall())
+        begun = self.clock.monotonic()
+        future = self.node.propose(commands.encode(stamped))
+        try:
+            applied = future.result(COMMIT_TIMEOUT_S)
+        except node.NotLeaderError as fault:
+            raise server.make_fault(
+                "not_leader",
+                "this control member does not lead",
+                leader=fault.leader or None,
+                retry_after_ms=RETRY_AFTER_MS,
+            ) from fault
+        except (
+            exceptions.ControlUnavailableError,
+            concurrent.futures.TimeoutError,
+        ) as fault:
+            raise server.make_fault(
+                "unavailable",
+                "no quorum confirmed the command in time",
+                ttypes.Verdict.MAY_HAVE_RUN,
+                retry_after_ms=RETRY_AFTER_MS,
+            ) from fault
+        self.counters.time(
+            metrics.Timer.COMMIT, self.clock.monotonic() - begun
+        )
+        return applied
+
+    def read(self, query: ttypes.Proposal) -> ttypes.ProposalReply:
+        """Answer a query from state that is certainly current."""
+        self.check_leading()
+        decoded = queries.QUERY_DECODER.decode(query.command)
+        with self.applier.lock:
+            result = queries.answer_query(self.applier.state, decoded)
+            index = self.applier.state.applied
+        self.check_leading()
+        return ttypes.ProposalReply(msgspec.msgpack.encode(result), index)
+
+    # Load permits
+
+    def permits(self, request: ttypes.PermitRequest) -> ttypes.PermitReply:
+        """Hand out load permits to an agent."""
+        self.check_leading()
+        now = self.clock.monotonic()
+        wants = [
+            load_queue.Want(
+                request.member_id,
+                adapters.parse_adapter(
+                    f"{want.adapter}@{want.adapter_version}"
+                ),
+                want.weight,
+                now - want.waiting_ms / 1000.0,
+                want.preload,
+            )
+            for want in request.wants
+        ]
+        granted = self.desk.exchange(
+            request.member_id,
+            request.site,
+            self.find_site(request.site),
+            wants,
+            [adapters.parse_adapter(text) for text in request.in_progress],
+            [adapters.parse_adapter(text) for text in request.finished],
+            request.wait_ms / 1000.0,
+        )
+        return ttypes.PermitReply([str(ref) for ref in granted])
+
+    def find_site(self, name: str) -> declarations.Site | None:
+        """Return a declared site."""
+        key = items.make_key(items.BASE_LAYER, items.Kind.SITE, name)
+        with self.applier.lock:
+            value = self.applier.state.config.items.get(key)
+        if value is None:
+            return None
+        return msgspec.json.decode(value, type=declarations.Site)
+
+    # Versions in force
+
+    def find_lagging(self, version: int) -> list[str]:
+        """Return lease holders that have not confirmed a version."""
+        with self.lease_lock:
+            return self.leases.find_lagging(version, self.clock.monotonic())
+
+
+def encode_delta(delta: view.Delta | None) -> ttypes.ViewDelta | None:
+    """Return the wire form of a delta."""
+    if delta is None:
+        return None
+    changed = [ttypes.ViewItem(key, value) for key, value in delta.items]
+    return ttypes.ViewDelta(
+        delta.from_version, delta.to_version, delta.full, changed
+    )
--- /dev/null
+++ b/src/hemlockkeel/_internal/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Engine interface and its HTTP implementation."""
--- /dev/null
+++ b/src/hemlockkeel/_internal/engines/http_engine.py
@@ -0,0 +1,272 @@
+"""Engine over HTTP with OpenAI-style paths."""
+
+import collections.abc
+import contextlib
+import http.client
+import json
+import typing
+import urllib.parse
+
+from hemlockkeel._internal import exceptions
+from hemlockkeel._internal.engines import base
+from hemlockkeel._internal.models import adapters
+from hemlockkeel._internal.models import ids
+from hemlockkeel._internal.models import outcomes
+
+ORDER_TIMEOUT_S = 60.0
+PROBE_TIMEOUT_S = 2.0
+CONNECT_TIMEOUT_S = 2.0
+# A live engine sends a token or a comment line within this time.
+STREAM_SILENCE_S = 30.0
+FENCE_HEADER = "X-Fence"
+DATA_PREFIX = b"data: "
+
+
+class HttpEngine(base.Engine):
+    """Talks to one engine at ``host:port``."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self.host = host
+        self.port = port
+
+    def get_identity(self) -> base.Identity:
+        body = self.call_json("GET", "/engine/identity", PROBE_TIMEOUT_S)
+        return base.Identity(
+            boot_id=body["boot_id"],
+            base_model=body["base_model"],
+            role=base.EngineRole(body["role"]),
+            batch_slots=body["batch_slots"],
+            adapter_slots=body["adapter_slots"],
+            obeys_fencing=body["obeys_fencing"],
+        )
+
+    def run(
+        self, order: base.RunOrder
+    ) -> collections.abc.Iterator[base.Event]:
+        body = json.loads(order.body)
+        body["model"] = str(order.ref) if order.ref else order.base_model
+        body["stream"] = True
+        body["request_id"] = order.request_id
+        body["priority"] = order.priority
+        data = json.dumps(body).encode()
+        connection = self.connect_for_run()
+        try:
+            self.send_run(connection, data, order.fence)
+            yield from self.read_answer(connection)
+        finally:
+            connection.close()
+
+    def connect_for_run(self) -> http.client.HTTPConnection:
+        """Connect; a failure means that nothing ran."""
+        connection = http.client.HTTPConnection(
+            self.host, self.port, timeout=CONNECT_TIMEOUT_S
+        )
+        try:
+            connection.connect()
+        except OSError as fault:
+            raise base.RunFailedError(
+                outcomes.RefusalCode.ENGINE_FAILED,
+                f"the engine cannot be reached: {fault}",
+                outcomes.Verdict.NOT_RUN,
+            ) from fault
+        connection.sock.settimeout(STREAM_SILENCE_S)
+        return connection
+
+    def send_run(
+        self,
+        connection: http.client.HTTPConnection,
+        data: bytes,
+        fence: ids.Fence,
+    ) -> None:
+        """Send a run and check that the engine took it."""
+        headers = {
+            "Content-Type": "application/json",
+            FENCE_HEADER: str(fence),
+        }
+        try:
+            connection.request("POST", "/v1/completions", data, headers)
+        except OSError as fault:
+            raise make_lost(fault) from fault
+
+    def read_answer(
+        self, connection: http.client.HTTPConnection, new_run: bool = True
+    ) -> collections.abc.Iterator[base.Event]:
+        """Yield the events of a stream.
+
+        A refusal means that a new run did not start; of a run to resume it
+        means only that the engine no longer holds it.
+        """
+        try:
+            response = connection.getresponse()
+            if response.status != http.client.OK:
+                raise make_refusal(response.status, response.read(), new_run)
+            yield from parse_events(response)
+        except (OSError, http.client.HTTPException, ValueError) as fault:
+            raise make_lost(fault) from fault
+
+    def resume(
+        self, request_id: ids.RequestId, offset: int
+    ) -> collections.abc.Iterator[base.Event]:
+        connection = self.connect_for_run()
+        try:
+            path = f"/engine/requests/{quote(request_id)}?offset={offset}"
+            connection.request("GET", path)
+            yield from self.read_answer(connection, new_run=False)
+        except OSError as fault:
+            raise make_lost(fault) from fault
+        finally:
+            connection.close()
+
+    def cancel(self, request_id: ids.RequestId, fence: ids.Fence) -> bool:
+        path = f"/engine/requests/{quote(request_id)}"
+        body = self.call_json("DELETE", path, PROBE_TIMEOUT_S, fence=fence)
+        return bool(body["known"])
+
+    def load_adapter(self, ref: adapters.AdapterRef, fence: ids.Fence) -> None:
+        path = f"/engine/adapters/{quote(str(ref))}"
+        self.call_json("PUT", path, ORDER_TIMEOUT_S, fence=fence)
+
+    def unload_adapter(
+        self, ref: adapters.AdapterRef, fence: ids.Fence
+    ) -> None:
+        path = f"/engine/adapters/{quote(str(ref))}"
+        self.call_json("DELETE", path, ORDER_TIMEOUT_S, fence=fence)
+
+    def load_model(self, base_model: str, fence: ids.Fence) -> None:
+        path = f"/engine/model/{quote(base_model)}"
+        self.call_json("PUT", path, ORDER_TIMEOUT_S, fence=fence)
+
+    def change_role(self, role: base.EngineRole, fence: ids.Fence) -> None:
+        path = f"/engine/role/{role.value}"
+        self.call_json("PUT", path, ORDER_TIMEOUT_S, fence=fence)
+
+    def export_cache(self, prefix: str) -> bytes:
+        path = f"/engine/cache/{quote(prefix)}"
+        status, data = self.call("GET", path, PROBE_TIMEOUT_S)
+        check_order(status, data)
+        return data
+
+    def import_cache(self, prefix: str, data: bytes, fence: ids.Fence) -> None:
+        path = f"/engine/cache/{quote(prefix)}"
+        status, reply = self.call(
+            "PUT", path, ORDER_TIMEOUT_S, data, fence=fence
+        )
+        check_order(status, reply)
+
+    def get_events(self, after: int) -> list[base.CacheEvent]:
+        path = f"/engine/events?after={after}"
+        body = self.call_json("GET", path, PROBE_TIMEOUT_S)
+        return [base.CacheEvent(**event) for event in body["events"]]
+
+    def get_report(self) -> base.Report:
+        body = self.call_json("GET", "/engine/report", PROBE_TIMEOUT_S)
+        return base.Report(
+            boot_id=body["boot_id"],
+            running=body["running"],
+            queued=body["queued"],
+            loaded=body["loaded"],
+            taken_at=body["taken_at"],
+        )
+
+    def call_json(
+        self,
+        method: str,
+        path: str,
+        timeout_s: float,
+        fence: ids.Fence | None = None,
+    ) -> dict[str, typing.Any]:
+        """Send an order and return its JSON reply."""
+        status, data = self.call(method, path, timeout_s, fence=fence)
+        check_order(status, data)
+        found: dict[str, typing.Any] = json.loads(data)
+        return found
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        timeout_s: float,
+        data: bytes | None = None,
+        fence: ids.Fence | None = None,
+    ) -> tuple[int, bytes]:
+        """Send one call.
+
+        :raises UnreachableError: when no reply came.
+        """
+        headers = {} if fence is None else {FENCE_HEADER: str(fence)}
+        connection = http.client.HTTPConnection(
+            self.host, self.port, timeout=timeout_s
+        )
+        with contextlib.closing(connection):
+            try:
+                connection.request(method, path, data, headers)
+                response = connection.getresponse()
+                return response.status, response.read()
+            except (OSError, http.client.HTTPException) as fault:
+                raise exceptions.UnreachableError(
+                    f"engine {self.host}:{self.port}: {fault}"
+                ) from fault
+
+
+def quote(text: str) -> str:
+    """Quote one path segment."""
+    return urllib.parse.quote(text, safe="")
+
+
+def check_order(status: int, data: bytes) -> None:
+    """Require that an order was taken.
+
+    :raises EngineOrderError: with the engine's reason.
+    """
+    if status == http.client.OK:
+        return
+    raise exceptions.EngineOrderError(
+        f"engine refused with {status}: {data[:200].decode(errors='replace')}"
+    )
+
+
+def make_refusal(
+    status: int, data: bytes, new_run: bool
+) -> base.RunFailedError:
+    """Return the failure for a run that the engine refused."""
+    text = data[:200].decode(errors="replace")
+    verdict = outcomes.Verdict.NOT_RUN
+    if not new_run or status >= http.client.INTERNAL_SERVER_ERROR:
+        verdict = outcomes.Verdict.MAY_HAVE_RUN
+    return base.RunFailedError(
+        outcomes.RefusalCode.ENGINE_FAILED,
+        f"the engine refused the run with {status}: {text}",
+        verdict,
+    )
+
+
+def make_lost(fault: Exception) -> base.RunFailedError:
+    """Return the failure for a run whose answer broke off."""
+    return base.RunFailedError(
+        outcomes.RefusalCode.LOST,
+        f"the engine's answer broke off: {fault or type(fault).__name__}",
+        outcomes.Verdict.MAY_HAVE_RUN,
+        crashed=True,
+    )
+
+
+def parse_events(
+    response: http.client.HTTPResponse,
+) -> collections.abc.Iterator[base.Event]:
+    """Parse a stream of server-sent events.
+
+    :raises ValueError: when it ends without its end event.
+    """
+    while True:
+        line = response.readline()
+        if not line:
+            raise ValueError("the stream ended early")
+        if not line.startswith(DATA_PREFIX):
+            continue
+        event = json.loads(line[len(DATA_PREFIX) :])
+        if event.get("done"):
+            yield base.Finished(
+                event["length"], event["digest"], event["model"]
+            )
+            return
+        yield base.Tokens(event["offset"], event["tokens"])
--- /dev/null
+++ b/src/hemlockkeel/_internal/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry role: answers callers over HTTP."""
--- /dev/null
+++ b/src/hemlockkeel/_internal/entry/filters/__init__.py
@@ -0,0 +1,1 @@
+"""Filter chain that every request passes through."""
--- /dev/null
+++ b/src/hemlockkeel/_internal/entry/filters/admission.py
@@ -0,0 +1,187 @@
+"""Filters that refuse early: readiness, models, quarantine, limits."""
+
+import collections.abc
+import threading
+import time
+
+from hemlockkeel._internal.entry import context
+from hemlockkeel._internal.entry.filters import base
+from hemlockkeel._internal.follower import follower
+from hemlockkeel._internal.models import declarations
+from hemlockkeel._internal.models import outcomes
+from hemlockkeel._internal.policy import limits
+from hemlockkeel._internal.utils import metrics
+
+RETRY_AFTER_MS = 1000
+
+
+class ReadinessFilter(base.Filter):
+    """Refuses new requests without a lease or while leaving."""
+
+    def __init__(self, follow: follower.Follower) -> None:
+        self.follow = follow
+
+    def handle(
+        self, request: context.RequestContext, following: base.Following
+    ) -> base.Result:
+        state = self.follow.get_state()
+        if state is follower.FollowerState.READY:
+            return following(request)
+        if request.last_event is not None:
+            # Reading on is not new work.
+            return following(request)
+        return outcomes.refuse(
+            outcomes.RefusalCode.NOT_READY,
+            f"this entry takes no new requests now ({state.value}); send "
+            "the request again",
+            RETRY_AFTER_MS,
+        )
+
+
+class ModelFilter(base.Filter):
+    """Finds the deployment or service in force for a request."""
+
+    def __init__(self, follow: follower.Follower) -> None:
+        self.follow = follow
+
+    def handle(
+        self, request: context.RequestContext, following: base.Following
+    ) -> base.Result:
+        if request.shape is context.Shape.SERVICE:
+            refusal = self.find_service(request)
+        else:
+            refusal = self.find_model(request)
+        if refusal is not None:
+            return refusal
+        self.apply_caller_wishes(request)
+        return following(request)
+
+    def find_service(
+        self, request: context.RequestContext
+    ) -> outcomes.Refused | None:
+        """Fill in what a plain service declares."""
+        found = self.follow.catalog.get_service(request.service)
+        if found is None:
+            return outcomes.refuse(
+                outcomes.RefusalCode.UNKNOWN_SERVICE,
+                f"no service '{request.service}' is declared here",
+            )
+        request.target_service = request.service
+        request.rank = found.priority.rank
+        request.idempotent = request.method in found.idempotent_methods
+        return None
+
+    def find_model(
+        self, request: context.RequestContext
+    ) -> outcomes.Refused | None:
+        """Fill in what a deployment declares."""
+        catalog = self.follow.catalog
+        found = catalog.find_model(request.model)
+        if found is None:
+            found = catalog.find_base_model(request.model)
+        if found is None:
+            return outcomes.refuse(
+                outcomes.RefusalCode.UNKNOWN_MODEL,
+                f"no deployment serves '{request.model}'; name an adapter "
+                "and its version as name@version",
+            )
+        if request.max_tokens > found.spec.max_tokens:
+            return outcomes.refuse(
+                outcomes.RefusalCode.BAD_REQUEST,
+                f"max_tokens is {request.max_tokens}; this deployment "
+                f"allows {found.spec.max_tokens}",
+            )
+        request.deployment = found.deployment
+        request.spec = found.spec
+        request.ref = found.ref
+        request.target_service = found.spec.service
+        request.rank = found.spec.priority.rank
+        request.idempotent = found.spec.idempotent
+        return None
+
+    def apply_caller_wishes(self, request: context.RequestContext) -> None:
+        """Let a caller lower its priority or forbid running twice."""
+        if request.stricter:
+            request.idempotent = False
+        if not request.wanted_priority:
+            return
+        wanted = declarations.Priority(request.wanted_priority).rank
+        request.rank = max(request.rank, wanted)
+
+
+class QuarantineFilter(base.Filter):
+    """Refuses requests whose content crashed several targets."""
+
+    def __init__(
+        self,
+        follow: follower.Follower,
+        counters: metrics.Metrics,
+        wall: collections.abc.Callable[[], float] = time.time,
+    ) -> None:
+        self.follow = follow
+        self.counters = counters
+        self.wall = wall
+
+    def handle(
+        self, request: context.RequestContext, following: base.Following
+    ) -> base.Result:
+        catalog = self.follow.catalog
+        if not catalog.is_quarantined(request.digest, self.wall()):
+            return following(request)
+        self.counters.count(metrics.Counter.QUARANTINED)
+        return make_quarantined()
+
+
+def make_quarantined() -> outcomes.Refused:
+    """Return the refusal of a quarantined request."""
+    return outcomes.refuse(
+        outcomes.RefusalCode.QUARANTINED,
+        "this request crashed several targets and is refused for a while; "
+        "change it, or ask the operators to release it",
+    )
+
+
+class LimitFilter(base.Filter):
+    """Holds a place for a request while it is in flight."""
+
+    def __init__(self, capacity: int, counters: metrics.Metrics) -> None:
+        self.limit = limits.AdmissionLimit(capacity)
+        self.lock = threading.Lock()
+        self.counters = counters
+
+    def handle(
+        self, request: context.RequestContext, following: base.Following
+    ) -> base.Result:
+        with self.lock:
+            place = self.limit.enter(request.caller, request.rank)
+        if isinstance(place, outcomes.Refused):
+            self.counters.count(metrics.Counter.SHED)
+            return place
+        try:
+            result = following(request)
+        except BaseException:
+            self.leave(place)
+            raise
+        if isinstance(result, outcomes.Refused):
+            self.leave(place)
+            return result
+        return self.hold(place, result)
+
+    def hold(
+        self, place: limits.Place, events: context.Events
+    ) -> context.Events:
+        """Pass events on and give the place back at their end."""
+        try:
+            yield from events
+        finally:
+            self.leave(place)
+
+    def leave(self, place: limits.Place) -> None:
+        """Give a place back."""
+        with self.lock:
+            self.limit.leave(place)
+
+    def count(self) -> int:
+        """Return the requests in flight."""
+        with self.lock:
+            return self.limit.in_flight
--- /dev/null
+++ b/src/hemlockkeel/_internal/entry/links.py
@@ -0,0 +1,260 @@
+"""Connections to agents: one polling thread a target.
+
+All answers that an agent produces for this entry arrive over one poll, so
+tokens of many streams share a message.
+"""
+
+import collections.abc
+import dataclasses
+import queue
+import threading
+import time
+
+from hemlockkeel._internal import exceptions
+from hemlockkeel._internal.models import members
+from hemlockkeel._internal.rpc import client
+from hemlockkeel._internal.rpc.gen.hk import ttypes
+from hemlockkeel._internal.utils import metrics
+
+POLL_WAIT_S = 0.5
+POLL_TIMEOUT_S = 2.0
+RETRY_S = 0.05
+# An agent out of reach for this long has lost its streams.
+LOST_AFTER_S = 3.0
+SUBMIT_TIMEOUT_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Lost:
+    """The agent no longer has the answer, or cannot be reached."""
+
+    agent_gone: bool
+
+
+class Stream:
+    """Frames of one attempt, in order."""
+
+    def __init__(self, request_id: str, attempt: int, offset: int) -> None:
+        self.request_id = request_id
+        self.attempt = attempt
+        self.received = offset
+        self.consumed = offset
+        self.items: queue.SimpleQueue[ttypes.AnswerFrame | Lost] = (
+            queue.SimpleQueue()
+        )
+        self.ended = False
+
+    def take(self, frame: ttypes.AnswerFrame) -> bool:
+        """Accept a frame; tell whether it belongs here."""
+        if frame.attempt != self.attempt or self.ended:
+            return False
+        if frame.kind == ttypes.FrameKind.TOKENS:
+            if frame.offset != self.received:
+                return False
+            self.received += len(frame.tokens)
+        else:
+            self.ended = True
+        self.items.put(frame)
+        return True
+
+    def lose(self, lost: Lost) -> None:
+        """End the stream without its answer."""
+        if not self.ended:
+            self.ended = True
+            self.items.put(lost)
+
+    def get(self, timeout_s: float) -> ttypes.AnswerFrame | Lost | None:
+        """Return the next item; None after the timeout."""
+        try:
+            item = self.items.get(timeout=max(0.0, timeout_s))
+        except queue.Empty:
+            return None
+        if isinstance(item, ttypes.AnswerFrame):
+            self.consumed += len(item.tokens)
+        return item
+
+
+class AgentLink:
+    """Polls one agent and hands frames to streams."""
+
+    def __init__(
+        self,
+        member: members.Member,
+        rpc: client.RpcClient,
+        owner: str,
+        get_owner_incarnation: collections.abc.Callable[[], int],
+        counters: metrics.Metrics,
+    ) -> None:
+        self.member = member
+        self.rpc = rpc
+        self.owner = owner
+        self.get_owner_incarnation = get_owner_incarnation
+        self.counters = counters
+        self.lock = threading.Lock()
+        self.streams: dict[str, Stream] = {}
+        self.load: ttypes.LoadReport | None = None
+        self.adapter_set: frozenset[str] = frozenset()
+        self.loading_set: frozenset[str] = frozenset()
+        self.prefix_set: frozenset[str] = frozenset()
+        self.unreported = 0
+        self.reachable_at = time.monotonic()
+        self.reachable = False
+        self.must_attach = False
+        self.incarnation = 0
+        self.stopping = threading.Event()
+        self.thread = threading.Thread(
+            target=self.run,
+            name=f"link-{member.description.member_id}",
+            daemon=True,
+        )
+
+    def start(self) -> None:
+        """Start polling."""
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Stop polling; live streams are lost."""
+        self.stopping.set()
+        self.lose_all(Lost(agent_gone=True))
+        self.rpc.close()
+
+    def run(self) -> None:
+        """Poll until stopped."""
+        while not self.stopping.is_set():
+            try:
+                if self.must_attach:
+                    self.attach_all()
+                self.poll()
+            except (
+                exceptions.UnreachableError,
+                exceptions.InterruptedCallError,
+                ttypes.RpcFault,
+            ):
+                self.note_unreachable()
+                self.stopping.wait(RETRY_S)
+
+    def poll(self) -> None:
+        """Poll once."""
+        with self.lock:
+            acknowledged = {
+                stream.request_id: stream.consumed
+                for stream in self.streams.values()
+            }
+        reply: ttypes.PollReply = self.rpc.call(
+            "poll",
+            ttypes.PollRequest(
+                self.owner,
+                self.get_owner_incarnation(),
+                int(POLL_WAIT_S * 1000),
+                acknowledged,
+                0,
+            ),
+            timeout_s=POLL_TIMEOUT_S,
+        )
+        if reply.target_incarnation != self.incarnation:
+            # The agent may have restarted without its answers.
+            self.must_attach = self.incarnation != 0
+            self.incarnation = reply.target_incarnation
+        self.note_load(reply.load)
+        for frame in reply.frames:
+            self.deliver(frame)
+
+    def deliver(self, frame: ttypes.AnswerFrame) -> None:
+        """Hand a frame to its stream, or drop and count it."""
+        with self.lock:
+            stream = self.streams.get(frame.request_id)
+        if stream is None or not stream.take(frame):
+            self.counters.count(metrics.Counter.FRAMES_DROPPED)
+
+    def note_load(self, load: ttypes.LoadReport) -> None:
+        """Keep a fresh load report."""
+        with self.lock:
+            self.load = load
+            self.adapter_set = frozenset(load.adapters)
+            self.loading_set = frozenset(load.loading)
+            self.prefix_set = frozenset(load.prefixes or ())
+            self.unreported = 0
+        self.reachable_at = time.monotonic()
+        self.reachable = True
+
+    def note_unreachable(self) -> None:
+        """Reattach later; give streams up after a while."""
+        self.reachable = False
+        self.must_attach = True
+        if time.monotonic() - self.reachable_at > LOST_AFTER_S:
+            self.lose_all(Lost(agent_gone=True))
+
+    def lose_all(self, lost: Lost) -> None:
+        """End every stream without its answer."""
+        with self.lock:
+            streams, self.streams = list(self.streams.values()), {}
+        for stream in streams:
+            stream.lose(lost)
+
+    def attach_all(self) -> None:
+        """Ask for every live stream from where it stands."""
+        with self.lock:
+            streams = list(self.streams.values())
+        for stream in streams:
+            if not self.attach(stream, block=False).known:
+                self.forget(stream)
+                stream.lose(Lost(agent_gone=False))
+        self.must_attach = False
+
+    def attach(self, stream: Stream, block: bool) -> ttypes.AttachReply:
+        """Ask for one stream's frames from where it stands."""
+        reply: ttypes.AttachReply = self.rpc.call(
+            "attach",
+            ttypes.AttachRequest(
+                stream.request_id,
+                stream.received,
+                self.owner,
+                self.get_owner_incarnation(),
+                block,
+                stream.attempt,
+            ),
+            timeout_s=SUBMIT_TIMEOUT_S,
+        )
+        return reply
+
+    def open(self, request_id: str, attempt: int, offset: int) -> Stream:
+        """Register a stream before its order is sent."""
+        stream = Stream(request_id, attempt, offset)
+        with self.lock:
+            self.streams[request_id] = stream
+        return stream
+
+    def forget(self, stream: Stream) -> None:
+        """Stop delivering to a stream."""
+        with self.lock:
+            if self.streams.get(stream.request_id) is stream:
+                del self.streams[stream.request_id]
+
+    def submit(self, order: ttypes.WorkOrder) -> ttypes.OrderReceipt:
+        """Send a work order.
+
+        :raises UnreachableError: when it was certainly not sent.
+        :raises InterruptedCallError: when it may have arrived.
+        """
+        with self.lock:
+            self.unreported += 1
+        receipt: ttypes.OrderReceipt = self.rpc.call(
+            "submit", order, timeout_s=SUBMIT_TIMEOUT_S
+        )
+        self.note_load(receipt.load)
+        return receipt
+
+    def cancel(self, request_id: str, attempt: int) -> None:
+        """Cancel an attempt, if this entry still reads it."""
+        request = ttypes.CancelRequest(
+            request_id, attempt, self.owner, self.get_owner_incarnation()
+        )
+        try:
+            self.rpc.call("cancel", request, timeout_s=SUBMIT_TIMEOUT_S)
+        except (
+            exceptions.UnreachableError,
+            exceptions.InterruptedCallError,
+            ttypes.RpcFault,
+        ):
+            # The work ends by itself; nobody reads its answer.
+            return
--- /dev/null
+++ b/src/hemlockkeel/_internal/entry/parse.py
@@ -0,0 +1,202 @@
+"""Turns HTTP calls into requests."""
+
+import hashlib
+import time
+import typing
+import uuid
+
+import msgspec
+
+from hemlockkeel._internal.entry import context
+from hemlockkeel._internal.models import declarations
+from hemlockkeel._internal.models import ids
+from hemlockkeel._internal.models import outcomes
+from hemlockkeel._internal.utils import digests
+from hemlockkeel._internal.utils import http
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+DEFAULT_TIMEOUT_S = 120.0
+MAX_TIMEOUT_S = 3600.0
+MAX_KEY_LENGTH = 200
+PREFIX_CHARACTERS = 256
+SERVICES_PREFIX = "/services/"
+
+PATHS = {
+    "/v1/completions": context.Shape.COMPLETION,
+    "/v1/chat/completions": context.Shape.CHAT,
+}
+
+
+class ModelBody(msgspec.Struct):
+    """Fields of a completion or chat request that hemlockkeel reads."""
+
+    model: str
+    prompt: str = ""
+    messages: list[dict[str, typing.Any]] = msgspec.field(default_factory=list)
+    max_tokens: int = 0
+    stream: bool = False
+
+
+def parse_request(
+    environ: http.Environ,
+) -> context.RequestContext | outcomes.Refused:
+    """Parse a call to a model or a plain service."""
+    try:
+        body = http.read_body(environ, MAX_BODY_BYTES)
+    except http.BodyTooLargeError as fault:
+        return outcomes.refuse(outcomes.RefusalCode.TOO_LARGE, str(fault))
+    now = time.monotonic()
+    request = context.RequestContext(
+        request_id=ids.RequestId(uuid.uuid4().hex),
+        shape=context.Shape.SERVICE,
+        body=body,
+        caller=get_caller(environ),
+        arrived=now,
+        deadline=now + DEFAULT_TIMEOUT_S,
+        method=str(environ["REQUEST_METHOD"]),
+    )
+    refusal = parse_headers(environ, request)
+    if refusal is not None:
+        return refusal
+    path = http.get_path(environ)
+    if path.startswith(SERVICES_PREFIX):
+        return parse_service(environ, request, path)
+    request.shape = PATHS[path]
+    return parse_model(request)
+
+
+def get_caller(environ: http.Environ) -> ids.CallerId:
+    """Return who calls: a name, or a digest of credentials or address."""
+    name = http.get_header(environ, "Hemlockkeel-Caller")
+    if name:
+        return ids.CallerId(name[:MAX_KEY_LENGTH])
+    credentials = http.get_header(environ, "Authorization")
+    if credentials:
+        digest = hashlib.sha256(credentials.encode()).hexdigest()
+        return ids.CallerId("auth-" + digest[:16])
+    return ids.CallerId(str(environ.get("REMOTE_ADDR", "unknown")))
+
+
+def parse_headers(
+    environ: http.Environ, request: context.RequestContext
+) -> outcomes.Refused | None:
+    """Read the headers that steer a request."""
+    request.key = http.get_header(environ, "Idempotency-Key")
+    request.session = http.get_header(environ, "Hemlockkeel-Session")
+    request.wanted_priority = http.get_header(environ, "Hemlockkeel-Priority")
+    request.stricter = (
+        http.get_header(environ, "Hemlockkeel-Idempotent").lower() == "false"
+    )
+    request.supersedes = (
+        http.get_header(environ, "Hemlockkeel-Supersedes").lower() == "true"
+    )
+    if max(len(request.key), len(request.session)) > MAX_KEY_LENGTH:
+        return refuse_bad(f"keys are at most {MAX_KEY_LENGTH} characters")
+    priorities = [priority.value for priority in declarations.Priority]
+    if request.wanted_priority and request.wanted_priority not in priorities:
+        return refuse_bad(
+            f"Hemlockkeel-Priority must be one of {', '.join(priorities)}"
+        )
+    return (
+        parse_sequence(environ, request)
+        or parse_timeout(environ, request)
+        or parse_last_event(environ, request)
+    )
+
+
+def parse_sequence(
+    environ: http.Environ, request: context.RequestContext
+) -> outcomes.Refused | None:
+    """Read the place of a request in its session."""
+    text = http.get_header(environ, "Hemlockkeel-Session-Sequence")
+    if not request.session:
+        return None
+    if not text.isdigit() or int(text) < 1:
+        return refuse_bad(
+            "Hemlockkeel-Session needs Hemlockkeel-Session-Sequence, a "
+            "number that starts at 1 and grows by 1 a request"
+        )
+    request.sequence = int(text)
+    return None
+
+
+def parse_timeout(
+    environ: http.Environ, request: context.RequestContext
+) -> outcomes.Refused | None:
+    """Read how long the caller waits, in seconds."""
+    text = http.get_header(environ, "Hemlockkeel-Timeout")
+    if not text:
+        return None
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = -1.0
+    if not 0.0 < seconds <= MAX_TIMEOUT_S:
+        return refuse_bad(
+            "Hemlockkeel-Timeout must be seconds, more than 0 and at most "
+            f"{MAX_TIMEOUT_S:.0f}"
+        )
+    request.deadline = request.arrived + seconds
+    return None
+
+
+def parse_last_event(
+    environ: http.Environ, request: context.RequestContext
+) -> outcomes.Refused | None:
+    """Read where a caller's earlier stream broke off."""
+    text = http.get_header(environ, "Last-Event-ID")
+    if not text:
+        return None
+    request.last_event = context.parse_event_id(text)
+    if request.last_event is None:
+        return refuse_bad("Last-Event-ID is not an id of this service")
+    return None
+
+
+def parse_service(
+    environ: http.Environ, request: context.RequestContext, path: str
+) -> context.RequestContext | outcomes.Refused:
+    """Read a call to a plain service."""
+    name, _, rest = path[len(SERVICES_PREFIX) :].partition("/")
+    query = str(environ.get("QUERY_STRING", ""))
+    request.service = name
+    request.path = "/" + rest + (f"?{query}" if query else "")
+    request.digest = digests.digest_content(
+        name.encode(),
+        request.method.encode(),
+        request.path.encode(),
+        request.body,
+    )
+    return request
+
+
+def parse_model(
+    request: context.RequestContext,
+) -> context.RequestContext | outcomes.Refused:
+    """Read a completion or chat request."""
+    try:
+        body = msgspec.json.decode(request.body, type=ModelBody)
+    except msgspec.DecodeError as fault:
+        return refuse_bad(f"the body is not a valid request: {fault}")
+    chat = request.shape is context.Shape.CHAT
+    if chat and not body.messages:
+        return refuse_bad("a chat request needs messages")
+    if not chat and not body.prompt:
+        return refuse_bad("a completion request needs a prompt")
+    if body.max_tokens < 0:
+        return refuse_bad("max_tokens must be 1 or more")
+    request.model = body.model
+    request.stream = body.stream
+    request.max_tokens = body.max_tokens
+    content = msgspec.json.encode(body.messages) if chat else b""
+    prompt = body.prompt.encode() + content
+    request.prefix = digests.digest_content(prompt[:PREFIX_CHARACTERS])
+    request.digest = digests.digest_content(
+        body.model.encode(), prompt, str(body.max_tokens).encode()
+    )
+    return request
+
+
+def refuse_bad(message: str) -> outcomes.Refused:
+    """Return the refusal of a malformed request."""
+    return outcomes.refuse(outcomes.RefusalCode.BAD_REQUEST, message)
--- /dev/null
+++ b/src/hemlockkeel/_internal/entry/process.py
@@ -0,0 +1,140 @@
+"""Assembles and runs an entry."""
+
+import dataclasses
+import threading
+import time
+
+from hemlockkeel._internal.entry import app
+from hemlockkeel._internal.entry import dispatcher
+from hemlockkeel._internal.entry import fleet
+from hemlockkeel._internal.entry import parse
+from hemlockkeel._internal.entry import records
+from hemlockkeel._internal.entry.filters import admission
+from hemlockkeel._internal.entry.filters import base
+from hemlockkeel._internal.follower import control_client
+from hemlockkeel._internal.follower import follower
+from hemlockkeel._internal.models import members
+from hemlockkeel._internal.policy import routing
+from hemlockkeel._internal.utils import clock
+from hemlockkeel._internal.utils import logs
+from hemlockkeel._internal.utils import metrics
+from hemlockkeel._internal.utils import web_server
+
+# Threads beyond the request limit, so that refusals stay prompt.
+SPARE_THREADS = 16
+HOUSEKEEPING_S = 0.2
+DRAIN_POLL_S = 0.05
+# The balancer sees not-ready before listening ends.
+BALANCER_NOTICE_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class EntrySettings:
+    """Settings of an entry."""
+
+    member_id: str
+    control: list[str]
+    secret: str
+    data_centre: str
+    site: str
+    host: str = "127.0.0.1"
+    port: int = 0
+    max_in_flight: int = 256
+    balancer_notice_s: float = BALANCER_NOTICE_S
+    router: routing.Router = dataclasses.field(
+        default_factory=routing.LeastCost
+    )
+
+
+class EntryProcess:
+    """One entry with its web server and links."""
+
+    def __init__(
+        self, settings: EntrySettings, counters: metrics.Metrics
+    ) -> None:
+        self.settings = settings
+        self.counters = counters
+        self.stopping = threading.Event()
+        self.control = control_client.ControlClient(
+            settings.control, settings.secret, settings.member_id
+        )
+        self.follow = follower.Follower(
+            members.Description(
+                settings.member_id,
+                members.Role.ENTRY,
+                "",
+                settings.data_centre,
+                settings.site,
+            ),
+            self.control,
+            clock.SystemClock(),
+        )
+        self.fleet = fleet.Fleet(self.follow, settings.secret, counters)
+        self.recorder = records.Recorder(self.control, counters)
+        self.dispatcher = dispatcher.Dispatcher(
+            self.follow,
+            self.fleet,
+            self.recorder,
+            settings.router,
+            counters,
+        )
+        self.limit = admission.LimitFilter(settings.max_in_flight, counters)
+        chain = base.make_chain(
+            [
+                admission.ReadinessFilter(self.follow),
+                admission.ModelFilter(self.follow),
+                admission.QuarantineFilter(self.follow, counters),
+                self.limit,
+            ],
+            self.dispatcher.handle,
+        )
+        self.web = web_server.WebServer(
+            app.EntryApp(self.follow, chain, self.recorder, counters),
+            settings.host,
+            settings.port,
+            settings.max_in_flight + SPARE_THREADS,
+            parse.MAX_BODY_BYTES + 1,
+        )
+        self.thread = threading.Thread(
+            target=self.run, name="entry", daemon=True
+        )
+
+    @property
+    def url(self) -> str:
+        """Return the URL for callers."""
+        return f"http://{self.web.address}"
+
+    def start(self) -> None:
+        """Start serving."""
+        self.follow.start()
+        self.fleet.start()
+        self.web.start()
+        self.thread.start()
+        logs.log_state(
+            "entry_started", entry=self.settings.member_id, url=self.url
+        )
+
+    def run(self) -> None:
+        """Cancel abandoned work until stopped."""
+        while not self.stopping.wait(HOUSEKEEPING_S):
+            self.dispatcher.cancel_abandoned(time.monotonic())
+
+    def drain(self) -> None:
+        """Take no new requests and wait until those in flight have ended."""
+        self.follow.leave()
+        self.stopping.wait(self.settings.balancer_notice_s)
+        while self.count_unfinished() > 0 and not self.stopping.is_set():
+            self.stopping.wait(DRAIN_POLL_S)
+        self.recorder.stop()
+
+    def count_unfinished(self) -> int:
+        """Return the requests in flight."""
+        return self.limit.count()
+
+    def stop(self) -> None:
+        """Stop at once."""
+        self.stopping.set()
+        self.web.stop()
+        self.fleet.stop()
+        self.follow.stop()
+        self.control.close()
--- /dev/null
+++ b/src/hemlockkeel/_internal/entry/records.py
@@ -0,0 +1,182 @@
+"""Durable records of keyed requests, as an entry uses them."""
+
+import concurrent.futures
+import time
+
+from hemlockkeel._internal import exceptions
+from hemlockkeel._internal.entry import context
+from hemlockkeel._internal.follower import control_client
+from hemlockkeel._internal.models import outcomes
+from hemlockkeel._internal.rpc.gen.hk import ttypes
+from hemlockkeel._internal.state import commands
+from hemlockkeel._internal.state import queries
+from hemlockkeel._internal.utils import logs
+from hemlockkeel._internal.utils import metrics
+
+RECORD_DEADLINE_S = 3.0
+FINISH_DEADLINE_S = 10.0
+FINISH_WORKERS = 4
+SESSION_POLL_S = 0.03
+RETRY_AFTER_MS = 1000
+
+
+def get_record_key(request: context.RequestContext) -> str:
+    """Return the key that a request is recorded under; empty for none.
+
+    Keys belong to their caller: two callers may use the same key.
+    """
+    if request.session:
+        return f"{request.caller}/session/{request.session}/{request.sequence}"
+    if request.key:
+        return f"{request.caller}/key/{request.key}"
+    return ""
+
+
+def get_session_name(request: context.RequestContext) -> str:
+    """Return the name of a request's session; sessions belong to callers."""
+    return f"{request.caller}/{request.session}" if request.session else ""
+
+
+class Recorder:
+    """Commits records before dispatch and outcomes after."""
+
+    def __init__(
+        self, control: control_client.ControlClient, counters: metrics.Metrics
+    ) -> None:
+        self.control = control
+        self.counters = counters
+        self.executor = concurrent.futures.ThreadPoolExecutor(
+            FINISH_WORKERS, "finish"
+        )
+
+    def begin(
+        self,
+        request: context.RequestContext,
+        request_id: str,
+        target_id: str,
+        target_incarnation: int,
+    ) -> commands.Outcome | outcomes.Refused:
+        """Commit a record; nothing was sent if this refuses."""
+        command = commands.BeginRequest(
+            key=get_record_key(request),
+            caller=request.caller,
+            digest=request.digest,
+            request_id=request_id,
+            target_id=target_id,
+            target_incarnation=target_incarnation,
+            session=get_session_name(request),
+            session_sequence=request.sequence,
+            supersedes=request.supersedes,
+        )
+        begun = time.monotonic()
+        outcome = self.propose(command, RECORD_DEADLINE_S)
+        self.counters.time(metrics.Timer.RECORD, time.monotonic() - begun)
+        return outcome
+
+    def propose(
+        self, command: commands.AnyCommand, deadline_s: float
+    ) -> commands.Outcome | outcomes.Refused:
+        """Commit a command, or refuse for want of a quorum."""
+        try:
+            return self.control.propose(command, deadline_s)
+        except (exceptions.ControlUnavailableError, ttypes.RpcFault):
+            return outcomes.refuse(
+                outcomes.RefusalCode.NO_RECORD,
+                "no record could be made, so the request was not started; "
+                "send it again with the same key",
+                RETRY_AFTER_MS,
+            )
+
+    def reassign(
+        self,
+        request: context.RequestContext,
+        request_id: str,
+        attempt: int,
+        target_id: str,
+        target_incarnation: int,
+    ) -> commands.Outcome | outcomes.Refused:
+        """Commit that an attempt moves to another target."""
+        command = commands.ReassignRequest(
+            key=get_record_key(request),
+            attempt=attempt,
+            request_id=request_id,
+            target_id=target_id,
+            target_incarnation=target_incarnation,
+        )
+        return self.propose(command, RECORD_DEADLINE_S)
+
+    def finish(
+        self,
+        request: context.RequestContext,
+        request_id: str,
+        attempt: int,
+        verdict: outcomes.Verdict,
+        code: str = "",
+        digest: str = "",
+        length: int = 0,
+    ) -> commands.Outcome | None:
+        """Commit how an attempt ended.
+
+        Only a session's order depends on it, so only a session waits.
+        """
+        command = commands.FinishRequest(
+            key=get_record_key(request),
+            attempt=attempt,
+            request_id=request_id,
+            verdict=int(verdict),
+            code=code,
+            answer_digest=digest,
+            length=length,
+        )
+        if request.session or verdict is outcomes.Verdict.NOT_RUN:
+            outcome = self.propose(command, FINISH_DEADLINE_S)
+            if isinstance(outcome, outcomes.Refused):
+                return None
+            return outcome
+        self.executor.submit(self.finish_later, command)
+        return None
+
+    def finish_later(self, command: commands.FinishRequest) -> None:
+        """Commit an outcome in the background."""
+        outcome = self.propose(command, FINISH_DEADLINE_S)
+        if isinstance(outcome, outcomes.Refused):
+            logs.log_state("finish_not_recorded", key=command.key)
+
+    def find(self, key: str) -> queries.QueryResult:
+        """Read a record.
+
+        :raises ControlUnavailableError: when no quorum answers.
+        """
+        return self.control.read(queries.GetRequest(key), RECORD_DEADLINE_S)
+
+    def find_session_target(self, request: context.RequestContext) -> str:
+        """Return the target of a session; empty when unknown."""
+        name = get_session_name(request)
+        try:
+            result = self.control.read(
+                queries.GetSession(name), RECORD_DEADLINE_S
+            )
+        except (exceptions.ControlUnavailableError, ttypes.RpcFault):
+            return ""
+        return result.session.target_id if result.session else ""
+
+    def wait_for_turn(self, request: context.RequestContext) -> None:
+        """Wait until the session's earlier requests have ended."""
+        name = get_session_name(request)
+        while time.monotonic() < request.deadline:
+            try:
+                result = self.control.read(
+                    queries.GetSession(name), RECORD_DEADLINE_S
+                )
+            except (exceptions.ControlUnavailableError, ttypes.RpcFault):
+                return
+            progress = result.session
+            if progress is None or progress.finished >= request.sequence - 1:
+                return
+            if request.disconnected():
+                return
+            time.sleep(SESSION_POLL_S)
+
+    def stop(self) -> None:
+        """Commit what is waiting, then stop."""
+        self.executor.shutdown(wait=True)
--- /dev/null
+++ b/src/hemlockkeel/_internal/follower/__init__.py
@@ -0,0 +1,1 @@
+"""What entries and agents share: control client, view, lease."""
