--- /dev/null
+++ b/src/hemlockkeel/_internal/follower/catalog.py
@@ -0,0 +1,266 @@
+"""A follower's typed copy of the view."""
+
+import dataclasses
+import threading
+import typing
+
+import msgspec
+
+from hemlockkeel._internal import exceptions
+from hemlockkeel._internal.models import adapters
+from hemlockkeel._internal.models import declarations
+from hemlockkeel._internal.models import items
+from hemlockkeel._internal.models import members
+from hemlockkeel._internal.rpc.gen.hk import ttypes
+from hemlockkeel._internal.state import suspects
+from hemlockkeel._internal.state import view
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ResolvedModel:
+    """The deployment in force for a model that a caller named."""
+
+    deployment: str
+    spec: declarations.Deployment
+    ref: adapters.AdapterRef | None
+
+
+class Catalog:
+    """The configuration and members in force at one site.
+
+    Adapters are kept as a map from ``name@version`` to the deployment's
+    name, so that 180,000 of them stay small.
+    """
+
+    def __init__(self, site: str) -> None:
+        self.site = site
+        self.lock = threading.RLock()
+        self.version = 0
+        self.sites: dict[str, declarations.Site] = {}
+        self.base_deployments: dict[str, declarations.Deployment] = {}
+        self.patches: dict[str, declarations.DeploymentPatch] = {}
+        self.base_services: dict[str, declarations.PlainService] = {}
+        self.service_patches: dict[str, declarations.ServicePatch] = {}
+        self.base_adapters: dict[str, str] = {}
+        self.site_adapters: dict[str, str] = {}
+        self.members: dict[str, members.Member] = {}
+        self.suspects: dict[str, suspects.Suspect] = {}
+        self.control: dict[str, str] = {}
+        self.names: dict[str, str] = {}
+        self.merged: dict[str, declarations.Deployment] = {}
+        # Counts changes of members, for caches built from them.
+        self.members_epoch = 0
+
+    def apply(self, delta: ttypes.ViewDelta) -> None:
+        """Apply a delta; the version never goes back.
+
+        :raises InvariantError: when the delta does not follow the version.
+        """
+        with self.lock:
+            if delta.to_version <= self.version:
+                return
+            if delta.full:
+                self.clear()
+            else:
+                exceptions.require(
+                    delta.from_version == self.version,
+                    "delta from %d at version %d",
+                    delta.from_version,
+                    self.version,
+                )
+            for item in delta.items:
+                self.put(item.key, item.value)
+            self.merged.clear()
+            self.version = delta.to_version
+
+    def clear(self) -> None:
+        """Drop everything but the version."""
+        for table in (
+            self.sites,
+            self.base_deployments,
+            self.patches,
+            self.base_services,
+            self.service_patches,
+            self.base_adapters,
+            self.site_adapters,
+            self.members,
+            self.suspects,
+            self.control,
+        ):
+            typing.cast(dict[str, object], table).clear()
+        self.members_epoch += 1
+
+    def put(self, key: str, value: bytes | None) -> None:
+        """Change one item."""
+        area, _, rest = key.partition("/")
+        match view.Area(area):
+            case view.Area.CONFIG:
+                self.put_config(rest, value)
+            case view.Area.MEMBER:
+                self.put_member(rest, value)
+            case view.Area.SUSPECT:
+                self.put_suspect(rest, value)
+            case view.Area.CONTROL:
+                self.put_plain(self.control, rest, value)
+
+    def put_plain(
+        self, table: dict[str, str], name: str, value: bytes | None
+    ) -> None:
+        """Change one text."""
+        if value is None:
+            table.pop(name, None)
+            return
+        table[name] = value.decode()
+
+    def put_member(self, rest: str, value: bytes | None) -> None:
+        """Change one member."""
+        member_id = rest.partition("/")[2]
+        self.members_epoch += 1
+        if value is None:
+            self.members.pop(member_id, None)
+            return
+        self.members[member_id] = msgspec.msgpack.decode(
+            value, type=members.Member
+        )
+
+    def put_suspect(self, digest: str, value: bytes | None) -> None:
+        """Change one suspected request."""
+        if value is None:
+            self.suspects.pop(digest, None)
+            return
+        self.suspects[digest] = msgspec.msgpack.decode(
+            value, type=suspects.Suspect
+        )
+
+    def put_config(self, key: str, value: bytes | None) -> None:
+        """Change one configuration item."""
+        path = items.parse_path(key)
+        base = path.layer == items.BASE_LAYER
+        if path.kind is items.Kind.ADAPTER:
+            table = self.base_adapters if base else self.site_adapters
+            self.put_adapter(table, path.name, value)
+            return
+        target = self.get_table(path.kind, base)
+        if value is None:
+            target.pop(path.name, None)
+            return
+        target[path.name] = items.decode_value(path, value)
+
+    def get_table(
+        self, kind: items.Kind, base: bool
+    ) -> dict[str, msgspec.Struct]:
+        """Return the table of a kind of item."""
+        tables: dict[tuple[items.Kind, bool], typing.Any] = {
+            (items.Kind.SITE, True): self.sites,
+            (items.Kind.DEPLOYMENT, True): self.base_deployments,
+            (items.Kind.DEPLOYMENT, False): self.patches,
+            (items.Kind.SERVICE, True): self.base_services,
+            (items.Kind.SERVICE, False): self.service_patches,
+        }
+        found: dict[str, msgspec.Struct] = tables[kind, base]
+        return found
+
+    def put_adapter(
+        self, table: dict[str, str], name: str, value: bytes | None
+    ) -> None:
+        """Change one adapter's deployment."""
+        if value is None:
+            table.pop(name, None)
+            return
+        deployment = msgspec.json.decode(
+            value, type=declarations.AdapterBinding
+        ).deployment
+        # One string object a deployment, however many adapters name it.
+        table[name] = self.names.setdefault(deployment, deployment)
+
+    # Reads
+
+    def find_model(self, model: str) -> ResolvedModel | None:
+        """Return what serves ``name@version``; None if nothing does."""
+        with self.lock:
+            name = self.site_adapters.get(model)
+            if name is None:
+                name = self.base_adapters.get(model)
+            if not name:
+                return None
+            spec = self.get_deployment(name)
+            if spec is None:
+                return None
+        return ResolvedModel(name, spec, adapters.parse_adapter(model))
+
+    def find_base_model(self, model: str) -> ResolvedModel | None:
+        """Return the deployment that serves a base model without adapter."""
+        with self.lock:
+            for name in sorted(self.base_deployments):
+                spec = self.get_deployment(name)
+                if spec is not None and spec.base_model == model:
+                    return ResolvedModel(name, spec, None)
+        return None
+
+    def get_deployment(self, name: str) -> declarations.Deployment | None:
+        """Return a deployment as this site changes it."""
+        with self.lock:
+            found = self.merged.get(name)
+            if found is not None:
+                return found
+            base = self.base_deployments.get(name)
+            if base is None:
+                return None
+            merged = merge(base, self.patches.get(name))
+            self.merged[name] = merged
+            return merged
+
+    def get_service(self, name: str) -> declarations.PlainService | None:
+        """Return a plain service as this site changes it."""
+        with self.lock:
+            base = self.base_services.get(name)
+            if base is None:
+                return None
+            return merge(base, self.service_patches.get(name))
+
+    def find_targets(self, service: str) -> list[members.Member]:
+        """Return the members whose target serves a service."""
+        with self.lock:
+            return [
+                member
+                for member in self.members.values()
+                if member.description.target is not None
+                and member.description.target.service == service
+            ]
+
+    def list_models(self) -> list[str]:
+        """Return every adapter version served at this site."""
+        with self.lock:
+            names = set(self.base_adapters)
+            for name, deployment in self.site_adapters.items():
+                if deployment:
+                    names.add(name)
+                else:
+                    names.discard(name)
+        return sorted(names)
+
+    def is_quarantined(self, digest: str, wall: float) -> bool:
+        """Tell whether a request is refused for crashing targets."""
+        with self.lock:
+            suspect = self.suspects.get(digest)
+        return suspect is not None and suspect.quarantined_until > wall
+
+    def is_suspect(self, digest: str) -> bool:
+        """Tell whether a request has to run alone."""
+        with self.lock:
+            return digest in self.suspects
+
+
+_Spec = typing.TypeVar("_Spec", bound=msgspec.Struct)
+
+
+def merge(base: _Spec, patch: msgspec.Struct | None) -> _Spec:
+    """Return a base declaration with a site's changes."""
+    if patch is None:
+        return base
+    changes = {
+        name: value
+        for name, value in msgspec.structs.asdict(patch).items()
+        if value is not None
+    }
+    return msgspec.structs.replace(base, **changes)
--- /dev/null
+++ b/src/hemlockkeel/_internal/follower/follower.py
@@ -0,0 +1,181 @@
+"""Registers a process, keeps its lease and follows the view."""
+
+import dataclasses
+import enum
+import threading
+import uuid
+
+import msgspec
+
+from hemlockkeel._internal import exceptions
+from hemlockkeel._internal.follower import catalog
+from hemlockkeel._internal.follower import control_client
+from hemlockkeel._internal.models import members
+from hemlockkeel._internal.rpc.gen.hk import ttypes
+from hemlockkeel._internal.state import commands
+from hemlockkeel._internal.utils import clock
+from hemlockkeel._internal.utils import logs
+
+CALL_DEADLINE_S = 1.5
+RETRY_S = 0.1
+DEFAULT_INTERVAL_S = 0.5
+SUPERSEDED = "superseded"
+UNREGISTERED = "unregistered"
+
+
+class FollowerState(enum.Enum):
+    """Whether this process may take new requests."""
+
+    JOINING = "joining"
+    READY = "ready"
+    LEASE_LOST = "lease_lost"
+    LEAVING = "leaving"
+    SUPERSEDED = "superseded"
+
+
+@dataclasses.dataclass
+class Lease:
+    """This process's lease in its own monotonic seconds."""
+
+    until: float = 0.0
+
+
+class Follower:
+    """Heartbeats to the control leader on a thread of its own."""
+
+    def __init__(
+        self,
+        description: members.Description,
+        control: control_client.ControlClient,
+        time_source: clock.Clock,
+    ) -> None:
+        self.description = msgspec.structs.replace(
+            description, start_nonce=uuid.uuid4().hex
+        )
+        self.control = control
+        self.clock = time_source
+        self.catalog = catalog.Catalog(description.site)
+        self.lease = Lease()
+        self.incarnation = 0
+        self.leaving = False
+        self.superseded = False
+        self.interval_s = DEFAULT_INTERVAL_S
+        self.wake = threading.Event()
+        self.stopping = threading.Event()
+        self.shown_state = FollowerState.JOINING
+        self.thread = threading.Thread(
+            target=self.run, name="follower", daemon=True
+        )
+
+    def start(self) -> None:
+        """Start following."""
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Stop following."""
+        self.stopping.set()
+        self.wake.set()
+        if self.thread.is_alive():
+            self.thread.join(3.0)
+
+    def leave(self) -> None:
+        """Announce at once that this process takes no new work."""
+        self.leaving = True
+        self.wake.set()
+
+    def get_state(self) -> FollowerState:
+        """Return whether this process may take new requests now."""
+        if self.superseded:
+            return FollowerState.SUPERSEDED
+        if self.leaving:
+            return FollowerState.LEAVING
+        if self.incarnation == 0:
+            return FollowerState.JOINING
+        if self.clock.monotonic() >= self.lease.until:
+            return FollowerState.LEASE_LOST
+        return FollowerState.READY
+
+    def run(self) -> None:
+        """Register, then renew the lease until stopped."""
+        while not self.stopping.is_set() and not self.superseded:
+            pause = self.interval_s if self.step() else RETRY_S
+            self.note_state()
+            self.wake.wait(pause)
+            self.wake.clear()
+
+    def step(self) -> bool:
+        """Register or renew once; tell whether that succeeded."""
+        try:
+            if self.incarnation == 0:
+                self.register()
+            return self.renew()
+        except exceptions.ControlUnavailableError:
+            return False
+        except ttypes.RpcFault as fault:
+            self.handle_fault(fault)
+            return False
+
+    def register(self) -> None:
+        """Register this process start and learn its incarnation."""
+        outcome = self.control.propose(
+            commands.RegisterMember(description=self.description),
+            CALL_DEADLINE_S,
+        )
+        exceptions.require(
+            outcome.incarnation > self.incarnation,
+            "incarnation did not grow",
+        )
+        self.incarnation = outcome.incarnation
+
+    def renew(self) -> bool:
+        """Send one heartbeat and apply what it brings."""
+        sent_at = self.clock.monotonic()
+        reply: ttypes.HeartbeatReply = self.control.call(
+            "heartbeat",
+            ttypes.Heartbeat(
+                member_id=self.description.member_id,
+                incarnation=self.incarnation,
+                description=msgspec.msgpack.encode(self.description),
+                view_version=self.catalog.version,
+                leaving=self.leaving,
+            ),
+            CALL_DEADLINE_S,
+        )
+        if reply.delta is not None:
+            self.catalog.apply(reply.delta)
+            self.control.set_addresses(self.catalog.control.values())
+            # Confirm the new version without waiting a whole interval.
+            self.wake.set()
+        # Counted from the sending, so it ends before the leader's count.
+        self.lease.until = sent_at + reply.lease_ms / 1000.0
+        self.interval_s = reply.interval_ms / 1000.0
+        return True
+
+    def handle_fault(self, fault: ttypes.RpcFault) -> None:
+        """React to a refusal by the leader."""
+        if fault.code == UNREGISTERED:
+            self.description = msgspec.structs.replace(
+                self.description, start_nonce=uuid.uuid4().hex
+            )
+            self.incarnation = 0
+            return
+        if fault.code == SUPERSEDED:
+            self.superseded = True
+            logs.log_fault(
+                "member_superseded",
+                member=self.description.member_id,
+                reason=fault.message,
+            )
+
+    def note_state(self) -> None:
+        """Log a change of state."""
+        state = self.get_state()
+        if state is self.shown_state:
+            return
+        logs.log_state(
+            "member_follow",
+            member=self.description.member_id,
+            state=state.value,
+            version=self.catalog.version,
+        )
+        self.shown_state = state
--- /dev/null
+++ b/src/hemlockkeel/_internal/models/__init__.py
@@ -0,0 +1,1 @@
+"""Small value classes shared by every role."""
--- /dev/null
+++ b/src/hemlockkeel/_internal/models/outcomes.py
@@ -0,0 +1,89 @@
+"""Verdicts and tagged outcomes of requests."""
+
+import dataclasses
+import enum
+
+from hemlockkeel._internal.models import ids
+
+
+class Verdict(enum.IntEnum):
+    """Whether a request may have run. Values match the thrift enum."""
+
+    NOT_RUN = 0
+    MAY_HAVE_RUN = 1
+    RAN = 2
+
+    @property
+    def label(self) -> str:
+        """Return the form used in replies to callers."""
+        return self.name.lower()
+
+
+class RefusalCode(enum.Enum):
+    """Reasons for a refusal, with the HTTP status of each."""
+
+    BAD_REQUEST = ("bad_request", 400)
+    UNAUTHORIZED = ("unauthorized", 401)
+    NOT_FOUND = ("not_found", 404)
+    UNKNOWN_MODEL = ("unknown_model", 404)
+    UNKNOWN_SERVICE = ("unknown_service", 404)
+    METHOD = ("method_not_allowed", 405)
+    KEY_CONFLICT = ("key_conflict", 409)
+    OUT_OF_ORDER = ("out_of_order", 409)
+    SUPERSEDED = ("superseded", 409)
+    TOO_LARGE = ("too_large", 413)
+    QUARANTINED = ("quarantined", 422)
+    BUSY = ("busy", 429)
+    CALLER_LIMIT = ("caller_limit", 429)
+    ENGINE_FAILED = ("engine_failed", 502)
+    LOST = ("lost", 502)
+    NO_TARGET = ("no_target", 503)
+    NOT_READY = ("not_ready", 503)
+    NO_RECORD = ("no_record", 503)
+    LEAVING = ("leaving", 503)
+    STALE_TARGET = ("stale_target", 503)
+    LOAD_FAILED = ("load_failed", 503)
+    DEADLINE = ("deadline", 504)
+    INTERNAL = ("internal", 500)
+
+    def __init__(self, code: str, status: int) -> None:
+        self.code = code
+        self.status = status
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """The request has no answer; the verdict says whether it may have run.
+
+    ``retry_after_ms`` is None when sending the request again cannot help.
+    """
+
+    code: RefusalCode
+    message: str
+    verdict: Verdict
+    retry_after_ms: int | None = None
+    retry_target: ids.TargetId | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accepted:
+    """An agent took the request; its answer is read by offset."""
+
+    target_id: ids.TargetId
+    incarnation: ids.Incarnation
+    attempt: int
+
+
+def refuse(
+    code: RefusalCode, message: str, retry_after_ms: int | None = None
+) -> Refused:
+    """Return a refusal of a request that did not run."""
+    return Refused(code, message, Verdict.NOT_RUN, retry_after_ms)
+
+
+_BY_CODE = {code.code: code for code in RefusalCode}
+
+
+def parse_code(text: str) -> RefusalCode:
+    """Return the refusal code of that name, or INTERNAL."""
+    return _BY_CODE.get(text, RefusalCode.INTERNAL)
--- /dev/null
+++ b/src/hemlockkeel/_internal/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions on adapters, requests and loads."""
--- /dev/null
+++ b/src/hemlockkeel/_internal/policy/load_queue.py
@@ -0,0 +1,176 @@
+"""Which adapter load may use the weight store next.
+
+The weight store serves one load at a time at full speed, so loads run one
+after the other a site. Wants of all agents are ordered by waiting work per
+second of load, with a bound on age so that none starves. Time is passed in.
+"""
+
+import abc
+import dataclasses
+
+from hemlockkeel._internal import exceptions
+from hemlockkeel._internal.models import adapters
+
+# A want that its agent no longer repeats has nobody waiting for it.
+WANT_LIFETIME_S = 1.0
+PERMIT_LIFETIME_S = 5.0
+AGE_BOUND_S = 4.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Want:
+    """An agent's wish to load an adapter."""
+
+    agent: str
+    ref: adapters.AdapterRef
+    weight: float
+    since: float
+    preload: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Permit:
+    """Leave to load one adapter, until a time."""
+
+    agent: str
+    ref: adapters.AdapterRef
+    until: float
+
+
+class LoadOrder(abc.ABC):
+    """Chooses the next want."""
+
+    @abc.abstractmethod
+    def choose(self, wants: list[Want], now: float) -> Want:
+        """Return the want to serve; ``wants`` is not empty."""
+
+
+class FirstCome(LoadOrder):
+    """Serves wants in the order of their arrival."""
+
+    def choose(self, wants: list[Want], now: float) -> Want:
+        return min(wants, key=lambda want: (want.since, str(want.ref)))
+
+
+class WaitingWork(LoadOrder):
+    """Serves the largest waiting work; wants over the age bound first."""
+
+    def choose(self, wants: list[Want], now: float) -> Want:
+        aged = [want for want in wants if now - want.since > AGE_BOUND_S]
+        if aged:
+            return min(aged, key=lambda want: (want.since, str(want.ref)))
+        return max(
+            wants, key=lambda want: (want.weight, -want.since, str(want.ref))
+        )
+
+
+class LoadLedger:
+    """Wants and permits of one site."""
+
+    def __init__(
+        self,
+        order: LoadOrder,
+        loads_per_second: float,
+        concurrent: int = 1,
+        preload_share: float = 0.5,
+        quiet_until: float = 0.0,
+    ) -> None:
+        self.order = order
+        self.interval_s = 1.0 / loads_per_second
+        self.concurrent = concurrent
+        self.preload_share = preload_share
+        # A new leader does not know the permits of its predecessor.
+        self.quiet_until = quiet_until
+        self.wants: dict[tuple[str, adapters.AdapterRef], Want] = {}
+        self.refreshed: dict[str, float] = {}
+        self.permits: dict[tuple[str, adapters.AdapterRef], Permit] = {}
+        self.next_grant_at = 0.0
+        self.next_preload_at = 0.0
+
+    def update(self, agent: str, wants: list[Want], now: float) -> None:
+        """Replace an agent's wants, keeping the age of repeated ones."""
+        old = {
+            key: want for key, want in self.wants.items() if key[0] == agent
+        }
+        for key in old:
+            del self.wants[key]
+        for want in wants:
+            key = (agent, want.ref)
+            if key in self.permits:
+                continue
+            known = old.get(key)
+            since = known.since if known is not None else want.since
+            self.wants[key] = dataclasses.replace(want, since=since)
+        self.refreshed[agent] = now
+
+    def finish(self, agent: str, ref: adapters.AdapterRef) -> None:
+        """End a permit; the next load may start."""
+        self.permits.pop((agent, ref), None)
+
+    def adopt(
+        self, agent: str, refs: list[adapters.AdapterRef], now: float
+    ) -> None:
+        """Count loads that an agent has under way from an older leader."""
+        for ref in refs:
+            key = (agent, ref)
+            if key not in self.permits:
+                until = now + PERMIT_LIFETIME_S
+                self.permits[key] = Permit(agent, ref, until)
+
+    def expire(self, now: float) -> None:
+        """Drop permits past their time and wants nobody repeats."""
+        self.permits = {
+            key: permit
+            for key, permit in self.permits.items()
+            if permit.until > now
+        }
+        limit = now - WANT_LIFETIME_S
+        self.wants = {
+            key: want
+            for key, want in self.wants.items()
+            if self.refreshed.get(key[0], 0.0) >= limit
+        }
+
+    def grant(self, now: float) -> list[Permit]:
+        """Return the permits that can be given now."""
+        self.expire(now)
+        granted: list[Permit] = []
+        if now < self.quiet_until:
+            return granted
+        while len(self.permits) < self.concurrent:
+            want = self.choose(now)
+            if want is None:
+                return granted
+            granted.append(self.give(want, now))
+        return granted
+
+    def choose(self, now: float) -> Want | None:
+        """Return the want to serve next; None when it must wait."""
+        if now < self.next_grant_at or not self.wants:
+            return None
+        demands = [want for want in self.wants.values() if not want.preload]
+        if demands:
+            return self.order.choose(demands, now)
+        if now < self.next_preload_at:
+            return None
+        return self.order.choose(list(self.wants.values()), now)
+
+    def give(self, want: Want, now: float) -> Permit:
+        """Turn a want into a permit."""
+        key = (want.agent, want.ref)
+        del self.wants[key]
+        permit = Permit(want.agent, want.ref, now + PERMIT_LIFETIME_S)
+        self.permits[key] = permit
+        self.next_grant_at = now + self.interval_s
+        if want.preload:
+            pause_s = self.interval_s / self.preload_share
+            self.next_preload_at = now + pause_s
+        exceptions.require(
+            len(self.permits) <= self.concurrent, "too many load permits"
+        )
+        return permit
+
+    def get_wait(self, now: float) -> float:
+        """Return the seconds after which a grant may become possible."""
+        until = max(self.next_grant_at, self.quiet_until)
+        return max(0.0, until - now)
--- /dev/null
+++ b/src/hemlockkeel/_internal/policy/pool.py
@@ -0,0 +1,401 @@
+"""Adapter slots, queue and batch of one target, without threads or clocks.
+
+Every call passes the time in. Invariants are asserted on every change: an
+adapter that a request in flight or queued uses is never evicted, a request
+runs only on a loaded adapter that is its own, a suspect runs alone, and each
+piece of work ends once.
+"""
+
+import dataclasses
+import enum
+
+from hemlockkeel._internal import exceptions
+from hemlockkeel._internal.models import adapters
+from hemlockkeel._internal.models import outcomes
+from hemlockkeel._internal.policy import eviction
+
+LOAD_BACKOFF_S = 1.0
+MAX_LOAD_FAILURES = 2
+# Work that has waited this long makes a busy slot give way.
+STARVATION_S = 3.0
+LOW_RANK = 2
+# Holding ends early once this many requests share a load.
+SHARED_LOAD = 3
+
+
+class SlotState(enum.Enum):
+    """State of an adapter slot."""
+
+    LOADING = "loading"
+    READY = "ready"
+
+
+@dataclasses.dataclass(frozen=True)
+class Work:
+    """One request as the pool sees it; times are monotonic seconds."""
+
+    request_id: str
+    ref: adapters.AdapterRef | None
+    rank: int
+    arrived: float
+    deadline: float
+    digest: str
+    caller: str = ""
+    suspect: bool = False
+    idempotent: bool = True
+    hold_s: float = 0.0
+    stall_weight: float = 0.5
+
+
+@dataclasses.dataclass
+class Slot:
+    """A slot with an adapter."""
+
+    use: eviction.SlotUse
+    state: SlotState
+    ready_at: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class WantedLoad:
+    """An adapter that queued work waits for."""
+
+    ref: adapters.AdapterRef
+    weight: float
+    since: float
+
+
+@dataclasses.dataclass(frozen=True)
+class PoolLimits:
+    """Sizes of one target."""
+
+    batch_slots: int
+    adapter_slots: int
+    max_queued: int = 256
+
+
+class Pool:
+    """State of one target's work and adapters."""
+
+    def __init__(
+        self, limits: PoolLimits, policy: eviction.EvictionPolicy
+    ) -> None:
+        self.limits = limits
+        self.policy = policy
+        self.slots: dict[adapters.AdapterRef, Slot] = {}
+        self.queue: list[Work] = []
+        self.running: dict[str, Work] = {}
+        self.failures: dict[adapters.AdapterRef, int] = {}
+        self.blocked_until: dict[adapters.AdapterRef, float] = {}
+        self.epoch = 0
+
+    # Work
+
+    def admit(self, work: Work, now: float) -> outcomes.Refused | None:
+        """Queue work, or say why not."""
+        refusal = self.check_admission(work, now)
+        if refusal is not None:
+            return refusal
+        self.queue.append(work)
+        self.queue.sort(key=lambda item: (item.rank, item.arrived))
+        slot = self.slots.get(work.ref) if work.ref else None
+        if slot is not None:
+            slot.use.last_used = now
+        return None
+
+    def check_admission(
+        self, work: Work, now: float
+    ) -> outcomes.Refused | None:
+        """Return the reason against taking work."""
+        if work.deadline <= now:
+            return outcomes.refuse(
+                outcomes.RefusalCode.DEADLINE,
+                "the deadline passed before the request could start",
+            )
+        if len(self.queue) >= self.limits.max_queued:
+            if not self.shed_for(work):
+                return outcomes.refuse(
+                    outcomes.RefusalCode.BUSY,
+                    "the target's queue is full",
+                    retry_after_ms=1000,
+                )
+        if work.ref is not None and self.limits.adapter_slots == 0:
+            return outcomes.refuse(
+                outcomes.RefusalCode.NO_TARGET,
+                "the target has no adapter slots",
+            )
+        if work.ref and self.blocked_until.get(work.ref, 0.0) > now:
+            return outcomes.refuse(
+                outcomes.RefusalCode.LOAD_FAILED,
+                f"loading {work.ref} failed here a moment ago",
+                retry_after_ms=int(LOAD_BACKOFF_S * 1000),
+            )
+        return None
+
+    def shed_for(self, work: Work) -> bool:
+        """Tell whether queued work of lower priority may give way."""
+        return any(item.rank > work.rank for item in self.queue)
+
+    def take_shed(self) -> list[Work]:
+        """Remove the lowest-priority work over the queue's limit."""
+        over = len(self.queue) - self.limits.max_queued
+        if over <= 0:
+            return []
+        shed = self.queue[-over:]
+        del self.queue[-over:]
+        return shed
+
+    def take_expired(self, now: float) -> list[Work]:
+        """Remove queued work whose deadline has passed."""
+        expired = [work for work in self.queue if work.deadline <= now]
+        if expired:
+            self.queue = [w for w in self.queue if w.deadline > now]
+        return expired
+
+    def withdraw(self, request_id: str) -> Work | None:
+        """Remove queued work; None when it is not queued."""
+        for position, work in enumerate(self.queue):
+            if work.request_id == request_id:
+                return self.queue.pop(position)
+        return None
+
+    def start_ready(self, now: float) -> list[Work]:
+        """Move work that can run now into the batch."""
+        started: list[Work] = []
+        for work in list(self.queue):
+            if len(self.running) >= self.limits.batch_slots:
+                break
+            if any(item.suspect for item in self.running.values()):
+                break
+            if work.suspect and self.running:
+                # Nothing else starts until the batch is empty.
+                break
+            if not self.is_ready(work):
+                continue
+            self.start(work, now)
+            started.append(work)
+        return started
+
+    def is_ready(self, work: Work) -> bool:
+        """Tell whether work's adapter is loaded."""
+        if work.ref is None:
+            return True
+        slot = self.slots.get(work.ref)
+        return slot is not None and slot.state is SlotState.READY
+
+    def start(self, work: Work, now: float) -> None:
+        """Put one piece of work into the batch."""
+        exceptions.require(
+            work.request_id not in self.running, "request started twice"
+        )
+        exceptions.require(self.is_ready(work), "adapter is not loaded")
+        exceptions.require(
+            not (work.suspect and self.running), "suspect beside other work"
+        )
+        self.queue.remove(work)
+        self.running[work.request_id] = work
+        if work.ref is not None:
+            self.slots[work.ref].use.last_used = now
+
+    def finish(self, request_id: str, now: float) -> None:
+        """Take work out of the batch."""
+        work = self.running.pop(request_id, None)
+        if work is None or work.ref is None:
+            return
+        slot = self.slots.get(work.ref)
+        if slot is not None:
+            slot.use.last_used = now
+
+    # Slots
+
+    def get_users(self) -> set[adapters.AdapterRef]:
+        """Return the adapters that queued or running work uses."""
+        users = {work.ref for work in self.running.values() if work.ref}
+        users.update(work.ref for work in self.queue if work.ref)
+        return users
+
+    def get_batch_users(self) -> set[adapters.AdapterRef]:
+        """Return the adapters that running work uses."""
+        return {work.ref for work in self.running.values() if work.ref}
+
+    def note_rate(
+        self, ref: adapters.AdapterRef, rate: float, now: float
+    ) -> None:
+        """Learn an adapter's request rate."""
+        slot = self.slots.get(ref)
+        if slot is None:
+            return
+        slot.use.rate = rate
+        slot.use.rate_at = now
+
+    def find_wanted(self, now: float) -> list[WantedLoad]:
+        """Return the loads that queued work waits for.
+
+        Low-priority work is held back for its hold time, so that several
+        requests share one load.
+        """
+        groups: dict[adapters.AdapterRef, list[Work]] = {}
+        for work in self.queue:
+            if work.ref is not None and work.ref not in self.slots:
+                groups.setdefault(work.ref, []).append(work)
+        wanted = []
+        for ref, works in groups.items():
+            if self.blocked_until.get(ref, 0.0) > now:
+                continue
+            if not self.is_held(works, now):
+                wanted.append(make_wanted(ref, works))
+        return wanted
+
+    def is_held(self, works: list[Work], now: float) -> bool:
+        """Tell whether a load may wait for more work to share it."""
+        if len(works) >= SHARED_LOAD:
+            return False
+        return all(
+            work.rank >= LOW_RANK and now - work.arrived < work.hold_s
+            for work in works
+        )
+
+    def get_free_slots(self) -> int:
+        """Return the number of empty slots."""
+        return self.limits.adapter_slots - len(self.slots)
+
+    def find_evictable(self) -> list[eviction.SlotUse]:
+        """Return the loaded adapters that nobody uses."""
+        users = self.get_users()
+        return [
+            slot.use
+            for ref, slot in self.slots.items()
+            if slot.state is SlotState.READY and ref not in users
+        ]
+
+    def choose_victim(self, now: float) -> adapters.AdapterRef | None:
+        """Return the adapter to evict; None when all are in use."""
+        use = self.policy.choose(self.find_evictable(), now)
+        return use.ref if use is not None else None
+
+    def release_for_starving(self, now: float) -> list[Work]:
+        """Take queued work off a slot that starving work needs.
+
+        When all slots are in use by a steady flow, work for another adapter
+        would wait forever. The least valuable slot without running work
+        then loses its queued work, which the caller sends elsewhere.
+        """
+        if self.get_free_slots() > 0 or self.find_evictable():
+            return []
+        if not any(self.is_starving(work, now) for work in self.queue):
+            return []
+        in_batch = self.get_batch_users()
+        idle = [
+            slot.use
+            for ref, slot in self.slots.items()
+            if slot.state is SlotState.READY and ref not in in_batch
+        ]
+        use = self.policy.choose(idle, now)
+        if use is None:
+            return []
+        moved = [work for work in self.queue if work.ref == use.ref]
+        self.queue = [work for work in self.queue if work.ref != use.ref]
+        return moved
+
+    def is_starving(self, work: Work, now: float) -> bool:
+        """Tell whether work has waited too long for a slot."""
+        if work.ref is None or work.ref in self.slots:
+            return False
+        return now - work.arrived > max(STARVATION_S, work.hold_s)
+
+    def evict(self, ref: adapters.AdapterRef) -> None:
+        """Free an adapter's slot; nothing may be using it."""
+        exceptions.require(
+            ref not in self.get_users(), "evicting %s in use", ref
+        )
+        slot = self.slots.pop(ref)
+        exceptions.require(
+            slot.state is SlotState.READY, "evicting %s while loading", ref
+        )
+        self.epoch += 1
+
+    def begin_load(self, ref: adapters.AdapterRef, now: float) -> None:
+        """Take a free slot for a load."""
+        exceptions.require(ref not in self.slots, "%s is loaded already", ref)
+        exceptions.require(self.get_free_slots() > 0, "no free slot")
+        self.slots[ref] = Slot(eviction.SlotUse(ref, now), SlotState.LOADING)
+        self.epoch += 1
+
+    def end_load(
+        self, ref: adapters.AdapterRef, loaded: bool, now: float
+    ) -> list[Work]:
+        """Finish a load; return work that must go elsewhere after failures."""
+        slot = self.slots.get(ref)
+        if slot is None:
+            return []
+        self.epoch += 1
+        if loaded:
+            slot.state = SlotState.READY
+            slot.ready_at = now
+            slot.use.last_used = now
+            self.failures.pop(ref, None)
+            self.blocked_until.pop(ref, None)
+            return []
+        del self.slots[ref]
+        return self.note_failure(ref, now)
+
+    def note_failure(self, ref: adapters.AdapterRef, now: float) -> list[Work]:
+        """Back off from an adapter that does not load here."""
+        count = self.failures.get(ref, 0) + 1
+        self.failures[ref] = count
+        if count < MAX_LOAD_FAILURES:
+            return []
+        self.failures.pop(ref)
+        self.blocked_until[ref] = now + LOAD_BACKOFF_S
+        moved = [work for work in self.queue if work.ref == ref]
+        self.queue = [work for work in self.queue if work.ref != ref]
+        return moved
+
+    def reset_slots(self) -> None:
+        """Forget every adapter after a cold start of the engine."""
+        self.slots.clear()
+        self.epoch += 1
+
+    # Reports
+
+    def get_ready(self) -> list[adapters.AdapterRef]:
+        """Return the loaded adapters."""
+        return [
+            ref
+            for ref, slot in self.slots.items()
+            if slot.state is SlotState.READY
+        ]
+
+    def get_loading(self) -> list[adapters.AdapterRef]:
+        """Return the adapters being loaded or waited for."""
+        loading = [
+            ref
+            for ref, slot in self.slots.items()
+            if slot.state is SlotState.LOADING
+        ]
+        waiting = {
+            work.ref
+            for work in self.queue
+            if work.ref is not None and work.ref not in self.slots
+        }
+        return loading + sorted(waiting)
+
+    def get_eviction_value(self, now: float) -> float:
+        """Return the value of the adapter that would be evicted next.
+
+        Infinite when every slot is in use.
+        """
+        if self.get_free_slots() > 0:
+            return 0.0
+        use = self.policy.choose(self.find_evictable(), now)
+        if use is None:
+            return float("inf")
+        return self.policy.get_value(use, now)
+
+
+def make_wanted(ref: adapters.AdapterRef, works: list[Work]) -> WantedLoad:
+    """Return a load with the weight of the work that waits for it."""
+    weight = sum(
+        work.stall_weight * 10.0 ** (LOW_RANK - work.rank) for work in works
+    )
+    return WantedLoad(ref, weight, min(work.arrived for work in works))
--- /dev/null
+++ b/src/hemlockkeel/_internal/policy/routing.py
@@ -0,0 +1,192 @@
+"""Which target runs a request: one cost in expected seconds.
+
+Pure decision code: entries with the same view choose alike, since ties and
+first loads follow rendezvous hashing of the adapter's name.
+"""
+
+import abc
+import collections.abc
+import dataclasses
+import hashlib
+import math
+
+from hemlockkeel._internal.models import adapters
+
+DISTANCE_S = 0.002
+# How far ahead losing an evicted adapter is counted.
+EVICTION_HORIZON_S = 30.0
+# Share of a load that work behind a load under way still waits, on average.
+LOADING_SHARE = 0.5
+PREFIX_GAIN_S = 0.01
+SPREAD_SHARE = 0.1
+PREFERRED_TARGETS = 3
+PREFERENCE_S = 0.05
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetView:
+    """What an entry knows of one target."""
+
+    target_id: str
+    data_centre: str
+    running: int
+    queued: int
+    batch_slots: int
+    # Requests this entry sent since the load report was made.
+    unreported: int
+    adapters: frozenset[str]
+    loading: frozenset[str]
+    free_slots: int
+    eviction_value: float
+    prefixes: frozenset[str] = frozenset()
+    reported: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteRequest:
+    """What routing needs to know of a request."""
+
+    ref: adapters.AdapterRef | None
+    data_centre: str
+    prefix: str
+    service_s: float
+    load_s: float
+    stall_weight: float
+    batch_weight: float
+    rank: int
+    preferred_target: str = ""
+
+
+class Router(abc.ABC):
+    """Chooses a target."""
+
+    @abc.abstractmethod
+    def choose(
+        self,
+        request: RouteRequest,
+        views: collections.abc.Sequence[TargetView],
+    ) -> TargetView | None:
+        """Return the target to use; None when there is none."""
+
+
+class LeastLoaded(Router):
+    """Chooses the target with the least work, whatever it holds."""
+
+    def choose(
+        self,
+        request: RouteRequest,
+        views: collections.abc.Sequence[TargetView],
+    ) -> TargetView | None:
+        return min(
+            views,
+            key=lambda view: (get_work(view), view.target_id),
+            default=None,
+        )
+
+
+class LeastCost(Router):
+    """Chooses the target with the least expected cost."""
+
+    def choose(
+        self,
+        request: RouteRequest,
+        views: collections.abc.Sequence[TargetView],
+    ) -> TargetView | None:
+        if not views:
+            return None
+        if request.preferred_target:
+            for view in views:
+                if view.target_id == request.preferred_target:
+                    return view
+        name = str(request.ref) if request.ref else request.prefix
+        candidates = select_candidates(name, request, views)
+        return min(
+            candidates,
+            key=lambda view: (
+                get_cost(request, name, view),
+                view.target_id,
+            ),
+        )
+
+
+def select_candidates(
+    name: str,
+    request: RouteRequest,
+    views: collections.abc.Sequence[TargetView],
+) -> collections.abc.Sequence[TargetView]:
+    """Return the targets worth costing; all of them when they are few."""
+    return views
+
+
+def get_work(view: TargetView) -> int:
+    """Return the requests at a target, with those not reported yet."""
+    return view.running + view.queued + view.unreported
+
+
+def get_cost(request: RouteRequest, name: str, view: TargetView) -> float:
+    """Return the expected seconds that a target costs."""
+    queue_s = get_queue_s(request, view)
+    load_s = get_load_cost(request, name, view)
+    distance_s = 0.0 if view.data_centre == request.data_centre else DISTANCE_S
+    prefix_s = PREFIX_GAIN_S if request.prefix in view.prefixes else 0.0
+    return (
+        queue_s
+        + load_s
+        + distance_s
+        - prefix_s
+        + get_batch_cost(request, view)
+    )
+
+
+def get_queue_s(request: RouteRequest, view: TargetView) -> float:
+    """Return the expected wait for a place in the batch."""
+    work = get_work(view)
+    slots = max(1, view.batch_slots)
+    waiting = work + 1 - slots
+    if waiting <= 0:
+        return 0.0
+    return waiting / slots * request.service_s
+
+
+def get_load_cost(request: RouteRequest, name: str, view: TargetView) -> float:
+    """Return the expected wait for a load, with what it evicts."""
+    if request.ref is None or name in view.adapters:
+        return 0.0
+    if name in view.loading:
+        return request.load_s * LOADING_SHARE
+    cost = request.load_s * (1.0 + request.stall_weight)
+    if view.free_slots <= 0:
+        cost += get_eviction_cost(request, view)
+    return cost + PREFERENCE_S * get_spread(name, view.target_id)
+
+
+def get_eviction_cost(request: RouteRequest, view: TargetView) -> float:
+    """Return the expected cost of the load that an eviction causes later."""
+    if math.isinf(view.eviction_value):
+        # Every slot is in use: the load waits for one to come free.
+        return request.service_s
+    needed = 1.0 - math.exp(-view.eviction_value * EVICTION_HORIZON_S)
+    return request.load_s * needed * 2.0
+
+
+def get_batch_cost(request: RouteRequest, view: TargetView) -> float:
+    """Return the cost of a place in the batch.
+
+    Deployments that weigh batch efficiency gather work in batches that are
+    running already; the others spread it.
+    """
+    slots = max(1, view.batch_slots)
+    fill = min(1.0, get_work(view) / slots)
+    lean = request.stall_weight - request.batch_weight
+    return SPREAD_SHARE * request.service_s * lean * fill
+
+
+def get_spread(name: str, target_id: str) -> float:
+    """Return a number from 0 to 1 that orders targets for a name.
+
+    Rendezvous hashing: Thaler, Ravishankar, "Using Name-Based Mappings to
+    Increase Hit Rates", 1998.
+    """
+    data = f"{name}|{target_id}".encode()
+    digest = hashlib.blake2b(data, digest_size=4).digest()
+    return int.from_bytes(digest, "big") / 0xFFFFFFFF
--- /dev/null
+++ b/src/hemlockkeel/_internal/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""Thrift calls between the processes of the system."""
--- /dev/null
+++ b/src/hemlockkeel/_internal/rpc/client.py
@@ -0,0 +1,212 @@
+"""Thrift client with pooled connections and a deadline on each call."""
+
+import collections.abc
+import contextlib
+import socket
+import threading
+import time
+import typing
+
+from thrift import Thrift
+from thrift.protocol import TProtocol
+
+from hemlockkeel._internal import exceptions
+from hemlockkeel._internal.rpc import auth
+from hemlockkeel._internal.rpc import frames
+from hemlockkeel._internal.rpc.gen.hk import ttypes
+
+CONNECT_TIMEOUT_S = 1.0
+MAX_IDLE_CONNECTIONS = 8
+
+
+class Connection:
+    """One authenticated connection."""
+
+    def __init__(self, sock: socket.socket, make_client: typing.Any) -> None:
+        self.sock = sock
+        self.transport = frames.FrameTransport(sock)
+        self.stub = make_client(frames.make_protocol(self.transport))
+
+    def close(self) -> None:
+        """Close the socket."""
+        with contextlib.suppress(OSError):
+            self.sock.close()
+
+    def is_stale(self) -> bool:
+        """Tell whether the peer closed this idle connection."""
+        self.sock.setblocking(False)
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        # Either the end of the stream or bytes nobody asked for.
+        return True
+
+
+def parse_address(address: str) -> tuple[str, int]:
+    """Parse ``host:port``.
+
+    :raises BadSettingError: when it has another form.
+    """
+    host, separator, port = address.rpartition(":")
+    if not separator or not host or not port.isdigit():
+        raise exceptions.BadSettingError(
+            f"'{address}' is not an address; write it as host:port"
+        )
+    return host, int(port)
+
+
+class RpcClient:
+    """Calls one thrift service at one address."""
+
+    def __init__(
+        self,
+        make_client: collections.abc.Callable[..., typing.Any],
+        address: str,
+        secret: str,
+        peer_id: str,
+    ) -> None:
+        self.make_client = make_client
+        self.address = address
+        self.secret = secret
+        self.peer_id = peer_id
+        self.idle: list[Connection] = []
+        self.lock = threading.Lock()
+        self.closed = False
+
+    def call(
+        self, method: str, *args: object, timeout_s: float = 2.0
+    ) -> typing.Any:
+        """Call a method.
+
+        :raises UnreachableError: when nothing was sent.
+        :raises InterruptedCallError: when the call was sent and no reply
+            came within ``timeout_s`` seconds.
+        :raises RpcFault: when the callee refused the call.
+        """
+        deadline = time.monotonic() + timeout_s
+        connection = self.take_connection(deadline)
+        connection.transport.deadline = deadline
+        connection.transport.sent = False
+        try:
+            reply = getattr(connection.stub, method)(*args)
+        except ttypes.RpcFault:
+            self.put_back(connection)
+            raise
+        except (
+            OSError,
+            EOFError,
+            frames.PeerClosedError,
+            frames.FrameTooLargeError,
+            Thrift.TException,
+            TProtocol.TProtocolException,
+        ) as fault:
+            sent = connection.transport.sent
+            connection.close()
+            text = f"{method} to {self.address}: {fault or 'no reply'}"
+            if not sent:
+                raise exceptions.UnreachableError(text) from fault
+            raise exceptions.InterruptedCallError(text) from fault
+        self.put_back(connection)
+        return reply
+
+    def take_connection(self, deadline: float) -> Connection:
+        """Return an idle connection or make one."""
+        while True:
+            with self.lock:
+                connection = self.idle.pop() if self.idle else None
+            if connection is None:
+                return self.connect(deadline)
+            if not connection.is_stale():
+                return connection
+            connection.close()
+
+    def put_back(self, connection: Connection) -> None:
+        """Keep a connection for the next call."""
+        with self.lock:
+            if not self.closed and len(self.idle) < MAX_IDLE_CONNECTIONS:
+                self.idle.append(connection)
+                return
+        connection.close()
+
+    def connect(self, deadline: float) -> Connection:
+        """Make and authenticate a connection.
+
+        :raises UnreachableError: when that fails.
+        """
+        limit = min(deadline, time.monotonic() + CONNECT_TIMEOUT_S)
+        try:
+            sock = socket.create_connection(
+                parse_address(self.address), frames.get_remaining(limit)
+            )
+        except OSError as fault:
+            raise exceptions.UnreachableError(
+                f"cannot connect to {self.address}: {fault}"
+            ) from fault
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection = Connection(sock, self.make_client)
+        connection.transport.deadline = limit
+        try:
+            self.authenticate(connection)
+        except ttypes.RpcFault as fault:
+            connection.close()
+            raise exceptions.UnreachableError(
+                f"{self.address} refused the connection: {fault.message}"
+            ) from fault
+        except (OSError, frames.PeerClosedError, Thrift.TException) as fault:
+            connection.close()
+            raise exceptions.UnreachableError(
+                f"no handshake with {self.address}: {fault}"
+            ) from fault
+        return connection
+
+    def authenticate(self, connection: Connection) -> None:
+        """Prove the shared secret on a new connection."""
+        challenge = connection.stub.challenge()
+        version = auth.PROTOCOL_VERSION
+        proof = auth.make_proof(self.secret, challenge, self.peer_id, version)
+        connection.stub.hello(ttypes.Hello(version, self.peer_id, proof))
+
+    def close(self) -> None:
+        """Close idle connections and keep no further ones."""
+        with self.lock:
+            self.closed = True
+            connections, self.idle = self.idle, []
+        for connection in connections:
+            connection.close()
+
+
+class ClientCache:
+    """One client an address, made on first use."""
+
+    def __init__(
+        self,
+        make_client: collections.abc.Callable[..., typing.Any],
+        secret: str,
+        peer_id: str,
+    ) -> None:
+        self.make_client = make_client
+        self.secret = secret
+        self.peer_id = peer_id
+        self.clients: dict[str, RpcClient] = {}
+        self.lock = threading.Lock()
+
+    def get(self, address: str) -> RpcClient:
+        """Return the client of an address."""
+        with self.lock:
+            client = self.clients.get(address)
+            if client is None:
+                client = RpcClient(
+                    self.make_client, address, self.secret, self.peer_id
+                )
+                self.clients[address] = client
+            return client
+
+    def close(self) -> None:
+        """Close every client."""
+        with self.lock:
+            clients, self.clients = list(self.clients.values()), {}
+        for client in clients:
+            client.close()
--- /dev/null
+++ b/src/hemlockkeel/_internal/rpc/frames.py
@@ -0,0 +1,139 @@
+"""Bounded frames over a TCP socket.
+
+A frame is a four-byte big-endian length followed by that many bytes, the
+framing of thrift's framed transport, with a size limit on both sides.
+"""
+
+import io
+import socket
+import struct
+import time
+
+from thrift.protocol import TBinaryProtocol
+from thrift.transport import TTransport
+
+HEADER = struct.Struct("!I")
+MAX_FRAME_BYTES = 32 * 1024 * 1024
+MAX_STRING_BYTES = MAX_FRAME_BYTES
+MAX_CONTAINER_ITEMS = 1_000_000
+
+
+class FrameTooLargeError(Exception):
+    """A peer announced a frame over the size limit."""
+
+
+class PeerClosedError(Exception):
+    """The peer closed the connection."""
+
+
+def receive_exactly(
+    sock: socket.socket, size: int, deadline: float | None
+) -> bytes:
+    """Receive ``size`` bytes before the monotonic deadline.
+
+    :raises PeerClosedError: when the peer closes first.
+    :raises TimeoutError: when the deadline passes.
+    """
+    chunks = bytearray()
+    while len(chunks) < size:
+        if deadline is not None:
+            sock.settimeout(get_remaining(deadline))
+        chunk = sock.recv(min(size - len(chunks), 1 << 18))
+        if not chunk:
+            raise PeerClosedError("connection closed inside a frame")
+        chunks += chunk
+    return bytes(chunks)
+
+
+def get_remaining(deadline: float) -> float:
+    """Return the seconds left until a monotonic deadline.
+
+    :raises TimeoutError: when none are left.
+    """
+    remaining = deadline - time.monotonic()
+    if remaining <= 0:
+        raise TimeoutError("call deadline passed")
+    return remaining
+
+
+def receive_frame(
+    sock: socket.socket,
+    deadline: float | None = None,
+    max_bytes: int = MAX_FRAME_BYTES,
+) -> bytes:
+    """Receive one frame's payload.
+
+    :raises FrameTooLargeError: when the announced size is over the limit.
+    """
+    header = receive_exactly(sock, HEADER.size, deadline)
+    (size,) = HEADER.unpack(header)
+    if size > max_bytes:
+        raise FrameTooLargeError(f"frame of {size} bytes is over the limit")
+    return receive_exactly(sock, size, deadline)
+
+
+def send_frame(
+    sock: socket.socket, payload: bytes, deadline: float | None = None
+) -> None:
+    """Send one frame."""
+    if len(payload) > MAX_FRAME_BYTES:
+        raise FrameTooLargeError(
+            f"frame of {len(payload)} bytes is over the limit"
+        )
+    if deadline is not None:
+        sock.settimeout(get_remaining(deadline))
+    sock.sendall(HEADER.pack(len(payload)) + payload)
+
+
+def make_protocol(
+    transport: TTransport.TTransportBase,
+) -> TBinaryProtocol.TBinaryProtocolAccelerated:
+    """Return the wire protocol with bounds on strings and containers."""
+    return TBinaryProtocol.TBinaryProtocolAccelerated(
+        transport,
+        string_length_limit=MAX_STRING_BYTES,
+        container_length_limit=MAX_CONTAINER_ITEMS,
+    )
+
+
+class FrameTransport(TTransport.TTransportBase, TTransport.CReadableTransport):
+    """Client transport that sends and receives one frame a call."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        self.deadline: float | None = None
+        self.sent = False
+        self.read_buffer = io.BytesIO()
+        self.write_buffer = io.BytesIO()
+
+    def read(self, sz: int) -> bytes:
+        data = self.read_buffer.read(sz)
+        if data:
+            return data
+        self.read_frame()
+        return self.read_buffer.read(sz)
+
+    def write(self, buf: bytes) -> None:
+        self.write_buffer.write(buf)
+
+    def flush(self) -> None:
+        payload = self.write_buffer.getvalue()
+        self.write_buffer = io.BytesIO()
+        self.sent = True
+        send_frame(self.sock, payload, self.deadline)
+
+    def read_frame(self) -> None:
+        """Receive the next frame into the read buffer."""
+        self.read_buffer = io.BytesIO(receive_frame(self.sock, self.deadline))
+
+    @property
+    def cstringio_buf(self) -> io.BytesIO:
+        return self.read_buffer
+
+    def cstringio_refill(self, partialread: bytes, reqlen: int) -> io.BytesIO:
+        prefix = partialread
+        while len(prefix) < reqlen:
+            self.read_frame()
+            prefix += self.read_buffer.getvalue()
+        self.read_buffer = io.BytesIO(prefix)
+        return self.read_buffer
--- /dev/null
+++ b/src/hemlockkeel/_internal/rpc/gen/__init__.py
@@ -0,0 +1,1 @@
+"""Code generated from idl/hemlockkeel.thrift."""
--- /dev/null
+++ b/src/hemlockkeel/_internal/rpc/gen/hk/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'Agent', 'Control']
--- /dev/null
+++ b/src/hemlockkeel/_internal/rpc/server.py
@@ -0,0 +1,227 @@
+"""Thrift server: one pool thread a connection, bounded frames, auth first."""
+
+import collections.abc
+import concurrent.futures
+import contextlib
+import socket
+import threading
+import typing
+
+from thrift.transport import TTransport
+
+from hemlockkeel._internal.rpc import auth
+from hemlockkeel._internal.rpc import frames
+from hemlockkeel._internal.rpc.gen.hk import ttypes
+from hemlockkeel._internal.utils import logs
+from hemlockkeel._internal.utils import metrics
+
+HANDSHAKE_TIMEOUT_S = 5.0
+ACCEPT_BACKLOG = 256
+HANDSHAKE_METHODS = frozenset(["challenge", "hello"])
+
+
+class NotAuthenticatedError(Exception):
+    """A peer called a method before it proved the shared secret."""
+
+
+class Processor(typing.Protocol):
+    """The part of a generated thrift processor that the server uses."""
+
+    def process(self, iprot: typing.Any, oprot: typing.Any) -> object:
+        """Handle one call."""
+
+    def on_message_begin(
+        self, func: collections.abc.Callable[[str, int, int], None]
+    ) -> None:
+        """Install a hook that sees each call's name first."""
+
+
+class Handshake:
+    """Authentication state of one connection."""
+
+    def __init__(self, secret: str) -> None:
+        self.secret = secret
+        self.challenge_value = auth.make_challenge()
+        self.peer_id = ""
+        self.authenticated = False
+
+    def challenge(self) -> bytes:
+        """Return the challenge of this connection."""
+        return self.challenge_value
+
+    def hello(self, hello: ttypes.Hello) -> None:
+        """Check the peer's protocol version and proof.
+
+        :raises RpcFault: when either is wrong.
+        """
+        if hello.protocol_version != auth.PROTOCOL_VERSION:
+            raise make_fault(
+                "protocol",
+                f"this process speaks protocol {auth.PROTOCOL_VERSION}, the "
+                f"caller {hello.protocol_version}; upgrade the older one",
+            )
+        right = auth.check_proof(
+            self.secret,
+            self.challenge_value,
+            hello.peer_id,
+            hello.protocol_version,
+            hello.proof,
+        )
+        if not right:
+            raise make_fault(
+                "secret",
+                "the shared secret differs; set the same HEMLOCKKEEL_SECRET "
+                "on every instance",
+            )
+        self.peer_id = hello.peer_id
+        self.authenticated = True
+
+    def check_method(self, name: str, kind: int, sequence: int) -> None:
+        """Refuse any other call on a connection without authentication."""
+        if self.authenticated or name in HANDSHAKE_METHODS:
+            return
+        raise NotAuthenticatedError(name)
+
+
+class ConnectionHandler:
+    """Adds the handshake methods of one connection to a service handler."""
+
+    def __init__(self, handshake: Handshake, service: object) -> None:
+        self.handshake = handshake
+        self.service = service
+        self.challenge = handshake.challenge
+        self.hello = handshake.hello
+
+    def __getattr__(self, name: str) -> typing.Any:
+        return getattr(self.service, name)
+
+
+def make_fault(
+    code: str,
+    message: str,
+    verdict: int = ttypes.Verdict.NOT_RUN,
+    leader: str | None = None,
+    retry_after_ms: int | None = None,
+) -> ttypes.RpcFault:
+    """Return a fault to raise from a service handler."""
+    return ttypes.RpcFault(code, message, verdict, leader, retry_after_ms)
+
+
+class RpcServer:
+    """Serves one thrift service on a TCP address."""
+
+    def __init__(
+        self,
+        make_processor: collections.abc.Callable[[object], Processor],
+        service: object,
+        secret: str,
+        host: str,
+        port: int,
+        max_connections: int,
+        counters: metrics.Metrics,
+    ) -> None:
+        self.make_processor = make_processor
+        self.service = service
+        self.secret = secret
+        self.counters = counters
+        self.max_connections = max_connections
+        self.listener = socket.create_server(
+            (host, port), backlog=ACCEPT_BACKLOG
+        )
+        self.host, self.port = self.listener.getsockname()[:2]
+        self.executor = concurrent.futures.ThreadPoolExecutor(
+            max_connections, f"rpc-{self.port}"
+        )
+        self.connections: set[socket.socket] = set()
+        self.lock = threading.Lock()
+        self.stopping = threading.Event()
+        self.acceptor = threading.Thread(
+            target=self.accept_connections, daemon=True
+        )
+
+    @property
+    def address(self) -> str:
+        """Return ``host:port``."""
+        return f"{self.host}:{self.port}"
+
+    def start(self) -> None:
+        """Start accepting connections."""
+        self.acceptor.start()
+
+    def stop(self) -> None:
+        """Stop accepting and close every connection."""
+        self.stopping.set()
+        # A close alone does not wake a thread blocked in accept().
+        with contextlib.suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        with self.lock:
+            open_connections = list(self.connections)
+        for connection in open_connections:
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+        self.executor.shutdown(wait=False, cancel_futures=True)
+
+    def accept_connections(self) -> None:
+        """Hand each new connection to the pool until stopped."""
+        while not self.stopping.is_set():
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            if not self.admit(connection):
+                connection.close()
+                continue
+            try:
+                self.executor.submit(self.serve, connection)
+            except RuntimeError:
+                connection.close()
+                return
+
+    def admit(self, connection: socket.socket) -> bool:
+        """Register a connection unless the pool is full."""
+        with self.lock:
+            if len(self.connections) >= self.max_connections:
+                self.counters.count(metrics.Counter.RPC_REJECTED)
+                return False
+            self.connections.add(connection)
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return True
+
+    def serve(self, connection: socket.socket) -> None:
+        """Answer the calls of one connection until it ends."""
+        handshake = Handshake(self.secret)
+        processor = self.make_processor(
+            ConnectionHandler(handshake, self.service)
+        )
+        processor.on_message_begin(handshake.check_method)
+        try:
+            connection.settimeout(HANDSHAKE_TIMEOUT_S)
+            while not self.stopping.is_set():
+                self.serve_call(connection, processor)
+                if handshake.authenticated:
+                    connection.settimeout(None)
+        except (frames.PeerClosedError, OSError):
+            pass
+        except NotAuthenticatedError:
+            self.counters.count(metrics.Counter.RPC_REJECTED)
+        except Exception as fault:
+            # Garbage from a peer may raise anything inside the decoder.
+            self.counters.count(metrics.Counter.RPC_BAD_FRAMES)
+            logs.log_state("rpc_bad_frame", fault=type(fault).__name__)
+        finally:
+            with self.lock:
+                self.connections.discard(connection)
+            connection.close()
+
+    def serve_call(
+        self, connection: socket.socket, processor: Processor
+    ) -> None:
+        """Receive one call and send its reply."""
+        payload = frames.receive_frame(connection)
+        reply = TTransport.TMemoryBuffer()
+        processor.process(
+            frames.make_protocol(TTransport.TMemoryBuffer(payload)),
+            frames.make_protocol(reply),
+        )
+        frames.send_frame(connection, reply.getvalue())
--- /dev/null
+++ b/src/hemlockkeel/_internal/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for engines, the weight store and plain services."""
--- /dev/null
+++ b/src/hemlockkeel/_internal/standins/dev.py
@@ -0,0 +1,245 @@
+"""All roles and stand-ins as threads of one process."""
+
+import contextlib
+import dataclasses
+import pathlib
+import tempfile
+import time
+
+from hemlockkeel._internal.agent import process as agent_process
+from hemlockkeel._internal.control import process as control_process
+from hemlockkeel._internal.entry import process as entry_process
+from hemlockkeel._internal.follower import follower
+from hemlockkeel._internal.models import members
+from hemlockkeel._internal.policy import eviction
+from hemlockkeel._internal.policy import load_queue
+from hemlockkeel._internal.policy import routing
+from hemlockkeel._internal.standins import engine
+from hemlockkeel._internal.standins import engine_app
+from hemlockkeel._internal.standins import plain
+from hemlockkeel._internal.standins import weight_store
+from hemlockkeel._internal.utils import metrics
+from hemlockkeel._internal.utils import web_server
+
+DEV_TOKEN = "dev-operator-token"  # noqa: S105
+DEV_SECRET = "dev-shared-secret"  # noqa: S105
+ENGINE_THREADS = 64
+ENGINE_BODY_BYTES = 4 * 1024 * 1024
+READY_TIMEOUT_S = 20.0
+POLL_S = 0.02
+
+
+@dataclasses.dataclass
+class DevSettings:
+    """Size and speed of a development cluster."""
+
+    entries: int = 1
+    engines: int = 3
+    plain: int = 1
+    controls: int = 1
+    port: int = 0
+    admin_port: int = 0
+    admin_token: str = DEV_TOKEN
+    site: str = "tas-north"
+    data_centres: tuple[str, ...] = (
+        "launceston-hall",
+        "devonport-hall",
+        "burnie-hall",
+    )
+    engine_service: str = "scribe-models"
+    plain_service: str = "entries-app"
+    loads_per_second: float = 4.0
+    max_in_flight: int = 64
+    max_queued: int = 256
+    options: engine.EngineOptions = dataclasses.field(
+        default_factory=lambda: engine.EngineOptions(base_model="scribe-7b")
+    )
+    router: routing.Router = dataclasses.field(
+        default_factory=routing.LeastCost
+    )
+    eviction_policy: eviction.EvictionPolicy = dataclasses.field(
+        default_factory=eviction.LeastRate
+    )
+    load_order: load_queue.LoadOrder = dataclasses.field(
+        default_factory=load_queue.WaitingWork
+    )
+
+
+class StandInTarget:
+    """A stand-in engine or plain service with its web server."""
+
+    def __init__(
+        self,
+        target_id: str,
+        app: object,
+        stand_in: engine.StandInEngine | None,
+    ) -> None:
+        self.target_id = target_id
+        self.engine = stand_in
+        self.app = app
+        self.web = web_server.WebServer(
+            app, "127.0.0.1", 0, ENGINE_THREADS, ENGINE_BODY_BYTES
+        )
+        self.web.start()
+
+    def stop(self) -> None:
+        """Stop the stand-in."""
+        if self.engine is not None:
+            self.engine.stop()
+        self.web.stop()
+
+
+class DevCluster:
+    """Every role in one process, for development, tests and benchmarks."""
+
+    def __init__(self, settings: DevSettings) -> None:
+        self.settings = settings
+        self.folder = tempfile.TemporaryDirectory(prefix="hemlockkeel-")
+        self.store = weight_store.WeightStore(settings.loads_per_second)
+        self.counters = metrics.Metrics()
+        self.targets: list[StandInTarget] = []
+        self.agents: list[agent_process.AgentProcess] = []
+        self.entries: list[entry_process.EntryProcess] = []
+        self.controls: list[control_process.ControlProcess] = []
+        self.make_controls()
+        addresses = [control.address for control in self.controls]
+        for number in range(settings.engines):
+            self.add_engine(number, addresses)
+        for number in range(settings.plain):
+            self.add_plain(number, addresses)
+        for number in range(settings.entries):
+            self.add_entry(number, addresses)
+
+    def make_controls(self) -> None:
+        """Make the control members; the first one starts the cluster."""
+        for number in range(self.settings.controls):
+            folder = pathlib.Path(self.folder.name) / f"control-{number}"
+            self.controls.append(
+                control_process.ControlProcess(
+                    control_process.ControlSettings(
+                        data_dir=folder,
+                        secret=DEV_SECRET,
+                        admin_token=self.settings.admin_token,
+                        admin_port=(
+                            self.settings.admin_port if number == 0 else 0
+                        ),
+                        bootstrap=number == 0,
+                        load_order=self.settings.load_order,
+                    ),
+                    self.counters,
+                )
+            )
+
+    def get_data_centre(self, number: int) -> str:
+        """Return the data centre of the n-th process of a role."""
+        names = self.settings.data_centres
+        return names[number % len(names)]
+
+    def add_engine(self, number: int, control: list[str]) -> None:
+        """Add a stand-in engine and its agent."""
+        name = f"{self.settings.engine_service}-{number}"
+        options = dataclasses.replace(self.settings.options, seed=number)
+        stand_in = engine.StandInEngine(options, self.store.fetch)
+        target = StandInTarget(name, engine_app.EngineApp(stand_in), stand_in)
+        self.targets.append(target)
+        self.add_agent(number, target, members.TargetKind.ENGINE, control)
+
+    def add_plain(self, number: int, control: list[str]) -> None:
+        """Add a stand-in plain service and its agent."""
+        name = f"{self.settings.plain_service}-{number}"
+        target = StandInTarget(name, plain.PlainServiceApp(), None)
+        self.targets.append(target)
+        self.add_agent(number, target, members.TargetKind.PLAIN, control)
+
+    def add_agent(
+        self,
+        number: int,
+        target: StandInTarget,
+        kind: members.TargetKind,
+        control: list[str],
+    ) -> None:
+        """Add the agent beside a target."""
+        service = self.settings.engine_service
+        if kind is members.TargetKind.PLAIN:
+            service = self.settings.plain_service
+        self.agents.append(
+            agent_process.AgentProcess(
+                agent_process.AgentSettings(
+                    target_id=target.target_id,
+                    service=service,
+                    target_address=target.web.address,
+                    control=control,
+                    secret=DEV_SECRET,
+                    data_centre=self.get_data_centre(number),
+                    site=self.settings.site,
+                    kind=kind,
+                    max_queued=self.settings.max_queued,
+                    eviction_policy=self.settings.eviction_policy,
+                ),
+                self.counters,
+            )
+        )
+
+    def add_entry(self, number: int, control: list[str]) -> None:
+        """Add an entry."""
+        self.entries.append(
+            entry_process.EntryProcess(
+                entry_process.EntrySettings(
+                    member_id=f"entry-{number}",
+                    control=control,
+                    secret=DEV_SECRET,
+                    data_centre=self.get_data_centre(number),
+                    site=self.settings.site,
+                    port=self.settings.port if number == 0 else 0,
+                    max_in_flight=self.settings.max_in_flight,
+                    balancer_notice_s=0.0,
+                    router=self.settings.router,
+                ),
+                self.counters,
+            )
+        )
+
+    def start(self) -> None:
+        """Start everything and wait until the entries are ready."""
+        for control in self.controls:
+            control.start()
+        for agent in self.agents:
+            agent.start()
+        for entry in self.entries:
+            entry.start()
+        self.wait_until_ready()
+
+    def wait_until_ready(self) -> None:
+        """Wait until each entry is ready and reaches every target.
+
+        :raises TimeoutError: when that takes too long.
+        """
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        while not all(self.is_ready(entry) for entry in self.entries):
+            if time.monotonic() > deadline:
+                raise TimeoutError("the cluster did not become ready")
+            time.sleep(POLL_S)
+
+    def is_ready(self, entry: entry_process.EntryProcess) -> bool:
+        """Tell whether an entry serves with all targets."""
+        if entry.follow.get_state() is not follower.FollowerState.READY:
+            return False
+        reachable = [
+            link
+            for link in list(entry.fleet.links.values())
+            if link.reachable and link.load and link.load.accepting
+        ]
+        return len(reachable) >= len(self.agents)
+
+    def stop(self) -> None:
+        """Stop everything."""
+        for entry in self.entries:
+            entry.stop()
+        for agent in self.agents:
+            agent.stop()
+        for target in self.targets:
+            target.stop()
+        for control in self.controls:
+            control.stop()
+        with contextlib.suppress(OSError):
+            self.folder.cleanup()
--- /dev/null
+++ b/src/hemlockkeel/_internal/standins/engine_app.py
@@ -0,0 +1,216 @@
+"""HTTP interface of the stand-in engine."""
+
+import collections.abc
+import dataclasses
+import json
+import typing
+import urllib.parse
+
+from hemlockkeel._internal.engines import base
+from hemlockkeel._internal.standins import engine
+from hemlockkeel._internal.utils import digests
+from hemlockkeel._internal.utils import http
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True)
+class Call:
+    """One call that is not a stream."""
+
+    method: str
+    argument: str
+    fence: int
+    environ: http.Environ
+
+
+class EngineApp:
+    """WSGI application around one `StandInEngine`."""
+
+    def __init__(self, stand_in: engine.StandInEngine) -> None:
+        self.engine = stand_in
+
+    def __call__(
+        self, environ: http.Environ, start_response: http.StartResponse
+    ) -> http.Body:
+        try:
+            return self.dispatch(environ, start_response)
+        except engine.RefusedError as fault:
+            response = http.make_error(fault.status, "refused", fault.message)
+        except (ValueError, KeyError) as fault:
+            response = http.make_error(400, "bad_request", str(fault))
+        return http.send(response, start_response)
+
+    def dispatch(
+        self, environ: http.Environ, start_response: http.StartResponse
+    ) -> http.Body:
+        """Answer one call."""
+        method = str(environ["REQUEST_METHOD"])
+        path = http.get_path(environ)
+        fence = int(http.get_header(environ, "X-Fence") or 0)
+        if method == "POST" and path == "/v1/completions":
+            body = json.loads(http.read_body(environ, MAX_BODY_BYTES))
+            run = self.engine.submit(body, fence)
+            return self.stream(run, 0, start_response)
+        if path.startswith("/engine/requests/") and method == "GET":
+            run = self.engine.find_run(get_argument(path))
+            offset = int(http.get_query(environ).get("offset", "0"))
+            return self.stream(run, offset, start_response)
+        reply = self.answer(method, path, environ, fence)
+        return http.send(reply, start_response)
+
+    def answer(
+        self, method: str, path: str, environ: http.Environ, fence: int
+    ) -> http.Response:
+        """Answer a call that is not a stream."""
+        kind = path.split("/")[2] if path.count("/") >= 2 else ""
+        call = Call(method, get_argument(path), fence, environ)
+        read = self.answer_read(call, kind)
+        if read is not None:
+            return read
+        if not self.carry_out(call, kind):
+            return http.make_error(404, "not_found", f"no {path} here")
+        return http.make_json(200, {"ok": True})
+
+    def answer_read(self, call: Call, kind: str) -> http.Response | None:
+        """Answer a call that returns something."""
+        match call.method, kind:
+            case "GET", "identity":
+                return http.make_json(200, self.describe())
+            case "GET", "report":
+                report = self.engine.get_report()
+                return http.make_json(200, dataclasses.asdict(report))
+            case "GET", "events":
+                query = http.get_query(call.environ)
+                return self.get_events(int(query.get("after", "0")))
+            case "GET" | "PUT", "cache":
+                return self.exchange_cache(call)
+            case "DELETE", "requests":
+                known = self.engine.cancel(call.argument, call.fence)
+                return http.make_json(200, {"known": known})
+            case "POST", "faults":
+                return self.set_faults(call.environ)
+            case "GET", "ledger":
+                return self.get_ledger()
+        return None
+
+    def carry_out(self, call: Call, kind: str) -> bool:
+        """Carry out an order; tell whether it was known."""
+        match call.method, kind:
+            case "PUT", "adapters":
+                self.engine.load_adapter(call.argument, call.fence)
+            case "DELETE", "adapters":
+                self.engine.unload_adapter(call.argument, call.fence)
+            case "PUT", "model":
+                self.engine.load_model(call.argument, call.fence)
+            case "PUT", "role":
+                role = base.EngineRole(call.argument)
+                self.engine.change_role(role, call.fence)
+            case "POST", "restart":
+                with self.engine.changed:
+                    self.engine.restart()
+            case _:
+                return False
+        return True
+
+    def describe(self) -> dict[str, typing.Any]:
+        """Return the boot identity."""
+        stand_in = self.engine
+        return {
+            "boot_id": stand_in.boot_id,
+            "base_model": stand_in.base_model,
+            "role": stand_in.role.value,
+            "batch_slots": stand_in.options.batch_slots,
+            "adapter_slots": stand_in.options.adapter_slots,
+            "obeys_fencing": stand_in.options.obeys_fencing,
+        }
+
+    def get_events(self, after: int) -> http.Response:
+        """Return the cache events that were not lost."""
+        with self.engine.changed:
+            found = [
+                dataclasses.asdict(event)
+                for event in self.engine.events
+                if event.sequence > after
+            ]
+        return http.make_json(200, {"events": found})
+
+    def exchange_cache(self, call: Call) -> http.Response:
+        """Export or import the KV cache of a prefix."""
+        if call.method == "GET":
+            data = self.engine.prefixes.get(call.argument)
+            if data is None:
+                return http.make_error(404, "not_found", "prefix not cached")
+            return http.Response(200, data, "application/octet-stream")
+        data = http.read_body(call.environ, MAX_BODY_BYTES)
+        with self.engine.changed:
+            self.engine.put_prefix(call.argument, data)
+        return http.make_json(200, {"ok": True})
+
+    def set_faults(self, environ: http.Environ) -> http.Response:
+        """Change the faults on demand."""
+        body = json.loads(http.read_body(environ, MAX_BODY_BYTES))
+        self.engine.faults = dataclasses.replace(self.engine.faults, **body)
+        return http.make_json(200, dataclasses.asdict(self.engine.faults))
+
+    def get_ledger(self) -> http.Response:
+        """Return what ran here, for tests and measurements."""
+        with self.engine.changed:
+            body = {
+                "runs": list(self.engine.ledger),
+                "busy_steps": self.engine.busy_steps,
+                "filled_slots": self.engine.filled_slots,
+                "batch_slots": self.engine.options.batch_slots,
+                "loads": self.engine.load_count,
+                "evicted_in_use": self.engine.evicted_in_use,
+                "loaded": list(self.engine.loaded),
+            }
+        return http.make_json(200, body)
+
+    def stream(
+        self,
+        run: engine.Run,
+        offset: int,
+        start_response: http.StartResponse,
+    ) -> http.Body:
+        """Start the stream of a run's answer."""
+        start_response("200 OK", [("Content-Type", "text/event-stream")])
+        return self.generate(run, offset)
+
+    def generate(
+        self, run: engine.Run, offset: int
+    ) -> collections.abc.Iterator[bytes]:
+        """Yield events until the answer ends.
+
+        A failure raises here, which breaks the connection off as a crashed
+        engine would.
+        """
+        # Headers go out with the first chunk.
+        yield b": started\n\n"
+        while True:
+            tokens = self.engine.wait_for_tokens(run, offset)
+            if not tokens:
+                break
+            yield encode_event({"offset": offset, "tokens": tokens})
+            offset += len(tokens)
+        answer = digests.AnswerDigest()
+        answer.add(run.tokens)
+        yield encode_event(
+            {
+                "done": True,
+                "length": len(run.tokens),
+                "digest": answer.value(),
+                "model": run.model,
+            }
+        )
+
+
+def get_argument(path: str) -> str:
+    """Return the last part of ``/engine/KIND/ARGUMENT``."""
+    parts = path.split("/", 3)
+    return urllib.parse.unquote(parts[3]) if len(parts) > 3 else ""
+
+
+def encode_event(value: dict[str, typing.Any]) -> bytes:
+    """Encode one server-sent event."""
+    return b"data: " + json.dumps(value).encode() + b"\n\n"
--- /dev/null
+++ b/src/hemlockkeel/_internal/standins/weight_store.py
@@ -0,0 +1,76 @@
+"""Stand-in weight store: loads share a fixed bandwidth."""
+
+import threading
+import time
+
+from hemlockkeel._internal.utils import http
+
+
+class WeightStore:
+    """Serves loads at ``loads_per_second`` in total.
+
+    One load alone takes ``1 / loads_per_second`` seconds; loads at the same
+    time share the bandwidth evenly.
+    """
+
+    def __init__(self, loads_per_second: float) -> None:
+        self.rate = loads_per_second
+        self.remaining: dict[int, float] = {}
+        self.updated_at = time.monotonic()
+        self.changed = threading.Condition()
+        self.next_id = 0
+        self.loads = 0
+        self.max_concurrent = 0
+
+    def fetch(self) -> float:
+        """Fetch one adapter's weights; return the seconds it took."""
+        begun = time.monotonic()
+        with self.changed:
+            self.advance()
+            number = self.next_id
+            self.next_id += 1
+            self.loads += 1
+            self.remaining[number] = 1.0
+            self.max_concurrent = max(self.max_concurrent, len(self.remaining))
+            self.changed.notify_all()
+            while self.remaining[number] > 1e-9:
+                share = self.rate / len(self.remaining)
+                self.changed.wait(self.remaining[number] / share)
+                self.advance()
+            del self.remaining[number]
+            self.changed.notify_all()
+        return time.monotonic() - begun
+
+    def advance(self) -> None:
+        """Account for the bandwidth used since the last call."""
+        now = time.monotonic()
+        elapsed, self.updated_at = now - self.updated_at, now
+        if not self.remaining:
+            return
+        done = elapsed * self.rate / len(self.remaining)
+        for number in self.remaining:
+            self.remaining[number] = max(0.0, self.remaining[number] - done)
+
+
+class WeightStoreApp:
+    """WSGI application: GET /weights/NAME returns when loaded."""
+
+    def __init__(self, store: WeightStore) -> None:
+        self.store = store
+
+    def __call__(
+        self, environ: http.Environ, start_response: http.StartResponse
+    ) -> http.Body:
+        path = http.get_path(environ)
+        if path.startswith("/weights/"):
+            seconds = self.store.fetch()
+            body = {"seconds": seconds}
+            return http.send(http.make_json(200, body), start_response)
+        if path == "/stats":
+            body = {
+                "loads": self.store.loads,
+                "max_concurrent": self.store.max_concurrent,
+            }
+            return http.send(http.make_json(200, body), start_response)
+        response = http.make_error(404, "not_found", f"no {path} here")
+        return http.send(response, start_response)
--- /dev/null
+++ b/src/hemlockkeel/_internal/state/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated state machine: configuration, members, records."""
--- /dev/null
+++ b/src/hemlockkeel/_internal/state/queries.py
@@ -0,0 +1,61 @@
+"""Reads that entries and agents ask of the control leader."""
+
+import msgspec
+
+from hemlockkeel._internal.state import commands
+from hemlockkeel._internal.state import machine
+
+
+class Query(msgspec.Struct, frozen=True, tag=True):
+    """Base of all queries."""
+
+
+class GetRequest(Query, frozen=True, tag=True):
+    """Read the record of a key."""
+
+    key: str
+
+
+class GetSession(Query, frozen=True, tag=True):
+    """Read the progress of a session."""
+
+    session: str
+
+
+AnyQuery = GetRequest | GetSession
+QUERY_DECODER: msgspec.msgpack.Decoder[AnyQuery] = msgspec.msgpack.Decoder(
+    AnyQuery
+)
+
+
+class SessionProgress(msgspec.Struct, frozen=True):
+    """Progress of a session; zeros for an unknown one."""
+
+    target_id: str = ""
+    begun: int = 0
+    finished: int = 0
+
+
+class QueryResult(msgspec.Struct, frozen=True):
+    """Answer to a query."""
+
+    record: commands.RequestRecord | None = None
+    session: SessionProgress | None = None
+
+
+RESULT_DECODER = msgspec.msgpack.Decoder(QueryResult)
+
+
+def answer_query(state: machine.StateMachine, query: AnyQuery) -> QueryResult:
+    """Answer a query from the state."""
+    match query:
+        case GetRequest(key):
+            return QueryResult(record=state.requests.records.get(key))
+        case GetSession(name):
+            found = state.requests.sessions.get(name)
+            if found is None:
+                return QueryResult(session=SessionProgress())
+            progress = SessionProgress(
+                found.target_id, found.begun, found.finished
+            )
+            return QueryResult(session=progress)
--- /dev/null
+++ b/src/hemlockkeel/_internal/state/suspects.py
@@ -0,0 +1,103 @@
+"""Requests suspected of crashing targets.
+
+A request is known by the digest of its content. Every request that was
+running when a target crashed becomes a suspect and runs alone from then on.
+It is quarantined after crashes of two targets, at least one of which ran
+nothing else; a run that ends without a crash clears it. An innocent request
+that shared a batch with a crashing one is therefore cleared by its next run.
+"""
+
+import msgspec
+
+QUARANTINE_CRASHES = 2
+SUSPECT_WINDOW_S = 600.0
+QUARANTINE_S = 3600.0
+
+
+class Suspect(msgspec.Struct, frozen=True):
+    """What is known about one suspected request."""
+
+    digest: str
+    # One "target/boot" a crash.
+    crashes: list[str]
+    alone_crashes: int
+    last_at: float
+    quarantined_until: float = 0.0
+
+
+class SuspectTable:
+    """Suspects by content digest."""
+
+    def __init__(self) -> None:
+        self.suspects: dict[str, Suspect] = {}
+
+    def report(
+        self, target_id: str, boot_id: str, digests: list[str], at: float
+    ) -> list[Suspect]:
+        """Count one crash against each request that was running."""
+        crash = f"{target_id}/{boot_id}"
+        alone = len(set(digests)) == 1
+        changed = []
+        for digest in dict.fromkeys(digests):
+            old = self.suspects.get(digest)
+            if old is not None and crash in old.crashes:
+                continue
+            changed.append(self.add_crash(digest, old, crash, alone, at))
+        return changed
+
+    def add_crash(
+        self,
+        digest: str,
+        old: Suspect | None,
+        crash: str,
+        alone: bool,
+        at: float,
+    ) -> Suspect:
+        """Add a crash to a suspect and quarantine it if that suffices."""
+        crashes = [*(old.crashes if old else []), crash]
+        alone_crashes = (old.alone_crashes if old else 0) + int(alone)
+        guilty = len(crashes) >= QUARANTINE_CRASHES and alone_crashes > 0
+        suspect = Suspect(
+            digest,
+            crashes,
+            alone_crashes,
+            at,
+            at + QUARANTINE_S if guilty else 0.0,
+        )
+        self.suspects[digest] = suspect
+        return suspect
+
+    def clear(self, digests: list[str]) -> list[str]:
+        """Drop suspects that are not quarantined; return their digests."""
+        cleared = [
+            digest
+            for digest in digests
+            if digest in self.suspects
+            and not self.suspects[digest].quarantined_until
+        ]
+        for digest in cleared:
+            del self.suspects[digest]
+        return cleared
+
+    def release(self, digest: str) -> bool:
+        """Drop a suspect on an operator's word."""
+        return self.suspects.pop(digest, None) is not None
+
+    def is_quarantined(self, digest: str, at: float) -> bool:
+        """Tell whether a request is refused at this time."""
+        suspect = self.suspects.get(digest)
+        return suspect is not None and suspect.quarantined_until > at
+
+    def expire(self, at: float) -> list[str]:
+        """Drop suspects past their window; return their digests."""
+        expired = [
+            suspect.digest
+            for suspect in self.suspects.values()
+            if max(
+                suspect.last_at + SUSPECT_WINDOW_S, suspect.quarantined_until
+            )
+            <= at
+        ]
+        for digest in expired:
+            del self.suspects[digest]
+        return expired
--- /dev/null
+++ b/src/hemlockkeel/_internal/utils/__init__.py
@@ -0,0 +1,1 @@
+"""One-purpose helper modules."""
--- /dev/null
+++ b/src/hemlockkeel/_internal/utils/clock.py
@@ -0,0 +1,43 @@
+"""Clocks; decision code takes the time as an argument."""
+
+import abc
+import time
+
+
+class Clock(abc.ABC):
+    """Source of time in seconds."""
+
+    @abc.abstractmethod
+    def monotonic(self) -> float:
+        """Return seconds that never go back within this process."""
+
+    @abc.abstractmethod
+    def wall(self) -> float:
+        """Return seconds since the epoch."""
+
+
+class SystemClock(Clock):
+    """The clock of this machine."""
+
+    def monotonic(self) -> float:
+        return time.monotonic()
+
+    def wall(self) -> float:
+        return time.time()
+
+
+class ManualClock(Clock):
+    """A clock that tests move by hand."""
+
+    def __init__(self, start: float = 1000.0) -> None:
+        self.now = start
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def wall(self) -> float:
+        return self.now
+
+    def advance(self, seconds: float) -> None:
+        """Move the clock forward."""
+        self.now += seconds
--- /dev/null
+++ b/src/hemlockkeel/_internal/utils/web_server.py
@@ -0,0 +1,74 @@
+"""A waitress server on a thread of its own."""
+
+import threading
+import typing
+
+import waitress.server
+import waitress.wasyncore
+
+MAX_HEADER_BYTES = 65_536
+# Closing an idle connection costs a caller one reconnect.
+IDLE_CONNECTION_S = 120
+LOOP_S = 1.0
+
+
+class WebServer:
+    """Serves a WSGI application until stopped."""
+
+    def __init__(
+        self,
+        app: typing.Any,
+        host: str,
+        port: int,
+        threads: int,
+        max_body_bytes: int,
+        connection_limit: int = 2000,
+    ) -> None:
+        make_server: typing.Any = waitress.server.create_server
+        self.server = make_server(
+            app,
+            host=host,
+            port=port,
+            threads=threads,
+            max_request_body_size=max_body_bytes,
+            max_request_header_size=MAX_HEADER_BYTES,
+            connection_limit=connection_limit,
+            channel_timeout=IDLE_CONNECTION_S,
+            channel_request_lookahead=1,
+            asyncore_use_poll=True,
+            clear_untrusted_proxy_headers=True,
+            ident=None,
+        )
+        self.host = host
+        self.port = int(self.server.effective_port)
+        self.stopping = threading.Event()
+        self.thread = threading.Thread(
+            target=self.run, name=f"web-{self.port}", daemon=True
+        )
+
+    @property
+    def address(self) -> str:
+        """Return ``host:port``."""
+        return f"{self.host}:{self.port}"
+
+    def start(self) -> None:
+        """Start serving."""
+        self.thread.start()
+
+    def run(self) -> None:
+        """Serve until stopped."""
+        while not self.stopping.is_set():
+            waitress.wasyncore.loop(
+                timeout=LOOP_S, use_poll=True, map=self.server._map, count=1
+            )
+
+    def stop(self) -> None:
+        """Stop serving at once and break off open connections."""
+        self.stopping.set()
+        if self.thread.is_alive():
+            self.server.pull_trigger()
+            self.thread.join(2.0)
+        for channel in list(self.server.active_channels.values()):
+            channel.handle_close()
+        self.server.task_dispatcher.shutdown(cancel_pending=True, timeout=0.2)
+        self.server.close()
--- /dev/null
+++ b/src/hemlockkeel_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tools of hemlockkeel, against its stand-ins."""
--- /dev/null
+++ b/src/hemlockkeel_bench/histograms.py
@@ -0,0 +1,38 @@
+"""Histograms of durations."""
+
+import threading
+
+import hdrh.histogram
+
+MAX_MICROSECONDS = 600_000_000
+DIGITS = 3
+
+
+class Durations:
+    """A thread-safe histogram of seconds."""
+
+    def __init__(self) -> None:
+        self.histogram = hdrh.histogram.HdrHistogram(
+            1, MAX_MICROSECONDS, DIGITS
+        )
+        self.lock = threading.Lock()
+        self.total_s = 0.0
+        self.count = 0
+
+    def add(self, seconds: float) -> None:
+        """Record one duration."""
+        with self.lock:
+            self.histogram.record_value(max(1, int(seconds * 1e6)))
+            self.total_s += seconds
+            self.count += 1
+
+    def get(self, percentile: float) -> float:
+        """Return a percentile in seconds."""
+        if not self.count:
+            return 0.0
+        value = self.histogram.get_value_at_percentile(percentile)
+        return round(float(value) / 1e6, 6)
+
+    def get_mean(self) -> float:
+        """Return the mean in seconds."""
+        return round(self.total_s / self.count, 6) if self.count else 0.0
--- /dev/null
+++ b/src/hemlockkeel_bench/path.py
@@ -0,0 +1,112 @@
+"""Measures the path against calling the stand-in engine directly.
+
+Run with ``python -m hemlockkeel_bench.path``; the last line is JSON.
+"""
+
+import concurrent.futures
+import contextlib
+import http.client
+import json
+import threading
+import time
+import typing
+import urllib.parse
+
+import typer
+
+from hemlockkeel._internal.standins import dev
+from hemlockkeel._internal.standins import engine
+from hemlockkeel_bench import declare
+from hemlockkeel_bench import histograms
+
+TIMEOUT_S = 60.0
+TOKENS = 8
+MODEL = "club-0001@1"
+
+
+class Caller:
+    """One caller thread's connection."""
+
+    def __init__(self, url: str) -> None:
+        parts = urllib.parse.urlsplit(url)
+        self.connection = http.client.HTTPConnection(
+            parts.hostname or "", parts.port, timeout=TIMEOUT_S
+        )
+
+    def complete(self, body: dict[str, typing.Any]) -> int:
+        """Send one completion and read its whole answer."""
+        data = json.dumps(body).encode()
+        self.connection.request("POST", "/v1/completions", data)
+        response = self.connection.getresponse()
+        response.read()
+        return response.status
+
+
+def measure(url: str, requests: int, callers: int) -> dict[str, float | int]:
+    """Send requests from several callers; return rate and latency."""
+    durations = histograms.Durations()
+    failures = 0
+    local = threading.local()
+
+    def send(number: int) -> int:
+        if not hasattr(local, "caller"):
+            local.caller = Caller(url)
+        body = {
+            "model": MODEL,
+            "prompt": f"prompt {number}",
+            "max_tokens": TOKENS,
+        }
+        begun = time.monotonic()
+        status: int = local.caller.complete(body)
+        durations.add(time.monotonic() - begun)
+        return status
+
+    begun = time.monotonic()
+    with concurrent.futures.ThreadPoolExecutor(callers) as executor:
+        for status in executor.map(send, range(requests)):
+            failures += status != http.client.OK
+    elapsed = time.monotonic() - begun
+    return {
+        "requests": requests,
+        "callers": callers,
+        "failures": failures,
+        "requests_per_s": round(requests / elapsed, 1),
+        "p50_s": durations.get(50),
+        "p99_s": durations.get(99),
+    }
+
+
+def main(requests: int = 400, step_ms: float = 2.0) -> None:
+    """Measure both ways at 1 and 8 callers."""
+    options = engine.EngineOptions(
+        base_model="scribe-7b",
+        step_s=step_ms / 1000.0,
+        batch_slots=16,
+        # Direct calls carry no fencing number.
+        obeys_fencing=False,
+    )
+    cluster = dev.DevCluster(
+        dev.DevSettings(engines=1, plain=0, options=options)
+    )
+    cluster.start()
+    with contextlib.ExitStack() as stack:
+        stack.callback(cluster.stop)
+        declare.apply_bushline(cluster)
+        entry = cluster.entries[0].url
+        direct = f"http://{cluster.targets[0].web.address}"
+        measure(entry, 20, 2)
+        results = {}
+        for callers in (1, 8):
+            straight = measure(direct, requests, callers)
+            path = measure(entry, requests, callers)
+            results[f"callers_{callers}"] = {
+                "direct": straight,
+                "path": path,
+                "added_p50_s": round(path["p50_s"] - straight["p50_s"], 6),
+                "added_p99_s": round(path["p99_s"] - straight["p99_s"], 6),
+            }
+    print(json.dumps(results))
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/tests/lib/calls.py
@@ -0,0 +1,153 @@
+"""HTTP calls and waiting for tests."""
+
+import collections.abc
+import contextlib
+import dataclasses
+import http.client
+import json
+import threading
+import time
+import typing
+import urllib.parse
+
+TIMEOUT_S = 30.0
+POLL_S = 0.02
+
+
+@dataclasses.dataclass
+class Reply:
+    """A whole HTTP reply."""
+
+    status: int
+    body: bytes
+    headers: dict[str, str]
+
+    def json(self) -> typing.Any:
+        """Return the decoded body."""
+        return json.loads(self.body)
+
+    @property
+    def error(self) -> dict[str, typing.Any]:
+        """Return the error of a refusal."""
+        return self.json()["error"]
+
+
+def call(
+    url: str,
+    method: str = "GET",
+    body: typing.Any = None,
+    headers: dict[str, str] | None = None,
+) -> Reply:
+    """Send one call; a body that is not bytes is sent as JSON."""
+    parts = urllib.parse.urlsplit(url)
+    connection = http.client.HTTPConnection(
+        parts.hostname, parts.port, timeout=TIMEOUT_S
+    )
+    path = parts.path + (f"?{parts.query}" if parts.query else "")
+    data = body
+    if body is not None and not isinstance(body, bytes):
+        data = json.dumps(body).encode()
+    with contextlib.closing(connection):
+        connection.request(method, path, data, headers or {})
+        response = connection.getresponse()
+        return Reply(
+            response.status, response.read(), dict(response.getheaders())
+        )
+
+
+def complete(
+    url: str,
+    model: str,
+    prompt: str = "hello",
+    max_tokens: int = 6,
+    headers: dict[str, str] | None = None,
+) -> Reply:
+    """Send a completion request that is not streamed."""
+    body = {"model": model, "prompt": prompt, "max_tokens": max_tokens}
+    return call(f"{url}/v1/completions", "POST", body, headers)
+
+
+class SseStream:
+    """A streamed completion that a test reads piece by piece."""
+
+    def __init__(
+        self,
+        url: str,
+        model: str,
+        prompt: str = "hello",
+        max_tokens: int = 6,
+        headers: dict[str, str] | None = None,
+    ) -> None:
+        parts = urllib.parse.urlsplit(url)
+        self.connection = http.client.HTTPConnection(
+            parts.hostname, parts.port, timeout=TIMEOUT_S
+        )
+        body = {
+            "model": model,
+            "prompt": prompt,
+            "max_tokens": max_tokens,
+            "stream": True,
+        }
+        self.connection.request(
+            "POST",
+            "/v1/completions",
+            json.dumps(body).encode(),
+            headers or {},
+        )
+        self.response = self.connection.getresponse()
+        self.status = self.response.status
+        self.last_id = ""
+        self.text = ""
+        self.end: dict[str, typing.Any] | None = None
+        self.error: dict[str, typing.Any] | None = None
+
+    def read_event(self) -> bool:
+        """Read one event; tell whether there was one."""
+        while True:
+            line = self.response.readline().decode()
+            if not line:
+                return False
+            if line.startswith("id: "):
+                self.last_id = line[4:].strip()
+            if not line.startswith("data: "):
+                continue
+            self.take(line[6:].strip())
+            return True
+
+    def take(self, text: str) -> None:
+        """Keep what one event says."""
+        if text == "[DONE]":
+            return
+        event = json.loads(text)
+        if "error" in event:
+            self.error = event["error"]
+            return
+        self.text += event["choices"][0].get("text", "")
+        if event["choices"][0]["finish_reason"]:
+            self.end = event["hemlockkeel"]
+
+    def read_all(self) -> None:
+        """Read to the end of the stream."""
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            while self.read_event():
+                pass
+        self.close()
+
+    def close(self) -> None:
+        """Hang up."""
+        self.connection.close()
+        self.response.close()
+
+
+def wait_until(
+    condition: collections.abc.Callable[[], object],
+    what: str,
+    timeout_s: float = TIMEOUT_S,
+) -> None:
+    """Wait until a condition holds."""
+    deadline = time.monotonic() + timeout_s
+    pause = threading.Event()
+    while not condition():
+        if time.monotonic() > deadline:
+            raise AssertionError(f"not reached in time: {what}")
+        pause.wait(POLL_S)
--- /dev/null
+++ b/tests/lib/clusters.py
@@ -0,0 +1,154 @@
+"""Clusters of real roles with stand-in targets, for tests."""
+
+import pathlib
+import tempfile
+import typing
+import uuid
+
+from hemlockkeel._internal.standins import dev
+from hemlockkeel._internal.standins import engine
+from hemlockkeel._internal.state import files
+from tests.lib import calls
+
+DECLARATIONS = """
+format = 1
+
+[sites.tas-north]
+data_centres = ["launceston-hall", "devonport-hall", "burnie-hall"]
+weight_store_loads_per_second = 50.0
+
+[services.entries-app]
+priority = "high"
+
+[deployments.checks]
+base_model = "scribe-7b"
+service = "scribe-models"
+priority = "high"
+adapters = ["check-1@1", "check-1@2", "check-2@1"]
+
+[deployments.advice]
+base_model = "scribe-7b"
+service = "scribe-models"
+priority = "low"
+adapters = ["club-1@1", "club-2@1", "club-3@1", "club-4@1", "club-5@1"]
+
+[deployments.letters]
+base_model = "scribe-7b"
+service = "scribe-models"
+idempotent = false
+adapters = ["letter-1@1", "letter-2@1"]
+"""
+
+
+def make_settings(**changes: typing.Any) -> dev.DevSettings:
+    """Return a small and fast cluster's settings."""
+    values: dict[str, typing.Any] = {
+        "engines": 2,
+        "plain": 1,
+        "loads_per_second": 50.0,
+        "options": engine.EngineOptions(
+            base_model="scribe-7b", step_s=0.005, adapter_slots=3
+        ),
+    }
+    values.update(changes)
+    return dev.DevSettings(**values)
+
+
+class Operator:
+    """Calls the operators' interface."""
+
+    def __init__(self, url: str, token: str = dev.DEV_TOKEN) -> None:
+        self.url = url
+        self.headers = {"Authorization": f"Bearer {token}"}
+
+    def get(self, path: str) -> calls.Reply:
+        """Read something."""
+        return calls.call(self.url + path, headers=self.headers)
+
+    def post(self, path: str, body: typing.Any) -> calls.Reply:
+        """Change something."""
+        return calls.call(self.url + path, "POST", body, self.headers)
+
+    def apply(
+        self,
+        text: str,
+        change_id: str = "",
+        operator: str = "tester",
+        read_version: int | None = None,
+    ) -> calls.Reply:
+        """Apply a base file's text without waiting."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "base.toml"
+            path.write_text(text)
+            wanted = files.make_wanted(path, {})
+        state = self.get("/v1/config").json()
+        current = {k: v.encode() for k, v in state["items"].items()}
+        writes = files.diff_items(current, wanted, frozenset(["base"]))
+        version = state["version"] if read_version is None else read_version
+        return self.post(
+            "/v1/changes",
+            {
+                "change_id": change_id or uuid.uuid4().hex,
+                "operator": operator,
+                "read_version": version,
+                "writes": {
+                    w.key: None if w.value is None else w.value.decode()
+                    for w in writes
+                },
+            },
+        )
+
+    def is_in_force(self, version: int) -> bool:
+        """Tell whether a version is in force everywhere."""
+        reply = self.get(f"/v1/versions/{version}")
+        return reply.status == 200 and reply.json()["in_force"]
+
+    def apply_and_wait(self, text: str) -> int:
+        """Apply a base file's text and wait until it is in force."""
+        reply = self.apply(text)
+        assert reply.status == 200, reply.body
+        version: int = reply.json()["version"]
+        calls.wait_until(
+            lambda: self.is_in_force(version), f"version {version} in force"
+        )
+        return version
+
+
+class Cluster:
+    """A running cluster with the test declarations applied."""
+
+    def __init__(
+        self, declarations: str = DECLARATIONS, **changes: typing.Any
+    ) -> None:
+        self.dev = dev.DevCluster(make_settings(**changes))
+        self.dev.start()
+        self.operator = Operator(self.dev.controls[0].admin_url)
+        if declarations:
+            self.operator.apply_and_wait(declarations)
+
+    @property
+    def url(self) -> str:
+        """Return the first entry's URL."""
+        return self.dev.entries[0].url
+
+    @property
+    def engines(self) -> list[engine.StandInEngine]:
+        """Return the stand-in engines."""
+        return [t.engine for t in self.dev.targets if t.engine is not None]
+
+    def count_runs(self, prompt: str) -> int:
+        """Return how often engines began to run a prompt."""
+        return sum(
+            1
+            for stand_in in self.engines
+            for run in list(stand_in.ledger)
+            if run["prompt"] == prompt
+        )
+
+    def get_count(self, name: str) -> int:
+        """Return a counter of the whole cluster."""
+        return self.dev.counters.snapshot().get(name, 0)
+
+    def stop(self) -> None:
+        """Stop the cluster."""
+        self.dev.stop()
