Prove the consensus core and the state machine under faults

Cause: the log, the records and the configuration decide every promise, and nothing had tried them under faults.

--- /dev/null
+++ b/src/hemlockkeel_bench/raft_world.py
@@ -0,0 +1,521 @@
+"""Consensus cores joined by a network that fails, with invariants.
+
+The cores are the real ones; only the message queue, the disk and the clocks
+are small fakes. Callers drive the world one action at a time, either from
+`hypothesis` or from a seeded random number generator.
+"""
+
+import collections.abc
+import dataclasses
+import enum
+import random
+
+import msgspec
+
+from hemlockkeel._internal import exceptions
+from hemlockkeel._internal.consensus import core
+from hemlockkeel._internal.consensus import log as log_module
+from hemlockkeel._internal.consensus import messages
+from hemlockkeel._internal.control import process
+
+MAX_IN_FLIGHT = 400
+TRAILING = 5
+RUN_STEP_S = 0.04
+MAX_RUN_S = 2.0
+SETTLE_STEPS = 600
+SETTLE_STEP_S = 0.05
+
+
+class CrashPoint(enum.Enum):
+    """Where in carrying out effects a member stops."""
+
+    NONE = "none"
+    BEFORE_STORE = "before_store"
+    AFTER_STORE = "after_store"
+    AFTER_SEND = "after_send"
+
+
+@dataclasses.dataclass
+class Disk:
+    """What one member has synced."""
+
+    hard_state: messages.HardState = dataclasses.field(
+        default_factory=lambda: messages.HardState(0)
+    )
+    log: log_module.Log = dataclasses.field(default_factory=log_module.Log)
+    snapshot: tuple[messages.SnapshotMeta, bytes] | None = None
+
+    def store(self, effects: core.Effects) -> None:
+        """Store what effects ask for."""
+        if effects.hard_state is not None:
+            self.hard_state = effects.hard_state
+        if effects.install is not None:
+            self.snapshot = effects.install
+        for entry in effects.entries:
+            if entry.index <= self.log.last_index:
+                self.log.truncate(entry.index)
+            self.log.append(entry)
+
+    def copy_log(self, log: log_module.Log) -> None:
+        """Replace the stored log, as a snapshot does."""
+        self.log = log_module.Log(
+            log.base_index, log.base_term, list(log.entries)
+        )
+
+    def load(self) -> core.Saved:
+        """Return what a restarted member recovers."""
+        log = log_module.Log(
+            self.log.base_index, self.log.base_term, list(self.log.entries)
+        )
+        return core.Saved(self.hard_state, log, self.snapshot)
+
+
+@dataclasses.dataclass
+class Member:
+    """One member: its disk, its clock and, while it runs, its core."""
+
+    member_id: str
+    disk: Disk
+    rate: float
+    offset: float
+    raft: core.RaftCore | None = None
+    applied: list[str] = dataclasses.field(default_factory=list)
+    applied_index: int = 0
+    disk_lost: bool = False
+
+
+class World:
+    """Members, messages in flight, and what must hold."""
+
+    def __init__(self, size: int, rng: random.Random) -> None:
+        self.rng = rng
+        self.now = 1000.0
+        self.members: dict[str, Member] = {}
+        self.flight: list[messages.AnyMessage] = []
+        self.cut: set[frozenset[str]] = set()
+        self.committed: dict[int, tuple[int, str]] = {}
+        self.acknowledged: set[str] = set()
+        self.proposed: dict[str, tuple[str, int, int]] = {}
+        self.leaders: dict[int, str] = {}
+        self.next_value = 0
+        self.next_member = 0
+        self.actions = 0
+        peers = [
+            messages.Peer(self.make_id(), f"host-{n}:1") for n in range(size)
+        ]
+        data = core.make_membership_entry(messages.Membership(peers))
+        first = messages.Entry(1, 1, messages.EntryKind.MEMBERSHIP, data)
+        for peer in peers:
+            disk = Disk(messages.HardState(1), log_module.Log(0, 0, [first]))
+            self.add_member(peer.member_id, disk)
+
+    # Members
+
+    def make_id(self) -> str:
+        """Return a new member id."""
+        self.next_member += 1
+        return f"m{self.next_member}"
+
+    def add_member(self, member_id: str, disk: Disk) -> Member:
+        """Add a running member with a clock of its own."""
+        member = Member(
+            member_id,
+            disk,
+            rate=self.rng.uniform(0.95, 1.05),
+            offset=self.rng.uniform(-500.0, 500.0),
+        )
+        self.members[member_id] = member
+        self.start(member)
+        return member
+
+    def get_clock(self, member: Member) -> float:
+        """Return a member's own time."""
+        return self.now * member.rate + member.offset
+
+    def start(self, member: Member) -> None:
+        """Start a member from its disk."""
+        member.raft = core.RaftCore(
+            member.member_id,
+            member.disk.load(),
+            core.Timing(),
+            random.Random(self.rng.random()),
+            self.get_clock(member),
+        )
+        member.applied = []
+        member.applied_index = 0
+        if member.disk.snapshot is not None:
+            self.restore(member, *member.disk.snapshot)
+
+    def restore(
+        self, member: Member, meta: messages.SnapshotMeta, data: bytes
+    ) -> None:
+        """Take a member's state from a snapshot."""
+        member.applied = msgspec.msgpack.decode(data, type=list[str])
+        member.applied_index = meta.index
+
+    def find_running(self) -> list[Member]:
+        """Return the members that run."""
+        return [m for m in self.members.values() if m.raft is not None]
+
+    def find_leader(self) -> Member | None:
+        """Return the leader of the highest term."""
+        leading = [
+            member
+            for member in self.find_running()
+            if member.raft and member.raft.state is core.State.LEADER
+        ]
+        return max(
+            leading, key=lambda m: m.raft.term if m.raft else 0, default=None
+        )
+
+    # Actions
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass and tick every running member."""
+        self.now += seconds
+        for member in self.find_running():
+            self.tick(member)
+
+    def tick(
+        self, member: Member, crash: CrashPoint = CrashPoint.NONE
+    ) -> None:
+        """Tick one member."""
+        if member.raft is None:
+            return
+        member.raft.tick(self.get_clock(member))
+        self.carry_out(member, crash)
+
+    def deliver(
+        self, position: int, crash: CrashPoint = CrashPoint.NONE
+    ) -> None:
+        """Deliver one message in flight; any order is possible."""
+        if not self.flight:
+            return
+        message = self.flight.pop(position % len(self.flight))
+        member = self.members.get(message.receiver)
+        pair = frozenset([message.sender, message.receiver])
+        if member is None or member.raft is None or pair in self.cut:
+            return
+        member.raft.receive(message, self.get_clock(member))
+        self.carry_out(member, crash)
+
+    def deliver_all(self) -> None:
+        """Deliver everything in flight, in order, once."""
+        for _ in range(len(self.flight)):
+            self.deliver(0)
+
+    def run(self, seconds: float) -> None:
+        """Let the members that can reach each other work for a while."""
+        for _ in range(int(seconds / RUN_STEP_S)):
+            self.advance(RUN_STEP_S)
+            self.deliver_all()
+
+    def drop(self, position: int) -> None:
+        """Lose one message."""
+        if self.flight:
+            self.flight.pop(position % len(self.flight))
+
+    def duplicate(self, position: int) -> None:
+        """Repeat one message later."""
+        if self.flight and len(self.flight) < MAX_IN_FLIGHT:
+            self.flight.append(self.flight[position % len(self.flight)])
+
+    def propose(self, position: int) -> None:
+        """Propose a value at any member that believes it leads."""
+        leading = [
+            member
+            for member in self.find_running()
+            if member.raft and member.raft.state is core.State.LEADER
+        ]
+        if not leading:
+            return
+        member = leading[position % len(leading)]
+        assert member.raft is not None
+        value = f"v{self.next_value}"
+        self.next_value += 1
+        index = member.raft.propose(
+            messages.EntryKind.COMMAND, value.encode(), self.get_clock(member)
+        )
+        if index is not None:
+            place = (member.member_id, index, member.raft.term)
+            self.proposed[value] = place
+        self.carry_out(member, CrashPoint.NONE)
+
+    def crash(self, member: Member) -> None:
+        """Stop a member; its memory is gone."""
+        member.raft = None
+
+    def restart(self, member: Member) -> None:
+        """Start a stopped member again, unless its disk is gone."""
+        if member.raft is None and not member.disk_lost:
+            self.start(member)
+
+    def cut_pair(self, first: str, second: str) -> None:
+        """Cut the network between two members."""
+        if first != second:
+            self.cut.add(frozenset([first, second]))
+
+    def isolate(self, member_id: str) -> None:
+        """Cut one member off from all others."""
+        for other in self.members:
+            self.cut_pair(member_id, other)
+
+    def heal(self) -> None:
+        """Mend the network."""
+        self.cut.clear()
+
+    def compact(self, member: Member) -> None:
+        """Snapshot one member's applied state."""
+        if member.raft is None or not member.applied_index:
+            return
+        if member.applied_index <= member.raft.log.base_index:
+            return
+        data = msgspec.msgpack.encode(member.applied)
+        member.raft.compact(member.applied_index, data, TRAILING)
+        member.disk.snapshot = member.raft.snapshot
+        member.disk.copy_log(member.raft.log)
+
+    def lose_disk(self, member: Member) -> bool:
+        """Lose a voter's disk and add a blank member in its place.
+
+        At most one lost disk may be in repair: a quorum must be left.
+        """
+        leader = self.find_leader()
+        if leader is None or leader is member or leader.raft is None:
+            return False
+        if any(m.disk_lost for m in self.members.values()):
+            return False
+        member.raft = None
+        member.disk_lost = True
+        blank = self.add_member(self.make_id(), Disk())
+        peers = [
+            *leader.raft.membership.peers,
+            messages.Peer(blank.member_id, f"{blank.member_id}:1", False),
+        ]
+        self.propose_membership(leader, peers)
+        return True
+
+    def propose_membership(
+        self, leader: Member, peers: list[messages.Peer]
+    ) -> None:
+        """Propose other members."""
+        assert leader.raft is not None
+        leader.raft.propose(
+            messages.EntryKind.MEMBERSHIP,
+            core.make_membership_entry(messages.Membership(peers)),
+            self.get_clock(leader),
+        )
+        self.carry_out(leader, CrashPoint.NONE)
+
+    def repair(self) -> None:
+        """Take the next step of a replacement, as the control loop does."""
+        leader = self.find_leader()
+        if leader is None or leader.raft is None:
+            return
+        peers = leader.raft.membership.peers
+        self.add_missing(leader)
+        learner = process.find_caught_up(leader.raft)
+        if learner is not None:
+            self.propose_membership(
+                leader,
+                [
+                    messages.Peer(p.member_id, p.address, True)
+                    if p.member_id == learner
+                    else p
+                    for p in peers
+                ],
+            )
+            return
+        lost = {m.member_id for m in self.members.values() if m.disk_lost}
+        all_vote = all(p.voter for p in peers)
+        if all_vote and lost & {p.member_id for p in peers}:
+            kept = [p for p in peers if p.member_id not in lost]
+            self.propose_membership(leader, kept)
+        elif lost and not lost & {p.member_id for p in peers}:
+            self.forget_removed(lost, leader.raft)
+
+    def add_missing(self, leader: Member) -> None:
+        """Add a blank member again if its first addition was lost."""
+        assert leader.raft is not None
+        known = {p.member_id for p in leader.raft.membership.peers}
+        for member in self.members.values():
+            blank = member.disk.log.last_index == 0
+            if member.member_id in known or not blank or member.disk_lost:
+                continue
+            peer = messages.Peer(
+                member.member_id, f"{member.member_id}:1", False
+            )
+            self.propose_membership(
+                leader, [*leader.raft.membership.peers, peer]
+            )
+            return
+
+    def forget_removed(self, lost: set[str], raft: core.RaftCore) -> None:
+        """Forget lost members once their removal is committed."""
+        if raft.has_pending_membership():
+            return
+        for member_id in lost:
+            del self.members[member_id]
+
+    # Carrying out effects
+
+    def carry_out(self, member: Member, crash: CrashPoint) -> None:
+        """Store, send and apply what a core asks for."""
+        raft = member.raft
+        assert raft is not None
+        while True:
+            effects = raft.take_effects()
+            if effects.empty:
+                break
+            if crash is CrashPoint.BEFORE_STORE:
+                self.crash(member)
+                return
+            member.disk.store(effects)
+            if effects.install is not None:
+                member.disk.copy_log(raft.log)
+                self.restore(member, *effects.install)
+            if crash is CrashPoint.AFTER_STORE:
+                self.crash(member)
+                return
+            if effects.entries:
+                raft.on_persisted(
+                    effects.entries[-1].index, self.get_clock(member)
+                )
+            self.flight.extend(effects.outgoing)
+            del self.flight[MAX_IN_FLIGHT:]
+            if crash is CrashPoint.AFTER_SEND:
+                self.crash(member)
+                return
+            for entry in effects.committed:
+                self.apply(member, entry)
+        self.check()
+
+    def apply(self, member: Member, entry: messages.Entry) -> None:
+        """Apply a committed entry and check it against all others."""
+        exceptions.require(
+            entry.index == member.applied_index + 1,
+            "member %s applied %d after %d",
+            member.member_id,
+            entry.index,
+            member.applied_index,
+        )
+        member.applied_index = entry.index
+        value = entry.data.decode(errors="replace")
+        known = self.committed.setdefault(entry.index, (entry.term, value))
+        exceptions.require(
+            known == (entry.term, value),
+            "entry %d is %s here and %s elsewhere",
+            entry.index,
+            (entry.term, value),
+            known,
+        )
+        if entry.kind is not messages.EntryKind.COMMAND:
+            return
+        member.applied.append(value)
+        place = (member.member_id, entry.index, entry.term)
+        if self.proposed.get(value) == place:
+            self.acknowledged.add(value)
+
+    # What must hold
+
+    def check(self) -> None:
+        """Check the invariants that hold between any two steps."""
+        self.actions += 1
+        leased = []
+        for member in self.find_running():
+            raft = member.raft
+            assert raft is not None
+            if raft.state is core.State.LEADER:
+                first = self.leaders.setdefault(raft.term, raft.member_id)
+                exceptions.require(
+                    first == raft.member_id,
+                    "term %d has two leaders",
+                    raft.term,
+                )
+            if raft.has_lease(self.get_clock(member)):
+                leased.append(member.member_id)
+        exceptions.require(len(leased) <= 1, "two leases: %s", leased)
+
+    def settle(self) -> None:
+        """Mend everything and require that nothing accepted was lost."""
+        self.heal()
+        for member in list(self.members.values()):
+            self.restart(member)
+        for step in range(SETTLE_STEPS):
+            self.advance(SETTLE_STEP_S)
+            for _ in range(3):
+                self.deliver_all()
+            if step % 10 == 0:
+                self.repair()
+        self.propose(0)
+        for _ in range(20):
+            self.advance(SETTLE_STEP_S)
+            self.deliver_all()
+        self.check_settled()
+
+    def check_settled(self) -> None:
+        """Require progress, agreement and every acknowledged value."""
+        leader = self.find_leader()
+        exceptions.require(leader is not None, "no leader after mending")
+        assert leader is not None and leader.raft is not None
+        exceptions.require(
+            leader.raft.has_lease(self.get_clock(leader)),
+            "the leader has no lease after mending",
+        )
+        missing = self.acknowledged - set(leader.applied)
+        exceptions.require(not missing, "lost values %s", sorted(missing))
+        repeated = len(leader.applied) - len(set(leader.applied))
+        exceptions.require(repeated == 0, "a value was applied twice")
+        for member_id in leader.raft.membership.voters:
+            member = self.members[member_id]
+            if member.raft is None:
+                continue
+            exceptions.require(
+                member.applied == leader.applied,
+                "member %s differs after mending",
+                member_id,
+            )
+
+
+def act_at_random(world: World) -> None:
+    """Take one random action."""
+    rng = world.rng
+    members = list(world.members.values())
+    member = rng.choice(members)
+    position = rng.randrange(1 << 16)
+    points = list(CrashPoint)
+    choice = rng.random()
+    if choice < 0.55:
+        world.deliver(position if rng.random() < 0.3 else 0)
+    elif choice < 0.72:
+        world.advance(rng.choice([0.01, 0.05, 0.1, 0.4]))
+    elif choice < 0.82:
+        world.propose(position)
+    else:
+        act_of_failure(world, member, position, rng.choice(points))
+
+
+def act_of_failure(
+    world: World, member: Member, position: int, point: CrashPoint
+) -> None:
+    """Take one random action of failure or repair."""
+    others = list(world.members)
+    actions: list[collections.abc.Callable[[], object]] = [
+        lambda: world.run(world.rng.uniform(0.0, MAX_RUN_S)),
+        lambda: world.drop(position),
+        lambda: world.duplicate(position),
+        lambda: world.deliver(position, point),
+        lambda: world.tick(member, point),
+        lambda: world.crash(member),
+        lambda: world.restart(member),
+        lambda: world.restart(member),
+        lambda: world.isolate(member.member_id),
+        lambda: world.cut_pair(member.member_id, world.rng.choice(others)),
+        lambda: world.heal(),
+        lambda: world.heal(),
+        lambda: world.compact(member),
+        lambda: world.lose_disk(member),
+        lambda: world.repair(),
+        lambda: world.repair(),
+    ]
+    world.rng.choice(actions)()
