--- a/idl/hemlockkeel.thrift
+++ b/idl/hemlockkeel.thrift
@@ -54,7 +54,8 @@
   21: i32 resume_attempt,
   22: string caller,
   23: string deployment,
-  // Requests a second for the adapter, as the entry estimates it.
+  // Value of the adapter's slot: requests a second that this entry sees,
+  // weighed by priority and shared among the targets that hold it.
   24: double popularity,
   25: i32 hold_ms,
   26: double stall_weight,
@@ -74,6 +75,8 @@
   // Requests a second of the adapter that would be evicted next.
   11: double eviction_value,
   12: i32 free_slots,
+  // Queued requests of each priority rank.
+  13: list<i32> queued_by_rank,
 }
 
 struct OrderReceipt {
@@ -207,6 +210,8 @@
   5: list<string> in_progress,
   6: list<string> finished,
   7: i32 wait_ms,
+  // Finished without using the weight store.
+  8: list<string> unused,
 }
 
 struct PermitReply {
--- a/src/hemlockkeel/_internal/agent/answers.py
+++ b/src/hemlockkeel/_internal/agent/answers.py
@@ -51,7 +51,9 @@
 class Outbox:
     """Answers with something to send to one owner."""
 
-    def __init__(self) -> None:
+    def __init__(self, lock: threading.RLock) -> None:
+        # A condition of its own: a token wakes only its reader.
+        self.changed = threading.Condition(lock)
         self.dirty: dict[str, None] = {}
 
 
@@ -59,7 +61,7 @@
     """All answers of one agent."""
 
     def __init__(self) -> None:
-        self.changed = threading.Condition()
+        self.changed = threading.RLock()
         self.answers: dict[str, Answer] = {}
         self.outboxes: dict[tuple[str, int], Outbox] = {}
         # Attempts that must not run if they arrive later.
@@ -131,15 +133,24 @@
 
     def mark(self, answer: Answer) -> None:
         """Note that an answer has something to send."""
-        outbox = self.outboxes.setdefault(answer.owner, Outbox())
+        outbox = self.get_outbox(answer.owner)
         outbox.dirty[answer.request_id] = None
-        self.changed.notify_all()
+        outbox.changed.notify_all()
+
+    def get_outbox(self, owner: tuple[str, int]) -> Outbox:
+        """Return an owner's outbox; the lock is held."""
+        outbox = self.outboxes.get(owner)
+        if outbox is None:
+            outbox = Outbox(self.changed)
+            self.outboxes[owner] = outbox
+        return outbox
 
     def note_load_change(self) -> None:
         """Wake pollers, since the load report changed."""
         with self.changed:
             self.load_epoch += 1
-            self.changed.notify_all()
+            for outbox in self.outboxes.values():
+                outbox.changed.notify_all()
 
     # Reading
 
@@ -154,12 +165,13 @@
         with self.changed:
             self.acknowledge(owner, acknowledged)
             epoch = self.load_epoch
+            outbox = self.get_outbox(owner)
             while True:
-                frames = self.collect(owner)
+                frames = self.collect(outbox, owner)
                 remaining = deadline - time.monotonic()
                 if frames or remaining <= 0 or epoch != self.load_epoch:
                     return frames
-                self.changed.wait(remaining)
+                outbox.changed.wait(remaining)
 
     def acknowledge(
         self, owner: tuple[str, int], acknowledged: dict[str, int]
@@ -173,11 +185,10 @@
             if has_more(answer):
                 self.mark(answer)
 
-    def collect(self, owner: tuple[str, int]) -> list[ttypes.AnswerFrame]:
+    def collect(
+        self, outbox: Outbox, owner: tuple[str, int]
+    ) -> list[ttypes.AnswerFrame]:
         """Take the frames that are due to an owner."""
-        outbox = self.outboxes.get(owner)
-        if outbox is None:
-            return []
         frames: list[ttypes.AnswerFrame] = []
         while outbox.dirty and len(frames) < MAX_FRAMES_PER_POLL:
             request_id = next(iter(outbox.dirty))
--- a/src/hemlockkeel/_internal/agent/backend.py
+++ b/src/hemlockkeel/_internal/agent/backend.py
@@ -7,6 +7,8 @@
 from hemlockkeel._internal.models import outcomes
 from hemlockkeel._internal.rpc.gen.hk import ttypes
 
+UNKNOWN_EPOCH = -1
+
 
 class Backend(abc.ABC):
     """Runs work orders and reports load."""
@@ -35,8 +37,11 @@
         """Stop an attempt; tell whether it was known."""
 
     @abc.abstractmethod
-    def get_load(self) -> ttypes.LoadReport:
-        """Return the current load."""
+    def get_load(self, known_epoch: int = UNKNOWN_EPOCH) -> ttypes.LoadReport:
+        """Return the current load.
+
+        Lists are left out when the reader knows them at ``known_epoch``.
+        """
 
     @abc.abstractmethod
     def count_unfinished(self) -> int:
--- a/src/hemlockkeel/_internal/agent/engine_backend.py
+++ b/src/hemlockkeel/_internal/agent/engine_backend.py
@@ -23,7 +23,7 @@
 from hemlockkeel._internal.utils import logs
 from hemlockkeel._internal.utils import metrics
 
-MONITOR_S = 0.1
+MONITOR_S = 0.25
 ORDERING_STATES = (
     follower.FollowerState.READY,
     follower.FollowerState.LEAVING,
@@ -58,6 +58,7 @@
         policy: eviction.EvictionPolicy,
         counters: metrics.Metrics,
         max_queued: int = 256,
+        preloads: bool = True,
     ) -> None:
         self.engine = engine
         self.service = service
@@ -68,6 +69,9 @@
         self.policy = policy
         self.counters = counters
         self.max_queued = max_queued
+        self.preloads = preloads
+        # Adapters that a cold start lost, the most valuable first.
+        self.lost_adapters: list[adapters.AdapterRef] = []
         self.identity = engine.get_identity()
         self.boot_id = self.identity.boot_id
         self.lock = threading.RLock()
@@ -160,7 +164,9 @@
             self.active[order.request_id] = active
             shed = self.pool.take_shed()
             if active.work.ref is not None:
-                self.pool.note_rate(active.work.ref, order.popularity, now)
+                self.pool.hints.note(
+                    active.work.ref, order.owner, order.popularity, now
+                )
         self.refuse_all(
             shed, outcomes.RefusalCode.BUSY, "gave way to more urgent work"
         )
@@ -436,6 +442,8 @@
         with self.lock:
             self.identity = identity
             self.boot_id = identity.boot_id
+            if self.preloads:
+                self.lost_adapters = self.pool.rank_slots(time.monotonic())
             self.pool.reset_slots()
             self.event_sequence = 0
             self.prefixes.clear()
@@ -450,6 +458,7 @@
                 self.counters.count(metrics.Counter.EVENT_GAPS)
                 self.prefixes.clear()
             self.event_sequence = event.sequence
+            self.pool.epoch += 1
             if event.present:
                 self.prefixes[event.prefix] = None
             else:
@@ -459,24 +468,30 @@
 
     # Load report
 
-    def get_load(self) -> ttypes.LoadReport:
+    def get_load(
+        self, known_epoch: int = backend.UNKNOWN_EPOCH
+    ) -> ttypes.LoadReport:
         now = time.monotonic()
         with self.lock:
+            fresh = known_epoch != self.pool.epoch
+            ready = self.pool.get_ready() if fresh else []
+            loading = self.pool.get_loading() if fresh else []
             return ttypes.LoadReport(
                 running=len(self.pool.running),
                 queued=len(self.pool.queue),
                 batch_slots=self.identity.batch_slots,
-                adapters=[str(ref) for ref in self.pool.get_ready()],
-                loading=[str(ref) for ref in self.pool.get_loading()],
+                adapters=[str(ref) for ref in ready] if fresh else None,
+                loading=[str(ref) for ref in loading] if fresh else None,
                 adapters_epoch=self.pool.epoch,
                 accepting=(
                     self.follow.get_state() is follower.FollowerState.READY
                 ),
                 adapter_slots=self.identity.adapter_slots,
                 incarnation=self.follow.incarnation,
-                prefixes=list(self.prefixes),
+                prefixes=list(self.prefixes) if fresh else None,
                 eviction_value=self.pool.get_eviction_value(now),
                 free_slots=self.pool.get_free_slots(),
+                queued_by_rank=self.pool.count_queued_by_rank(),
             )
 
     def count_unfinished(self) -> int:
--- a/src/hemlockkeel/_internal/agent/loader.py
+++ b/src/hemlockkeel/_internal/agent/loader.py
@@ -83,6 +83,8 @@
         wanted.sort(key=lambda want: -want.weight)
         if room <= 0:
             return []
+        if not wanted:
+            return self.find_preloads()
         return [
             ttypes.LoadWant(
                 want.ref.name,
@@ -94,9 +96,26 @@
             for want in wanted[: min(room, MAX_WANTS)]
         ]
 
+    def find_preloads(self) -> list[ttypes.LoadWant]:
+        """Return a load that restores what a cold start lost, if any."""
+        with self.backend.lock:
+            pool = self.backend.pool
+            lost = [
+                r for r in self.backend.lost_adapters if r not in pool.slots
+            ]
+            self.backend.lost_adapters = lost
+            if pool.get_free_slots() <= 0:
+                lost.clear()
+        with self.lock:
+            lost = [ref for ref in lost if ref not in self.in_progress]
+        return [
+            ttypes.LoadWant(ref.name, ref.version, 0.0, 0, True)
+            for ref in lost[:1]
+        ]
+
     def ask(self, wants: list[ttypes.LoadWant]) -> None:
         """Exchange wants for permits and start the loads."""
-        granted = self.exchange(wants, [], PERMIT_WAIT_S)
+        granted = self.exchange(wants, [], [], PERMIT_WAIT_S)
         if granted is None:
             self.stopping.wait(PAUSE_S)
             return
@@ -110,6 +129,7 @@
         self,
         wants: list[ttypes.LoadWant],
         finished: list[adapters.AdapterRef],
+        unused: list[adapters.AdapterRef],
         wait_s: float,
     ) -> list[str] | None:
         """Call the control leader; None when it does not answer."""
@@ -122,6 +142,7 @@
             wants=wants,
             in_progress=in_progress,
             finished=[str(ref) for ref in finished],
+            unused=[str(ref) for ref in unused],
             wait_ms=int(wait_s * 1000),
         )
         try:
@@ -133,42 +154,46 @@
 
     def load(self, ref: adapters.AdapterRef) -> None:
         """Use one permit, then give it back."""
+        used = True
         try:
-            self.use_permit(ref)
+            used = self.use_permit(ref)
         except Exception as fault:
             logs.log_fault("load_failed", adapter=ref, reason=repr(fault))
         finally:
             with self.lock:
                 self.in_progress.pop(ref, None)
             self.backend.advance()
-            granted = self.exchange(self.find_wants(), [ref], 0.0)
+            finished, unused = ([ref], []) if used else ([], [ref])
+            granted = self.exchange(self.find_wants(), finished, unused, 0.0)
             for text in granted or []:
                 following = adapters.parse_adapter(text)
                 with self.lock:
                     self.in_progress[following] = None
                 self.executor.submit(self.load, following)
 
-    def use_permit(self, ref: adapters.AdapterRef) -> None:
-        """Evict if needed and load one adapter."""
+    def use_permit(self, ref: adapters.AdapterRef) -> bool:
+        """Evict if needed and load one adapter; tell whether it loaded."""
         now = time.monotonic()
         fence = ids.Fence(self.follow.incarnation)
         orphans = self.backend.has_orphans()
         with self.backend.lock:
             pool = self.backend.pool
             if ref in pool.slots:
-                return
-            if ref not in pool.get_users():
+                return False
+            restores = ref in self.backend.lost_adapters
+            if ref not in pool.get_users() and not restores:
                 # Nobody waits for this load any more.
-                return
+                return False
             victim = None
             if pool.get_free_slots() <= 0:
                 victim = None if orphans else pool.choose_victim(now)
                 if victim is None:
-                    return
+                    return False
                 pool.evict(victim)
             pool.begin_load(ref, now)
             boot_id = self.backend.boot_id
         self.carry_out(ref, victim, fence, boot_id)
+        return True
 
     def carry_out(
         self,
@@ -197,6 +222,9 @@
         self.counters.time(metrics.Timer.LOAD, now - begun)
         with self.backend.lock:
             same = boot_id == self.backend.boot_id
+            if ref in self.backend.lost_adapters:
+                self.backend.lost_adapters.remove(ref)
+                self.counters.count(metrics.Counter.ADAPTER_PRELOADS)
             moved = self.backend.pool.end_load(ref, loaded and same, now)
         self.backend.refuse_all(
             moved,
--- a/src/hemlockkeel/_internal/agent/plain_backend.py
+++ b/src/hemlockkeel/_internal/agent/plain_backend.py
@@ -145,7 +145,9 @@
         # A call that was sent cannot be taken back.
         return False
 
-    def get_load(self) -> ttypes.LoadReport:
+    def get_load(
+        self, known_epoch: int = backend.UNKNOWN_EPOCH
+    ) -> ttypes.LoadReport:
         with self.lock:
             unfinished = len(self.unfinished)
         running = min(unfinished, self.concurrent_calls)
@@ -162,6 +164,7 @@
             prefixes=[],
             eviction_value=0.0,
             free_slots=0,
+            queued_by_rank=[unfinished - running],
         )
 
     def count_unfinished(self) -> int:
--- a/src/hemlockkeel/_internal/agent/process.py
+++ b/src/hemlockkeel/_internal/agent/process.py
@@ -48,6 +48,7 @@
     port: int = 0
     max_connections: int = 256
     max_queued: int = 256
+    preloads: bool = True
     eviction_policy: eviction.EvictionPolicy = dataclasses.field(
         default_factory=eviction.LeastRate
     )
@@ -177,6 +178,7 @@
             self.settings.eviction_policy,
             self.counters,
             self.settings.max_queued,
+            self.settings.preloads,
         )
 
     def drain(self) -> None:
--- a/src/hemlockkeel/_internal/agent/service.py
+++ b/src/hemlockkeel/_internal/agent/service.py
@@ -115,7 +115,7 @@
         )
         return ttypes.PollReply(
             frames,
-            self.backend.get_load(),
+            self.backend.get_load(request.adapters_epoch),
             self.target_id,
             self.follow.incarnation,
         )
--- a/src/hemlockkeel/_internal/control/permits.py
+++ b/src/hemlockkeel/_internal/control/permits.py
@@ -60,6 +60,7 @@
         wants: list[load_queue.Want],
         in_progress: list[adapters.AdapterRef],
         finished: list[adapters.AdapterRef],
+        unused: list[adapters.AdapterRef],
         wait_s: float,
     ) -> list[adapters.AdapterRef]:
         """Take an agent's wants and return its permits, waiting for one."""
@@ -69,6 +70,8 @@
             now = self.clock.monotonic()
             for ref in finished:
                 ledger.finish(agent, ref)
+            for ref in unused:
+                ledger.give_back(agent, ref, now)
             ledger.adopt(agent, in_progress, now)
             ledger.update(agent, wants, now)
             return self.wait_for_permit(agent, ledger, bool(wants), deadline)
--- a/src/hemlockkeel/_internal/control/service.py
+++ b/src/hemlockkeel/_internal/control/service.py
@@ -265,6 +265,7 @@
             wants,
             [adapters.parse_adapter(text) for text in request.in_progress],
             [adapters.parse_adapter(text) for text in request.finished],
+            [adapters.parse_adapter(text) for text in request.unused or ()],
             request.wait_ms / 1000.0,
         )
         return ttypes.PermitReply([str(ref) for ref in granted])
--- a/src/hemlockkeel/_internal/engines/http_engine.py
+++ b/src/hemlockkeel/_internal/engines/http_engine.py
@@ -1,9 +1,9 @@
 """Engine over HTTP with OpenAI-style paths."""
 
 import collections.abc
-import contextlib
 import http.client
 import json
+import threading
 import typing
 import urllib.parse
 
@@ -28,6 +28,7 @@
     def __init__(self, host: str, port: int) -> None:
         self.host = host
         self.port = port
+        self.local = threading.local()
 
     def get_identity(self) -> base.Identity:
         body = self.call_json("GET", "/engine/identity", PROBE_TIMEOUT_S)
@@ -194,18 +195,32 @@
         :raises UnreachableError: when no reply came.
         """
         headers = {} if fence is None else {FENCE_HEADER: str(fence)}
-        connection = http.client.HTTPConnection(
-            self.host, self.port, timeout=timeout_s
-        )
-        with contextlib.closing(connection):
-            try:
-                connection.request(method, path, data, headers)
-                response = connection.getresponse()
-                return response.status, response.read()
-            except (OSError, http.client.HTTPException) as fault:
-                raise exceptions.UnreachableError(
-                    f"engine {self.host}:{self.port}: {fault}"
-                ) from fault
+        connection = self.get_connection(timeout_s)
+        try:
+            connection.request(method, path, data, headers)
+            response = connection.getresponse()
+            return response.status, response.read()
+        except (OSError, http.client.HTTPException) as fault:
+            connection.close()
+            raise exceptions.UnreachableError(
+                f"engine {self.host}:{self.port}: {fault}"
+            ) from fault
+
+    def get_connection(self, timeout_s: float) -> http.client.HTTPConnection:
+        """Return this thread's connection for short calls.
+
+        Every short call is idempotent or fenced, so one that fails on a
+        connection that the engine closed meanwhile may be sent again.
+        """
+        connection: http.client.HTTPConnection | None
+        connection = getattr(self.local, "connection", None)
+        if connection is None:
+            connection = http.client.HTTPConnection(self.host, self.port)
+            self.local.connection = connection
+        connection.timeout = timeout_s
+        if connection.sock is not None:
+            connection.sock.settimeout(timeout_s)
+        return connection
 
 
 def quote(text: str) -> str:
--- a/src/hemlockkeel/_internal/entry/dispatcher.py
+++ b/src/hemlockkeel/_internal/entry/dispatcher.py
@@ -33,6 +33,8 @@
 FIRST_SERVICE_S = 1.0
 RETRY_AFTER_MS = 1000
 NO_RESUME = -1
+# Value of holding an adapter for a request of each priority rank.
+RANK_WEIGHTS = (8.0, 2.0, 1.0)
 # How long a restarted agent may take to announce itself again.
 RESUME_WAIT_S = 4.0
 
@@ -172,23 +174,17 @@
         return allowed
 
     def get_popularity(self, request: context.RequestContext) -> float:
-        """Return the adapter's request rate over all entries."""
+        """Return the value of holding the request's adapter.
+
+        The target adds up what all entries say.
+        """
         if request.ref is None:
             return 0.0
+        name = str(request.ref)
         with self.lock:
-            rate = self.popularity.get_rate(str(request.ref), time.monotonic())
-        return rate * self.count_entries()
-
-    def count_entries(self) -> int:
-        """Return the number of entries at this site."""
-        catalog = self.follow.catalog
-        with catalog.lock:
-            entries = sum(
-                1
-                for member in catalog.members.values()
-                if member.description.target is None
-            )
-        return max(1, entries)
+            rate = self.popularity.get_rate(name, time.monotonic())
+        holders = self.fleet.count_holders(name)
+        return rate * RANK_WEIGHTS[request.rank] / max(1, holders)
 
     def abandon(self, attempt: Attempt) -> None:
         """Cancel an attempt later unless its caller comes back."""
--- a/src/hemlockkeel/_internal/entry/fleet.py
+++ b/src/hemlockkeel/_internal/entry/fleet.py
@@ -104,6 +104,13 @@
         with self.lock:
             return self.links.get(target_id)
 
+    def count_holders(self, name: str) -> int:
+        """Return how many targets hold an adapter."""
+        with self.lock:
+            return sum(
+                1 for link in self.links.values() if name in link.adapter_set
+            )
+
     def find_views(
         self, service: str, base_model: str, excluded: frozenset[str]
     ) -> list[routing.TargetView]:
@@ -142,7 +149,7 @@
             target_id=target_id,
             data_centre=link.member.description.data_centre,
             running=load.running,
-            queued=load.queued,
+            queued_by_rank=tuple(load.queued_by_rank),
             batch_slots=load.batch_slots,
             unreported=link.unreported,
             adapters=link.adapter_set,
--- a/src/hemlockkeel/_internal/entry/links.py
+++ b/src/hemlockkeel/_internal/entry/links.py
@@ -22,6 +22,7 @@
 # An agent out of reach for this long has lost its streams.
 LOST_AFTER_S = 3.0
 SUBMIT_TIMEOUT_S = 2.0
+UNKNOWN_EPOCH = -1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -96,6 +97,7 @@
         self.adapter_set: frozenset[str] = frozenset()
         self.loading_set: frozenset[str] = frozenset()
         self.prefix_set: frozenset[str] = frozenset()
+        self.adapters_epoch = UNKNOWN_EPOCH
         self.unreported = 0
         self.reachable_at = time.monotonic()
         self.reachable = False
@@ -147,13 +149,14 @@
                 self.get_owner_incarnation(),
                 int(POLL_WAIT_S * 1000),
                 acknowledged,
-                0,
+                self.adapters_epoch,
             ),
             timeout_s=POLL_TIMEOUT_S,
         )
         if reply.target_incarnation != self.incarnation:
             # The agent may have restarted without its answers.
             self.must_attach = self.incarnation != 0
+            self.adapters_epoch = UNKNOWN_EPOCH
             self.incarnation = reply.target_incarnation
         self.note_load(reply.load)
         for frame in reply.frames:
@@ -170,10 +173,12 @@
         """Keep a fresh load report."""
         with self.lock:
             self.load = load
-            self.adapter_set = frozenset(load.adapters)
-            self.loading_set = frozenset(load.loading)
-            self.prefix_set = frozenset(load.prefixes or ())
             self.unreported = 0
+            if load.adapters is not None:
+                self.adapters_epoch = load.adapters_epoch
+                self.adapter_set = frozenset(load.adapters)
+                self.loading_set = frozenset(load.loading)
+                self.prefix_set = frozenset(load.prefixes)
         self.reachable_at = time.monotonic()
         self.reachable = True
 
--- a/src/hemlockkeel/_internal/policy/eviction.py
+++ b/src/hemlockkeel/_internal/policy/eviction.py
@@ -1,6 +1,7 @@
 """Which adapter gives up its slot."""
 
 import abc
+import collections
 import collections.abc
 import dataclasses
 import math
@@ -8,6 +9,47 @@
 from hemlockkeel._internal.models import adapters
 
 HINT_HALF_LIFE_S = 120.0
+MAX_HINTS = 4096
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hint:
+    """What one entry said of an adapter's request rate, and when."""
+
+    rate: float
+    at: float
+
+    def get(self, now: float) -> float:
+        """Return the rate, faded with age."""
+        age = max(0.0, now - self.at)
+        return self.rate * math.exp2(-age / HINT_HALF_LIFE_S)
+
+
+class RateHints:
+    """Request rates of adapters, summed over the entries that send them."""
+
+    def __init__(self, max_adapters: int = MAX_HINTS) -> None:
+        self.max_adapters = max_adapters
+        self.hints: collections.OrderedDict[
+            adapters.AdapterRef, dict[str, Hint]
+        ] = collections.OrderedDict()
+
+    def note(
+        self, ref: adapters.AdapterRef, owner: str, rate: float, now: float
+    ) -> None:
+        """Keep an entry's latest word."""
+        by_owner = self.hints.setdefault(ref, {})
+        by_owner[owner] = Hint(rate, now)
+        self.hints.move_to_end(ref)
+        if len(self.hints) > self.max_adapters:
+            self.hints.popitem(last=False)
+
+    def get(self, ref: adapters.AdapterRef, now: float) -> float:
+        """Return the rate over all entries."""
+        by_owner = self.hints.get(ref)
+        if by_owner is None:
+            return 0.0
+        return sum(hint.get(now) for hint in by_owner.values())
 
 
 @dataclasses.dataclass
@@ -16,9 +58,7 @@
 
     ref: adapters.AdapterRef
     last_used: float
-    # Requests a second as last estimated, and when that was.
-    rate: float = 0.0
-    rate_at: float = 0.0
+    hints: RateHints
 
 
 class EvictionPolicy(abc.ABC):
@@ -54,5 +94,4 @@
     """
 
     def get_value(self, use: SlotUse, now: float) -> float:
-        age = max(0.0, now - use.rate_at)
-        return use.rate * math.exp2(-age / HINT_HALF_LIFE_S)
+        return use.hints.get(use.ref, now)
--- a/src/hemlockkeel/_internal/policy/load_queue.py
+++ b/src/hemlockkeel/_internal/policy/load_queue.py
@@ -15,6 +15,9 @@
 WANT_LIFETIME_S = 1.0
 PERMIT_LIFETIME_S = 5.0
 AGE_BOUND_S = 4.0
+# Grants are spaced by the time of one load at full speed. A second permit
+# lets the next load begin while the end of the last one is being reported.
+MAX_OVERLAP = 2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -71,7 +74,7 @@
         self,
         order: LoadOrder,
         loads_per_second: float,
-        concurrent: int = 1,
+        concurrent: int = MAX_OVERLAP,
         preload_share: float = 0.5,
         quiet_until: float = 0.0,
     ) -> None:
@@ -107,6 +110,13 @@
         """End a permit; the next load may start."""
         self.permits.pop((agent, ref), None)
 
+    def give_back(
+        self, agent: str, ref: adapters.AdapterRef, now: float
+    ) -> None:
+        """End a permit that did not use the weight store."""
+        if self.permits.pop((agent, ref), None) is not None:
+            self.next_grant_at = min(self.next_grant_at, now)
+
     def adopt(
         self, agent: str, refs: list[adapters.AdapterRef], now: float
     ) -> None:
--- a/src/hemlockkeel/_internal/policy/pool.py
+++ b/src/hemlockkeel/_internal/policy/pool.py
@@ -19,6 +19,7 @@
 # Work that has waited this long makes a busy slot give way.
 STARVATION_S = 3.0
 LOW_RANK = 2
+RANKS = 3
 # Holding ends early once this many requests share a load.
 SHARED_LOAD = 3
 
@@ -85,6 +86,7 @@
         self.slots: dict[adapters.AdapterRef, Slot] = {}
         self.queue: list[Work] = []
         self.running: dict[str, Work] = {}
+        self.hints = eviction.RateHints()
         self.failures: dict[adapters.AdapterRef, int] = {}
         self.blocked_until: dict[adapters.AdapterRef, float] = {}
         self.epoch = 0
@@ -101,6 +103,9 @@
         slot = self.slots.get(work.ref) if work.ref else None
         if slot is not None:
             slot.use.last_used = now
+        elif work.ref is not None:
+            # Readers of the load report learn that a load is under way.
+            self.epoch += 1
         return None
 
     def check_admission(
@@ -218,16 +223,6 @@
         """Return the adapters that running work uses."""
         return {work.ref for work in self.running.values() if work.ref}
 
-    def note_rate(
-        self, ref: adapters.AdapterRef, rate: float, now: float
-    ) -> None:
-        """Learn an adapter's request rate."""
-        slot = self.slots.get(ref)
-        if slot is None:
-            return
-        slot.use.rate = rate
-        slot.use.rate_at = now
-
     def find_wanted(self, now: float) -> list[WantedLoad]:
         """Return the loads that queued work waits for.
 
@@ -318,7 +313,8 @@
         """Take a free slot for a load."""
         exceptions.require(ref not in self.slots, "%s is loaded already", ref)
         exceptions.require(self.get_free_slots() > 0, "no free slot")
-        self.slots[ref] = Slot(eviction.SlotUse(ref, now), SlotState.LOADING)
+        use = eviction.SlotUse(ref, now, self.hints)
+        self.slots[ref] = Slot(use, SlotState.LOADING)
         self.epoch += 1
 
     def end_load(
@@ -351,6 +347,14 @@
         self.queue = [work for work in self.queue if work.ref != ref]
         return moved
 
+    def rank_slots(self, now: float) -> list[adapters.AdapterRef]:
+        """Return the loaded adapters, the most valuable first."""
+        ranked = sorted(
+            self.slots.values(),
+            key=lambda slot: -self.policy.get_value(slot.use, now),
+        )
+        return [slot.use.ref for slot in ranked]
+
     def reset_slots(self) -> None:
         """Forget every adapter after a cold start of the engine."""
         self.slots.clear()
@@ -358,6 +362,13 @@
 
     # Reports
 
+    def count_queued_by_rank(self) -> list[int]:
+        """Return the queued requests of each priority rank."""
+        counts = [0] * RANKS
+        for work in self.queue:
+            counts[min(work.rank, RANKS - 1)] += 1
+        return counts
+
     def get_ready(self) -> list[adapters.AdapterRef]:
         """Return the loaded adapters."""
         return [
@@ -381,16 +392,19 @@
         return loading + sorted(waiting)
 
     def get_eviction_value(self, now: float) -> float:
-        """Return the value of the adapter that would be evicted next.
+        """Return the value of the adapter that a new load would evict.
 
+        Loads that wait already evict first, so theirs are passed over.
         Infinite when every slot is in use.
         """
-        if self.get_free_slots() > 0:
+        waiting = {work.ref for work in self.queue if work.ref is not None}
+        ahead = len(waiting - self.slots.keys()) - self.get_free_slots()
+        if ahead < 0:
             return 0.0
-        use = self.policy.choose(self.find_evictable(), now)
-        if use is None:
-            return float("inf")
-        return self.policy.get_value(use, now)
+        values = sorted(
+            self.policy.get_value(use, now) for use in self.find_evictable()
+        )
+        return values[ahead] if ahead < len(values) else float("inf")
 
 
 def make_wanted(ref: adapters.AdapterRef, works: list[Work]) -> WantedLoad:
--- a/src/hemlockkeel/_internal/policy/routing.py
+++ b/src/hemlockkeel/_internal/policy/routing.py
@@ -18,9 +18,11 @@
 # Share of a load that work behind a load under way still waits, on average.
 LOADING_SHARE = 0.5
 PREFIX_GAIN_S = 0.01
-SPREAD_SHARE = 0.1
-PREFERRED_TARGETS = 3
+SPREAD_SHARE = 0.03
 PREFERENCE_S = 0.05
+# A second copy of an adapter takes a slot that another adapter could use;
+# it pays once the queue at its holder is longer than this share of a run.
+COPY_SHARE = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,7 +32,8 @@
     target_id: str
     data_centre: str
     running: int
-    queued: int
+    # Queued requests of each priority rank, the most urgent first.
+    queued_by_rank: tuple[int, ...]
     batch_slots: int
     # Requests this entry sent since the load report was made.
     unreported: int
@@ -99,34 +102,38 @@
                 if view.target_id == request.preferred_target:
                     return view
         name = str(request.ref) if request.ref else request.prefix
-        candidates = select_candidates(name, request, views)
+        held = any(
+            name in view.adapters or name in view.loading for view in views
+        )
         return min(
-            candidates,
+            views,
             key=lambda view: (
-                get_cost(request, name, view),
+                get_cost(request, name, view, held),
                 view.target_id,
             ),
         )
 
 
-def select_candidates(
-    name: str,
-    request: RouteRequest,
-    views: collections.abc.Sequence[TargetView],
-) -> collections.abc.Sequence[TargetView]:
-    """Return the targets worth costing; all of them when they are few."""
-    return views
-
-
 def get_work(view: TargetView) -> int:
     """Return the requests at a target, with those not reported yet."""
-    return view.running + view.queued + view.unreported
+    return view.running + sum(view.queued_by_rank) + view.unreported
 
 
-def get_cost(request: RouteRequest, name: str, view: TargetView) -> float:
-    """Return the expected seconds that a target costs."""
+def get_work_ahead(view: TargetView, rank: int) -> int:
+    """Return the requests that run before a new one of a rank."""
+    queued = sum(view.queued_by_rank[: rank + 1])
+    return view.running + queued + view.unreported
+
+
+def get_cost(
+    request: RouteRequest, name: str, view: TargetView, held: bool
+) -> float:
+    """Return the expected seconds that a target costs.
+
+    ``held`` tells whether some target holds the adapter or loads it.
+    """
     queue_s = get_queue_s(request, view)
-    load_s = get_load_cost(request, name, view)
+    load_s = get_load_cost(request, name, view, held)
     distance_s = 0.0 if view.data_centre == request.data_centre else DISTANCE_S
     prefix_s = PREFIX_GAIN_S if request.prefix in view.prefixes else 0.0
     return (
@@ -140,7 +147,7 @@
 
 def get_queue_s(request: RouteRequest, view: TargetView) -> float:
     """Return the expected wait for a place in the batch."""
-    work = get_work(view)
+    work = get_work_ahead(view, request.rank)
     slots = max(1, view.batch_slots)
     waiting = work + 1 - slots
     if waiting <= 0:
@@ -148,7 +155,9 @@
     return waiting / slots * request.service_s
 
 
-def get_load_cost(request: RouteRequest, name: str, view: TargetView) -> float:
+def get_load_cost(
+    request: RouteRequest, name: str, view: TargetView, held: bool
+) -> float:
     """Return the expected wait for a load, with what it evicts."""
     if request.ref is None or name in view.adapters:
         return 0.0
@@ -157,6 +166,8 @@
     cost = request.load_s * (1.0 + request.stall_weight)
     if view.free_slots <= 0:
         cost += get_eviction_cost(request, view)
+    if held:
+        cost += COPY_SHARE * request.service_s
     return cost + PREFERENCE_S * get_spread(name, view.target_id)
 
 
--- a/src/hemlockkeel/_internal/rpc/gen/hk/Control.py
+++ b/src/hemlockkeel/_internal/rpc/gen/hk/Control.py
@@ -1320,11 +1320,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.messages = []
-                    (_etype82, _size79) = iprot.readListBegin()
-                    for _i83 in range(_size79):
-                        _elem84 = RaftMessage()
-                        _elem84.read(iprot)
-                        self.messages.append(_elem84)
+                    (_etype96, _size93) = iprot.readListBegin()
+                    for _i97 in range(_size93):
+                        _elem98 = RaftMessage()
+                        _elem98.read(iprot)
+                        self.messages.append(_elem98)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1341,8 +1341,8 @@
         if self.messages is not None:
             oprot.writeFieldBegin('messages', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.messages))
-            for iter85 in self.messages:
-                iter85.write(oprot)
+            for iter99 in self.messages:
+                iter99.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/src/hemlockkeel/_internal/rpc/gen/hk/ttypes.py
+++ b/src/hemlockkeel/_internal/rpc/gen/hk/ttypes.py
@@ -603,11 +603,12 @@
      - prefixes
      - eviction_value
      - free_slots
+     - queued_by_rank
 
     """
 
 
-    def __init__(self, running=None, queued=None, batch_slots=None, adapters=None, loading=None, adapters_epoch=None, accepting=None, adapter_slots=None, incarnation=None, prefixes=None, eviction_value=None, free_slots=None,):
+    def __init__(self, running=None, queued=None, batch_slots=None, adapters=None, loading=None, adapters_epoch=None, accepting=None, adapter_slots=None, incarnation=None, prefixes=None, eviction_value=None, free_slots=None, queued_by_rank=None,):
         self.running = running
         self.queued = queued
         self.batch_slots = batch_slots
@@ -620,6 +621,7 @@
         self.prefixes = prefixes
         self.eviction_value = eviction_value
         self.free_slots = free_slots
+        self.queued_by_rank = queued_by_rank
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -705,6 +707,16 @@
                     self.free_slots = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.queued_by_rank = []
+                    (_etype21, _size18) = iprot.readListBegin()
+                    for _i22 in range(_size18):
+                        _elem23 = iprot.readI32()
+                        self.queued_by_rank.append(_elem23)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -730,15 +742,15 @@
         if self.adapters is not None:
             oprot.writeFieldBegin('adapters', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.adapters))
-            for iter18 in self.adapters:
-                oprot.writeString(iter18.encode('utf-8') if sys.version_info[0] == 2 else iter18)
+            for iter24 in self.adapters:
+                oprot.writeString(iter24.encode('utf-8') if sys.version_info[0] == 2 else iter24)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loading is not None:
             oprot.writeFieldBegin('loading', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.loading))
-            for iter19 in self.loading:
-                oprot.writeString(iter19.encode('utf-8') if sys.version_info[0] == 2 else iter19)
+            for iter25 in self.loading:
+                oprot.writeString(iter25.encode('utf-8') if sys.version_info[0] == 2 else iter25)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.adapters_epoch is not None:
@@ -760,8 +772,8 @@
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.prefixes))
-            for iter20 in self.prefixes:
-                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
+            for iter26 in self.prefixes:
+                oprot.writeString(iter26.encode('utf-8') if sys.version_info[0] == 2 else iter26)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.eviction_value is not None:
@@ -772,6 +784,13 @@
             oprot.writeFieldBegin('free_slots', TType.I32, 12)
             oprot.writeI32(self.free_slots)
             oprot.writeFieldEnd()
+        if self.queued_by_rank is not None:
+            oprot.writeFieldBegin('queued_by_rank', TType.LIST, 13)
+            oprot.writeListBegin(TType.I32, len(self.queued_by_rank))
+            for iter27 in self.queued_by_rank:
+                oprot.writeI32(iter27)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -976,10 +995,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.tokens = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.tokens.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.tokens.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1067,8 +1086,8 @@
         if self.tokens is not None:
             oprot.writeFieldBegin('tokens', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.tokens))
-            for iter27 in self.tokens:
-                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
+            for iter34 in self.tokens:
+                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
@@ -1179,11 +1198,11 @@
             elif fid == 4:
                 if ftype == TType.MAP:
                     self.acknowledged = {}
-                    (_ktype29, _vtype30, _size28) = iprot.readMapBegin()
-                    for _i32 in range(_size28):
-                        _key33 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val34 = iprot.readI32()
-                        self.acknowledged[_key33] = _val34
+                    (_ktype36, _vtype37, _size35) = iprot.readMapBegin()
+                    for _i39 in range(_size35):
+                        _key40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val41 = iprot.readI32()
+                        self.acknowledged[_key40] = _val41
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1217,9 +1236,9 @@
         if self.acknowledged is not None:
             oprot.writeFieldBegin('acknowledged', TType.MAP, 4)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.acknowledged))
-            for kiter35, viter36 in self.acknowledged.items():
-                oprot.writeString(kiter35.encode('utf-8') if sys.version_info[0] == 2 else kiter35)
-                oprot.writeI32(viter36)
+            for kiter42, viter43 in self.acknowledged.items():
+                oprot.writeString(kiter42.encode('utf-8') if sys.version_info[0] == 2 else kiter42)
+                oprot.writeI32(viter43)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.adapters_epoch is not None:
@@ -1273,11 +1292,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.frames = []
-                    (_etype40, _size37) = iprot.readListBegin()
-                    for _i41 in range(_size37):
-                        _elem42 = AnswerFrame()
-                        _elem42.read(iprot)
-                        self.frames.append(_elem42)
+                    (_etype47, _size44) = iprot.readListBegin()
+                    for _i48 in range(_size44):
+                        _elem49 = AnswerFrame()
+                        _elem49.read(iprot)
+                        self.frames.append(_elem49)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1310,8 +1329,8 @@
         if self.frames is not None:
             oprot.writeFieldBegin('frames', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.frames))
-            for iter43 in self.frames:
-                iter43.write(oprot)
+            for iter50 in self.frames:
+                iter50.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.load is not None:
@@ -1748,11 +1767,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype47, _size44) = iprot.readListBegin()
-                    for _i48 in range(_size44):
-                        _elem49 = ViewItem()
-                        _elem49.read(iprot)
-                        self.items.append(_elem49)
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = ViewItem()
+                        _elem56.read(iprot)
+                        self.items.append(_elem56)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1781,8 +1800,8 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter50 in self.items:
-                iter50.write(oprot)
+            for iter57 in self.items:
+                iter57.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2253,11 +2272,12 @@
      - in_progress
      - finished
      - wait_ms
+     - unused
 
     """
 
 
-    def __init__(self, member_id=None, incarnation=None, site=None, wants=None, in_progress=None, finished=None, wait_ms=None,):
+    def __init__(self, member_id=None, incarnation=None, site=None, wants=None, in_progress=None, finished=None, wait_ms=None, unused=None,):
         self.member_id = member_id
         self.incarnation = incarnation
         self.site = site
@@ -2265,6 +2285,7 @@
         self.in_progress = in_progress
         self.finished = finished
         self.wait_ms = wait_ms
+        self.unused = unused
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2293,31 +2314,31 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.wants = []
-                    (_etype54, _size51) = iprot.readListBegin()
-                    for _i55 in range(_size51):
-                        _elem56 = LoadWant()
-                        _elem56.read(iprot)
-                        self.wants.append(_elem56)
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = LoadWant()
+                        _elem63.read(iprot)
+                        self.wants.append(_elem63)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.in_progress = []
-                    (_etype60, _size57) = iprot.readListBegin()
-                    for _i61 in range(_size57):
-                        _elem62 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.in_progress.append(_elem62)
+                    (_etype67, _size64) = iprot.readListBegin()
+                    for _i68 in range(_size64):
+                        _elem69 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.in_progress.append(_elem69)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.finished = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.finished.append(_elem68)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.finished.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2326,6 +2347,16 @@
                     self.wait_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.unused = []
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.unused.append(_elem81)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2351,28 +2382,35 @@
         if self.wants is not None:
             oprot.writeFieldBegin('wants', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.wants))
-            for iter69 in self.wants:
-                iter69.write(oprot)
+            for iter82 in self.wants:
+                iter82.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.in_progress is not None:
             oprot.writeFieldBegin('in_progress', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.in_progress))
-            for iter70 in self.in_progress:
-                oprot.writeString(iter70.encode('utf-8') if sys.version_info[0] == 2 else iter70)
+            for iter83 in self.in_progress:
+                oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.finished is not None:
             oprot.writeFieldBegin('finished', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.finished))
-            for iter71 in self.finished:
-                oprot.writeString(iter71.encode('utf-8') if sys.version_info[0] == 2 else iter71)
+            for iter84 in self.finished:
+                oprot.writeString(iter84.encode('utf-8') if sys.version_info[0] == 2 else iter84)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wait_ms is not None:
             oprot.writeFieldBegin('wait_ms', TType.I32, 7)
             oprot.writeI32(self.wait_ms)
             oprot.writeFieldEnd()
+        if self.unused is not None:
+            oprot.writeFieldBegin('unused', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRING, len(self.unused))
+            for iter85 in self.unused:
+                oprot.writeString(iter85.encode('utf-8') if sys.version_info[0] == 2 else iter85)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2414,10 +2452,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.granted = []
-                    (_etype75, _size72) = iprot.readListBegin()
-                    for _i76 in range(_size72):
-                        _elem77 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.granted.append(_elem77)
+                    (_etype89, _size86) = iprot.readListBegin()
+                    for _i90 in range(_size86):
+                        _elem91 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.granted.append(_elem91)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2434,8 +2472,8 @@
         if self.granted is not None:
             oprot.writeFieldBegin('granted', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.granted))
-            for iter78 in self.granted:
-                oprot.writeString(iter78.encode('utf-8') if sys.version_info[0] == 2 else iter78)
+            for iter92 in self.granted:
+                oprot.writeString(iter92.encode('utf-8') if sys.version_info[0] == 2 else iter92)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2605,6 +2643,7 @@
     (10, TType.LIST, 'prefixes', (TType.STRING, 'UTF8', False), None, ),  # 10
     (11, TType.DOUBLE, 'eviction_value', None, None, ),  # 11
     (12, TType.I32, 'free_slots', None, None, ),  # 12
+    (13, TType.LIST, 'queued_by_rank', (TType.I32, None, False), None, ),  # 13
 )
 all_structs.append(OrderReceipt)
 OrderReceipt.thrift_spec = (
@@ -2742,6 +2781,7 @@
     (5, TType.LIST, 'in_progress', (TType.STRING, 'UTF8', False), None, ),  # 5
     (6, TType.LIST, 'finished', (TType.STRING, 'UTF8', False), None, ),  # 6
     (7, TType.I32, 'wait_ms', None, None, ),  # 7
+    (8, TType.LIST, 'unused', (TType.STRING, 'UTF8', False), None, ),  # 8
 )
 all_structs.append(PermitReply)
 PermitReply.thrift_spec = (
--- a/src/hemlockkeel/_internal/standins/dev.py
+++ b/src/hemlockkeel/_internal/standins/dev.py
@@ -60,6 +60,7 @@
     eviction_policy: eviction.EvictionPolicy = dataclasses.field(
         default_factory=eviction.LeastRate
     )
+    preloads: bool = True
     load_order: load_queue.LoadOrder = dataclasses.field(
         default_factory=load_queue.WaitingWork
     )
@@ -175,6 +176,7 @@
                     kind=kind,
                     max_queued=self.settings.max_queued,
                     eviction_policy=self.settings.eviction_policy,
+                    preloads=self.settings.preloads,
                 ),
                 self.counters,
             )
--- a/src/hemlockkeel_bench/declare.py
+++ b/src/hemlockkeel_bench/declare.py
@@ -44,12 +44,16 @@
         return reply
 
 
+def make_operator(cluster: dev.DevCluster) -> OperatorCall:
+    """Return the operators' interface of a development cluster."""
+    control = cluster.controls[0]
+    return OperatorCall(control.admin_url, cluster.settings.admin_token)
+
+
 def apply_items(
-    cluster: dev.DevCluster, wanted: files.ItemMap, change_id: str
+    operator: OperatorCall, wanted: files.ItemMap, change_id: str
 ) -> float:
     """Apply items and return the seconds until they are in force."""
-    control = cluster.controls[0]
-    operator = OperatorCall(control.admin_url, cluster.settings.admin_token)
     state = operator.send("GET", "/v1/config")
     begun = time.monotonic()
     reply = operator.send(
@@ -88,7 +92,8 @@
             )
         },
     )
-    return apply_items(cluster, files.make_base_items(base), "bushline")
+    wanted = files.make_base_items(base)
+    return apply_items(make_operator(cluster), wanted, "bushline")
 
 
 def count_items(wanted: files.ItemMap, kind: items.Kind) -> int:
--- /dev/null
+++ b/src/hemlockkeel_bench/hosts.py
@@ -0,0 +1,207 @@
+"""Processes of a benchmark: control, groups of targets, entries.
+
+``python -m hemlockkeel_bench.hosts KIND SPEC`` starts one, prints a JSON
+line that says where it listens, and stops when its standard input closes.
+"""
+
+import contextlib
+import json
+import logging as std_logging
+import pathlib
+import subprocess
+import sys
+import tempfile
+import typing
+
+from absl import logging
+import msgspec
+
+from hemlockkeel._internal.agent import process as agent_process
+from hemlockkeel._internal.cli import standin
+from hemlockkeel._internal.control import process as control_process
+from hemlockkeel._internal.entry import process as entry_process
+from hemlockkeel._internal.standins import dev
+from hemlockkeel._internal.standins import engine
+from hemlockkeel._internal.standins import engine_app
+from hemlockkeel._internal.standins import weight_store
+from hemlockkeel._internal.utils import metrics
+from hemlockkeel._internal.utils import web_server
+from hemlockkeel_bench import policies
+
+SERVICE = "bench-engines"
+WEIGHT_THREADS = 32
+STOP_TIMEOUT_S = 15.0
+FENCE_FREE_BODY = 4 * 1024 * 1024
+
+
+class Spec(msgspec.Struct, frozen=True):
+    """What a host process needs to know."""
+
+    policy: str = "default"
+    site: str = "bench"
+    data_centres: list[str] = msgspec.field(default_factory=lambda: ["dc"])
+    control: str = ""
+    weights: str = ""
+    loads_per_second: float = 4.0
+    first: int = 0
+    count: int = 1
+    batch_slots: int = 8
+    adapter_slots: int = 6
+    step_s: float = 0.05
+    max_in_flight: int = 256
+
+    def get_data_centre(self, number: int) -> str:
+        """Return the data centre of the n-th process of a role."""
+        return self.data_centres[number % len(self.data_centres)]
+
+
+class Host(typing.NamedTuple):
+    """A running host process as its parent sees it."""
+
+    process: subprocess.Popen[str]
+    where: dict[str, typing.Any]
+
+    def stop(self) -> None:
+        """End the process."""
+        if self.process.stdin is not None:
+            self.process.stdin.close()
+        try:
+            self.process.wait(STOP_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            self.process.wait()
+
+
+def start_host(kind: str, spec: Spec) -> Host:
+    """Start a host process and wait until it listens."""
+    process = subprocess.Popen(
+        [
+            sys.executable,
+            "-m",
+            "hemlockkeel_bench.hosts",
+            kind,
+            msgspec.json.encode(spec).decode(),
+        ],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    assert process.stdout is not None
+    line = process.stdout.readline()
+    if not line:
+        raise RuntimeError(f"the {kind} process did not start")
+    return Host(process, json.loads(line))
+
+
+def run_control(spec: Spec, stack: contextlib.ExitStack) -> dict[str, str]:
+    """Run a control member and the weight store."""
+    folder = stack.enter_context(
+        tempfile.TemporaryDirectory(prefix="hemlockkeel-bench-")
+    )
+    control = control_process.ControlProcess(
+        control_process.ControlSettings(
+            data_dir=pathlib.Path(folder),
+            secret=dev.DEV_SECRET,
+            admin_token=dev.DEV_TOKEN,
+            bootstrap=True,
+            load_order=policies.make_policy(spec.policy).load_order,
+        ),
+        metrics.Metrics(),
+    )
+    store = weight_store.WeightStore(spec.loads_per_second)
+    web = web_server.WebServer(
+        weight_store.WeightStoreApp(store),
+        "127.0.0.1",
+        0,
+        WEIGHT_THREADS,
+        FENCE_FREE_BODY,
+    )
+    web.start()
+    control.start()
+    stack.callback(control.stop)
+    stack.callback(web.stop)
+    return {
+        "control": control.address,
+        "admin": control.admin_url,
+        "weights": web.address,
+    }
+
+
+def run_targets(
+    spec: Spec, stack: contextlib.ExitStack
+) -> dict[str, list[str]]:
+    """Run a group of stand-in engines with their agents."""
+    policy = policies.make_policy(spec.policy)
+    addresses = []
+    for number in range(spec.first, spec.first + spec.count):
+        stand_in = engine.StandInEngine(
+            engine.EngineOptions(
+                base_model="bench-7b",
+                batch_slots=spec.batch_slots,
+                adapter_slots=spec.adapter_slots,
+                step_s=spec.step_s,
+                seed=number,
+            ),
+            standin.RemoteWeights(spec.weights).fetch,
+        )
+        target = dev.StandInTarget(
+            f"{SERVICE}-{number}", engine_app.EngineApp(stand_in), stand_in
+        )
+        agent = agent_process.AgentProcess(
+            agent_process.AgentSettings(
+                target_id=target.target_id,
+                service=SERVICE,
+                target_address=target.web.address,
+                control=[spec.control],
+                secret=dev.DEV_SECRET,
+                data_centre=spec.get_data_centre(number),
+                site=spec.site,
+                eviction_policy=policy.eviction,
+                preloads=policy.preloads,
+            ),
+            metrics.Metrics(),
+        )
+        agent.start()
+        stack.callback(target.stop)
+        stack.callback(agent.stop)
+        addresses.append(target.web.address)
+    return {"engines": addresses}
+
+
+def run_entry(spec: Spec, stack: contextlib.ExitStack) -> dict[str, str]:
+    """Run one entry."""
+    policy = policies.make_policy(spec.policy)
+    entry = entry_process.EntryProcess(
+        entry_process.EntrySettings(
+            member_id=f"entry-{spec.first}",
+            control=[spec.control],
+            secret=dev.DEV_SECRET,
+            data_centre=spec.get_data_centre(spec.first),
+            site=spec.site,
+            max_in_flight=spec.max_in_flight,
+            balancer_notice_s=0.0,
+            router=policy.router,
+        ),
+        metrics.Metrics(),
+    )
+    entry.start()
+    stack.callback(entry.stop)
+    return {"entry": entry.url}
+
+
+KINDS = {"control": run_control, "targets": run_targets, "entry": run_entry}
+
+
+def main() -> None:
+    """Run one host until standard input closes."""
+    logging.set_verbosity(logging.ERROR)
+    std_logging.getLogger("waitress").setLevel(std_logging.CRITICAL)
+    spec = msgspec.json.decode(sys.argv[2], type=Spec)
+    with contextlib.ExitStack() as stack:
+        where = KINDS[sys.argv[1]](spec, stack)
+        print(json.dumps(where), flush=True)
+        sys.stdin.read()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/hemlockkeel_bench/policies.py
@@ -0,0 +1,39 @@
+"""The policies that runs compare."""
+
+import typing
+
+from hemlockkeel._internal.policy import eviction
+from hemlockkeel._internal.policy import load_queue
+from hemlockkeel._internal.policy import routing
+
+
+class Policy(typing.NamedTuple):
+    """Decision classes of one run."""
+
+    name: str
+    router: routing.Router
+    eviction: eviction.EvictionPolicy
+    load_order: load_queue.LoadOrder
+    holds: bool
+    preloads: bool
+
+
+def make_policy(name: str) -> Policy:
+    """Return the baseline or the default policy."""
+    if name == "baseline":
+        return Policy(
+            name,
+            routing.LeastLoaded(),
+            eviction.LeastRecentlyUsed(),
+            load_queue.FirstCome(),
+            False,
+            False,
+        )
+    return Policy(
+        name,
+        routing.LeastCost(),
+        eviction.LeastRate(),
+        load_queue.WaitingWork(),
+        True,
+        True,
+    )
--- /dev/null
+++ b/src/hemlockkeel_bench/profiles.py
@@ -0,0 +1,211 @@
+"""Workloads: arrivals with skewed and shifting popularity, and bursts."""
+
+import bisect
+import dataclasses
+import itertools
+import random
+
+from hemlockkeel._internal.models import declarations
+
+ADAPTERS = 3000
+ZIPF_EXPONENT = 1.1
+SHIFT_EVERY = 400
+SHIFT_COUNT = 6
+SHIFT_TOP = 30
+URGENT_ADAPTERS = 10
+
+
+@dataclasses.dataclass(frozen=True)
+class Profile:
+    """Sizes and rates of one user's workload; times are seconds."""
+
+    name: str
+    site: str
+    data_centres: tuple[str, ...]
+    replicas: int
+    entries: int
+    loads_per_second: float
+    batch_slots: int
+    adapter_slots: int
+    step_s: float
+    mean_tokens: int
+    # Arrivals a second of ordinary work.
+    rate: float
+    # Arrivals a second of urgent work, outside and inside bursts.
+    urgent_rate: float
+    burst_rate: float
+    burst_every_s: float
+    burst_s: float
+    priority: declarations.Priority
+    stall_weight: float
+    batch_weight: float
+    hold_ms: int
+
+
+BUSHLINE = Profile(
+    name="bushline",
+    site="tas-north",
+    data_centres=("launceston-hall", "devonport-hall", "burnie-hall"),
+    replicas=9,
+    entries=3,
+    loads_per_second=4.0,
+    batch_slots=8,
+    adapter_slots=6,
+    step_s=0.05,
+    mean_tokens=30,
+    rate=6.0,
+    urgent_rate=1.0,
+    burst_rate=12.0,
+    burst_every_s=20.0,
+    burst_s=5.0,
+    priority=declarations.Priority.LOW,
+    stall_weight=0.9,
+    batch_weight=0.1,
+    hold_ms=400,
+)
+
+SUMMONS = Profile(
+    name="summons",
+    site="hanoi",
+    data_centres=("hoan-kiem", "cau-giay", "long-bien", "ha-dong"),
+    replicas=6,
+    entries=4,
+    loads_per_second=3.0,
+    batch_slots=8,
+    adapter_slots=8,
+    step_s=0.1,
+    mean_tokens=80,
+    # 0.95 of what six replicas of eight places finish in 8.1 s each.
+    rate=5.63,
+    urgent_rate=0.0,
+    burst_rate=0.0,
+    burst_every_s=20.0,
+    burst_s=0.0,
+    priority=declarations.Priority.NORMAL,
+    stall_weight=0.2,
+    batch_weight=0.8,
+    hold_ms=800,
+)
+
+PROFILES = {profile.name: profile for profile in (BUSHLINE, SUMMONS)}
+
+
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """One request of a workload."""
+
+    number: int
+    at: float
+    model: str
+    tokens: int
+    urgent: bool
+
+
+class Popularity:
+    """Zipf popularity over adapters, with shifts at the top."""
+
+    def __init__(self, rng: random.Random, shifts: bool) -> None:
+        self.rng = rng
+        self.shifts = shifts
+        weights = (1.0 / (n + 1) ** ZIPF_EXPONENT for n in range(ADAPTERS))
+        self.cumulative = list(itertools.accumulate(weights))
+        self.order = list(range(ADAPTERS))
+        rng.shuffle(self.order)
+        self.drawn = 0
+
+    def draw(self) -> int:
+        """Return the number of the next adapter."""
+        self.drawn += 1
+        if self.shifts and self.drawn % SHIFT_EVERY == 0:
+            self.shift()
+        point = self.rng.random() * self.cumulative[-1]
+        rank = bisect.bisect(self.cumulative, point)
+        return self.order[min(rank, ADAPTERS - 1)]
+
+    def shift(self) -> None:
+        """Exchange some of the most popular adapters for others."""
+        for rank in self.rng.sample(range(SHIFT_TOP), SHIFT_COUNT):
+            other = self.rng.randrange(SHIFT_TOP, ADAPTERS)
+            order = self.order
+            order[rank], order[other] = order[other], order[rank]
+
+
+def make_arrivals(
+    profile: Profile, seconds: float, seed: int, shifts: bool
+) -> list[Arrival]:
+    """Return the arrivals of a run, the same for the same seed."""
+    rng = random.Random(seed)
+    popularity = Popularity(rng, shifts)
+    times = draw_times(rng, profile.rate, 0.0, seconds)
+    found = [(at, f"club-{popularity.draw():04}@1", False) for at in times]
+    found += draw_urgent(rng, profile, seconds)
+    found.sort()
+    return [
+        Arrival(number, at, model, draw_tokens(rng, profile), urgent)
+        for number, (at, model, urgent) in enumerate(found)
+    ]
+
+
+def draw_times(
+    rng: random.Random, rate: float, start: float, end: float
+) -> list[float]:
+    """Return Poisson arrival times."""
+    times: list[float] = []
+    if rate <= 0:
+        return times
+    at = start + rng.expovariate(rate)
+    while at < end:
+        times.append(at)
+        at += rng.expovariate(rate)
+    return times
+
+
+def draw_urgent(
+    rng: random.Random, profile: Profile, seconds: float
+) -> list[tuple[float, str, bool]]:
+    """Return urgent work: steady over open events, bursts before closes."""
+    names = [f"check-{number:04}@1" for number in range(URGENT_ADAPTERS)]
+    found = [
+        (at, rng.choice(names), True)
+        for at in draw_times(rng, profile.urgent_rate, 0.0, seconds)
+    ]
+    start = profile.burst_every_s
+    while profile.burst_s and start < seconds:
+        closing = rng.sample(names, 2)
+        end = min(seconds, start + profile.burst_s)
+        found += [
+            (at, rng.choice(closing), True)
+            for at in draw_times(rng, profile.burst_rate, start, end)
+        ]
+        start += profile.burst_every_s
+    return found
+
+
+def draw_tokens(rng: random.Random, profile: Profile) -> int:
+    """Return the length of an answer, half to one and a half the mean."""
+    low, high = profile.mean_tokens // 2, profile.mean_tokens * 3 // 2
+    return rng.randint(low, high)
+
+
+def count_clairvoyant_loads(models: list[str], slots: int) -> int:
+    """Return the loads of a cache that knows the future.
+
+    It evicts the adapter whose next use is farthest away. Source: Belady,
+    "A Study of Replacement Algorithms for a Virtual-Storage Computer",
+    1966.
+    """
+    never = len(models)
+    following: dict[str, int] = {}
+    next_use = [never] * len(models)
+    for place in range(len(models) - 1, -1, -1):
+        next_use[place] = following.get(models[place], never)
+        following[models[place]] = place
+    held: dict[str, int] = {}
+    loads = 0
+    for place, model in enumerate(models):
+        if model not in held:
+            loads += 1
+            if len(held) >= slots:
+                del held[max(held, key=lambda name: held[name])]
+        held[model] = next_use[place]
+    return loads
