--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,8 @@
 	$(BIN)/python examples/demo.py
 
 test: $(VENV)/.installed
-	$(BIN)/python -m unittest discover -s tests -t .
+	$(BIN)/python -W ignore::ResourceWarning -m unittest \
+	    discover -s tests -t .
 
 lint: $(VENV)/.installed
 	$(BIN)/ruff check src tests examples
--- a/idl/hemlockkeel.thrift
+++ b/idl/hemlockkeel.thrift
@@ -59,6 +59,8 @@
   24: double popularity,
   25: i32 hold_ms,
   26: double stall_weight,
+  // Stream of the owner that reads the answer.
+  27: string reader,
 }
 
 struct LoadReport {
@@ -105,12 +107,14 @@
   14: i32 load_stall_us,
   15: binary payload,
   16: string content_type,
+  17: string reader,
 }
 
 struct PollRequest {
   1: string owner,
   2: i64 owner_incarnation,
   3: i32 wait_ms,
+  // Offsets that each of the owner's streams has read.
   4: map<string, i32> acknowledged,
   5: i64 adapters_epoch,
 }
@@ -130,14 +134,16 @@
   // Refuse the request if it arrives after this call.
   5: bool block_if_unknown,
   6: i32 attempt,
+  7: string reader,
 }
 
 struct CancelRequest {
   1: string request_id,
   2: i32 attempt,
-  // Only the entry that reads the answer may cancel it.
+  // A run that others read too goes on.
   3: string owner,
   4: i64 owner_incarnation,
+  5: string reader,
 }
 
 struct AttachReply {
--- a/src/hemlockkeel/_internal/agent/answers.py
+++ b/src/hemlockkeel/_internal/agent/answers.py
@@ -4,6 +4,7 @@
 its connection, or comes back through another entry, reads on where it was.
 """
 
+import copy
 import dataclasses
 import threading
 import time
@@ -20,25 +21,50 @@
 TOMBSTONE_S = 600.0
 MAX_FRAMES_PER_POLL = 512
 
+Owner = tuple[str, int]
+"""An entry and its incarnation."""
+
+ReaderKey = tuple[str, int, str]
+"""An entry, its incarnation and the name of its stream."""
+
+
+@dataclasses.dataclass
+class Reader:
+    """One stream of an entry that reads an answer."""
+
+    owner: Owner
+    name: str
+    sent: int = 0
+    acknowledged: int = 0
+    end_sent: bool = False
+
 
 @dataclasses.dataclass
 class Answer:
-    """One attempt's answer so far."""
+    """One attempt's answer so far, and who reads it."""
 
     request_id: str
     attempt: int
     content_digest: str
-    owner: tuple[str, int]
     adapter: str
     adapter_version: str
+    readers: dict[ReaderKey, Reader] = dataclasses.field(default_factory=dict)
     tokens: list[str] = dataclasses.field(default_factory=list)
     end: ttypes.AnswerFrame | None = None
     ended_at: float = 0.0
-    sent: int = 0
-    acknowledged: int = 0
-    end_sent: bool = False
     load_stall_us: int = 0
 
+    def has_more(self, reader: Reader) -> bool:
+        """Tell whether a reader has not been sent everything."""
+        unsent_end = self.end is not None and not reader.end_sent
+        return reader.sent < len(self.tokens) or unsent_end
+
+    def is_read(self) -> bool:
+        """Tell whether the answer has ended and all readers have it."""
+        if self.end is None:
+            return False
+        return all(reader.end_sent for reader in self.readers.values())
+
 
 @dataclasses.dataclass(frozen=True)
 class Tombstone:
@@ -54,6 +80,7 @@
     def __init__(self, lock: threading.RLock) -> None:
         # A condition of its own: a token wakes only its reader.
         self.changed = threading.Condition(lock)
+        # Names of streams with something to send.
         self.dirty: dict[str, None] = {}
 
 
@@ -63,7 +90,7 @@
     def __init__(self) -> None:
         self.changed = threading.RLock()
         self.answers: dict[str, Answer] = {}
-        self.outboxes: dict[tuple[str, int], Outbox] = {}
+        self.outboxes: dict[Owner, Outbox] = {}
         # Attempts that must not run if they arrive later.
         self.tombstones: dict[str, Tombstone] = {}
         # Counts changes of load that pollers wait for.
@@ -85,17 +112,28 @@
                     outcomes.RefusalCode.STALE_TARGET,
                     "the request was withdrawn before it arrived",
                 )
-            self.answers[order.request_id] = Answer(
+            answer = Answer(
                 order.request_id,
                 order.attempt,
                 order.content_digest,
-                (order.owner, order.owner_incarnation),
                 order.adapter,
                 order.adapter_version,
-                tokens=[],
             )
+            self.answers[order.request_id] = answer
+            owner = (order.owner, order.owner_incarnation)
+            self.add_reader(answer, owner, order.reader, 0)
         return None
 
+    def add_reader(
+        self, answer: Answer, owner: Owner, name: str, offset: int
+    ) -> None:
+        """Let a stream read an answer from an offset."""
+        offset = min(offset, len(answer.tokens))
+        reader = Reader(owner, name, offset, offset)
+        answer.readers[*owner, name] = reader
+        if answer.has_more(reader):
+            self.mark(reader)
+
     def discard(self, request_id: str) -> None:
         """Forget an answer whose order was refused."""
         with self.changed:
@@ -112,7 +150,7 @@
             if offset != len(answer.tokens):
                 return False
             answer.tokens.extend(tokens)
-            self.mark(answer)
+            self.mark_all(answer)
             return True
 
     def end(self, frame: ttypes.AnswerFrame) -> bool:
@@ -128,16 +166,21 @@
             frame.load_stall_us = answer.load_stall_us
             answer.end = frame
             answer.ended_at = time.monotonic()
-            self.mark(answer)
+            self.mark_all(answer)
             return True
 
-    def mark(self, answer: Answer) -> None:
-        """Note that an answer has something to send."""
-        outbox = self.get_outbox(answer.owner)
-        outbox.dirty[answer.request_id] = None
+    def mark_all(self, answer: Answer) -> None:
+        """Note that an answer has something for each of its readers."""
+        for reader in answer.readers.values():
+            self.mark(reader)
+
+    def mark(self, reader: Reader) -> None:
+        """Note that there is something for a reader."""
+        outbox = self.get_outbox(reader.owner)
+        outbox.dirty[reader.name] = None
         outbox.changed.notify_all()
 
-    def get_outbox(self, owner: tuple[str, int]) -> Outbox:
+    def get_outbox(self, owner: Owner) -> Outbox:
         """Return an owner's outbox; the lock is held."""
         outbox = self.outboxes.get(owner)
         if outbox is None:
@@ -156,7 +199,7 @@
 
     def poll(
         self,
-        owner: tuple[str, int],
+        owner: Owner,
         acknowledged: dict[str, int],
         wait_s: float,
     ) -> list[ttypes.AnswerFrame]:
@@ -173,35 +216,35 @@
                     return frames
                 outbox.changed.wait(remaining)
 
-    def acknowledge(
-        self, owner: tuple[str, int], acknowledged: dict[str, int]
-    ) -> None:
-        """Note how far an owner has read each answer."""
-        for request_id, offset in acknowledged.items():
-            answer = self.answers.get(request_id)
-            if answer is None or answer.owner != owner:
+    def acknowledge(self, owner: Owner, acknowledged: dict[str, int]) -> None:
+        """Note how far an owner's streams have read."""
+        for name, offset in acknowledged.items():
+            answer = self.answers.get(get_request_id(name))
+            reader = answer and answer.readers.get((*owner, name))
+            if answer is None or not reader:
                 continue
-            answer.acknowledged = max(answer.acknowledged, offset)
-            if has_more(answer):
-                self.mark(answer)
+            reader.acknowledged = max(reader.acknowledged, offset)
+            if answer.has_more(reader):
+                self.mark(reader)
 
     def collect(
-        self, outbox: Outbox, owner: tuple[str, int]
+        self, outbox: Outbox, owner: Owner
     ) -> list[ttypes.AnswerFrame]:
         """Take the frames that are due to an owner."""
         frames: list[ttypes.AnswerFrame] = []
         while outbox.dirty and len(frames) < MAX_FRAMES_PER_POLL:
-            request_id = next(iter(outbox.dirty))
-            del outbox.dirty[request_id]
-            answer = self.answers.get(request_id)
-            if answer is not None and answer.owner == owner:
-                frames.extend(take_frames(answer))
+            name = next(iter(outbox.dirty))
+            del outbox.dirty[name]
+            answer = self.answers.get(get_request_id(name))
+            reader = answer and answer.readers.get((*owner, name))
+            if answer is not None and reader:
+                frames.extend(take_frames(answer, reader))
         return frames
 
     def attach(
         self, request: ttypes.AttachRequest
     ) -> tuple[Answer | None, bool]:
-        """Send an answer to a new owner from an offset.
+        """Let another stream read an answer from an offset.
 
         Returns the answer, or whether the request is now blocked from ever
         running here.
@@ -212,11 +255,8 @@
                 if request.block_if_unknown:
                     self.block(request.request_id, request.attempt)
                 return None, request.block_if_unknown
-            answer.owner = (request.owner, request.owner_incarnation)
-            answer.sent = min(request.offset, len(answer.tokens))
-            answer.acknowledged = answer.sent
-            answer.end_sent = False
-            self.mark(answer)
+            owner = (request.owner, request.owner_incarnation)
+            self.add_reader(answer, owner, request.reader, request.offset)
             return answer, False
 
     def block(self, request_id: str, attempt: int) -> None:
@@ -225,11 +265,14 @@
             attempt, time.monotonic() + TOMBSTONE_S
         )
 
-    def is_owner(self, request_id: str, owner: tuple[str, int]) -> bool:
-        """Tell whether an entry reads this answer."""
+    def remove_reader(self, request_id: str, owner: Owner, name: str) -> bool:
+        """Forget a stream; tell whether the answer has no reader left."""
         with self.changed:
             answer = self.answers.get(request_id)
-            return answer is not None and answer.owner == owner
+            if answer is None:
+                return False
+            answer.readers.pop((*owner, name), None)
+            return not answer.readers
 
     # Housekeeping
 
@@ -270,41 +313,45 @@
         """Return how many answers have not ended or not been read."""
         with self.changed:
             return sum(
-                1
-                for answer in self.answers.values()
-                if answer.end is None or not answer.end_sent
+                1 for answer in self.answers.values() if not answer.is_read()
             )
 
 
-def has_more(answer: Answer) -> bool:
-    """Tell whether an answer has something that was not sent."""
-    return answer.sent < len(answer.tokens) or (
-        answer.end is not None and not answer.end_sent
-    )
+def make_reader_name(request_id: str, number: int) -> str:
+    """Return the name of an entry's n-th stream, which reads a request."""
+    return f"{request_id}#{number}"
+
+
+def get_request_id(reader_name: str) -> str:
+    """Return the request that a stream reads."""
+    return reader_name.rpartition("#")[0]
 
 
-def take_frames(answer: Answer) -> list[ttypes.AnswerFrame]:
-    """Return the next frames of an answer within its window."""
+def take_frames(answer: Answer, reader: Reader) -> list[ttypes.AnswerFrame]:
+    """Return a reader's next frames within its window."""
     frames = []
-    limit = min(len(answer.tokens), answer.acknowledged + WINDOW_TOKENS)
-    if answer.sent < limit:
+    limit = min(len(answer.tokens), reader.acknowledged + WINDOW_TOKENS)
+    if reader.sent < limit:
         frames.append(
             ttypes.AnswerFrame(
                 request_id=answer.request_id,
                 attempt=answer.attempt,
-                offset=answer.sent,
+                offset=reader.sent,
                 kind=ttypes.FrameKind.TOKENS,
-                tokens=answer.tokens[answer.sent : limit],
+                tokens=answer.tokens[reader.sent : limit],
                 adapter=answer.adapter,
                 adapter_version=answer.adapter_version,
                 load_stall_us=answer.load_stall_us,
+                reader=reader.name,
             )
         )
-        answer.sent = limit
-    if answer.end is not None and answer.sent == len(answer.tokens):
-        if not answer.end_sent:
-            frames.append(answer.end)
-            answer.end_sent = True
+        reader.sent = limit
+    if answer.end is not None and reader.sent == len(answer.tokens):
+        if not reader.end_sent:
+            end = copy.copy(answer.end)
+            end.reader = reader.name
+            frames.append(end)
+            reader.end_sent = True
     return frames
 
 
--- a/src/hemlockkeel/_internal/agent/service.py
+++ b/src/hemlockkeel/_internal/agent/service.py
@@ -131,9 +131,12 @@
         )
 
     def cancel(self, request: ttypes.CancelRequest) -> bool:
-        """Stop an attempt, if the caller is the one that reads it."""
+        """Stop an attempt once nobody reads it any more."""
         assert self.backend is not None
         owner = (request.owner, request.owner_incarnation)
-        if not self.store.is_owner(request.request_id, owner):
+        unread = self.store.remove_reader(
+            request.request_id, owner, request.reader
+        )
+        if not unread:
             return False
         return self.backend.cancel(request.request_id, request.attempt)
--- a/src/hemlockkeel/_internal/entry/dispatcher.py
+++ b/src/hemlockkeel/_internal/entry/dispatcher.py
@@ -138,8 +138,9 @@
         """Return the target for a request; None when there is none."""
         spec = request.spec
         base_model = spec.base_model if spec else ""
+        name = str(request.ref) if request.ref else request.prefix
         views = self.fleet.find_views(
-            request.target_service, base_model, excluded
+            request.target_service, base_model, name, excluded
         )
         return self.router.choose(
             routing.RouteRequest(
@@ -199,7 +200,7 @@
                 if not self.abandoned or self.abandoned[0][0] > now:
                     return
                 _, attempt = self.abandoned.popleft()
-            attempt.link.cancel(attempt.stream.request_id, attempt.number)
+            attempt.link.cancel(attempt.stream)
 
 
 class RequestRun:
@@ -422,6 +423,7 @@
         """Send a work order."""
         stream = link.open(self.request_id, number, 0)
         order = self.make_order(target_id, incarnation, number, resume_attempt)
+        order.reader = stream.name
         try:
             receipt = link.submit(order)
         except exceptions.UnreachableError:
--- a/src/hemlockkeel/_internal/entry/fleet.py
+++ b/src/hemlockkeel/_internal/entry/fleet.py
@@ -5,6 +5,7 @@
 from hemlockkeel._internal.entry import links
 from hemlockkeel._internal.follower import follower
 from hemlockkeel._internal.models import members
+from hemlockkeel._internal.policy import placement
 from hemlockkeel._internal.policy import routing
 from hemlockkeel._internal.rpc import client
 from hemlockkeel._internal.rpc.gen.hk import Agent
@@ -26,7 +27,9 @@
         self.secret = secret
         self.counters = counters
         self.lock = threading.Lock()
+        self.epoch = -1
         self.links: dict[str, links.AgentLink] = {}
+        self.placement = placement.Placement()
         self.stopping = threading.Event()
         self.thread = threading.Thread(
             target=self.run, name="fleet", daemon=True
@@ -55,6 +58,7 @@
         """Open links to new targets and close those of removed ones."""
         catalog = self.follow.catalog
         with catalog.lock:
+            self.epoch = catalog.members_epoch
             wanted = {
                 member.description.target.target_id: member
                 for member in catalog.members.values()
@@ -74,6 +78,7 @@
                 del self.links[target.target_id]
             for target_id, member in wanted.items():
                 self.keep(target_id, member)
+            self.placement.set_targets(group_by_service(wanted))
         for link in gone:
             link.stop()
 
@@ -94,6 +99,7 @@
             rpc,
             self.follow.description.member_id,
             lambda: self.follow.incarnation,
+            lambda names: self.note_adapters(target_id, names),
             self.counters,
         )
         self.links[target_id] = link
@@ -105,26 +111,54 @@
             return self.links.get(target_id)
 
     def count_holders(self, name: str) -> int:
-        """Return how many targets hold an adapter."""
+        """Return how many targets hold or load an adapter."""
         with self.lock:
-            return sum(
-                1 for link in self.links.values() if name in link.adapter_set
-            )
+            return len(self.placement.holders.get(name))
+
+    def note_adapters(self, target_id: str, names: frozenset[str]) -> None:
+        """Learn what a target holds or loads."""
+        with self.lock:
+            if target_id in self.links:
+                self.placement.holders.update(target_id, names)
 
     def find_views(
-        self, service: str, base_model: str, excluded: frozenset[str]
+        self,
+        service: str,
+        base_model: str,
+        name: str,
+        excluded: frozenset[str],
     ) -> list[routing.TargetView]:
-        """Return what is known of the targets that may get new work."""
+        """Return what is known of the targets worth costing.
+
+        ``name`` is the adapter that a request needs, or its prefix.
+        """
+        if self.epoch != self.follow.catalog.members_epoch:
+            # A version counts as in force here once it is confirmed, so a
+            # drain must hold from that moment on.
+            self.reconcile()
         with self.lock:
-            candidates = list(self.links.items())
-        views = []
-        for target_id, link in candidates:
-            if target_id in excluded or not is_usable(
-                link, service, base_model
-            ):
-                continue
-            views.append(make_view(target_id, link))
-        return views
+            candidates = [
+                (target_id, self.links[target_id])
+                for target_id in self.placement.find_candidates(service, name)
+                if target_id not in excluded and target_id in self.links
+            ]
+        return [
+            make_view(target_id, link)
+            for target_id, link in candidates
+            if is_usable(link, service, base_model)
+        ]
+
+
+def group_by_service(
+    wanted: dict[str, members.Member],
+) -> dict[str, list[str]]:
+    """Return target ids by the service they serve."""
+    grouped: dict[str, list[str]] = {}
+    for target_id, member in sorted(wanted.items()):
+        assert member.description.target is not None
+        service = member.description.target.service
+        grouped.setdefault(service, []).append(target_id)
+    return grouped
 
 
 def is_usable(link: links.AgentLink, service: str, base_model: str) -> bool:
--- a/src/hemlockkeel/_internal/entry/links.py
+++ b/src/hemlockkeel/_internal/entry/links.py
@@ -11,6 +11,7 @@
 import time
 
 from hemlockkeel._internal import exceptions
+from hemlockkeel._internal.agent import answers
 from hemlockkeel._internal.models import members
 from hemlockkeel._internal.rpc import client
 from hemlockkeel._internal.rpc.gen.hk import ttypes
@@ -35,7 +36,10 @@
 class Stream:
     """Frames of one attempt, in order."""
 
-    def __init__(self, request_id: str, attempt: int, offset: int) -> None:
+    def __init__(
+        self, name: str, request_id: str, attempt: int, offset: int
+    ) -> None:
+        self.name = name
         self.request_id = request_id
         self.attempt = attempt
         self.received = offset
@@ -84,15 +88,18 @@
         rpc: client.RpcClient,
         owner: str,
         get_owner_incarnation: collections.abc.Callable[[], int],
+        note_adapters: collections.abc.Callable[[frozenset[str]], None],
         counters: metrics.Metrics,
     ) -> None:
         self.member = member
         self.rpc = rpc
         self.owner = owner
         self.get_owner_incarnation = get_owner_incarnation
+        self.note_adapters = note_adapters
         self.counters = counters
         self.lock = threading.Lock()
         self.streams: dict[str, Stream] = {}
+        self.opened = 0
         self.load: ttypes.LoadReport | None = None
         self.adapter_set: frozenset[str] = frozenset()
         self.loading_set: frozenset[str] = frozenset()
@@ -139,7 +146,7 @@
         """Poll once."""
         with self.lock:
             acknowledged = {
-                stream.request_id: stream.consumed
+                stream.name: stream.consumed
                 for stream in self.streams.values()
             }
         reply: ttypes.PollReply = self.rpc.call(
@@ -165,7 +172,7 @@
     def deliver(self, frame: ttypes.AnswerFrame) -> None:
         """Hand a frame to its stream, or drop and count it."""
         with self.lock:
-            stream = self.streams.get(frame.request_id)
+            stream = self.streams.get(frame.reader)
         if stream is None or not stream.take(frame):
             self.counters.count(metrics.Counter.FRAMES_DROPPED)
 
@@ -179,6 +186,8 @@
                 self.adapter_set = frozenset(load.adapters)
                 self.loading_set = frozenset(load.loading)
                 self.prefix_set = frozenset(load.prefixes)
+        if load.adapters is not None:
+            self.note_adapters(self.adapter_set | self.loading_set)
         self.reachable_at = time.monotonic()
         self.reachable = True
 
@@ -217,6 +226,7 @@
                 self.get_owner_incarnation(),
                 block,
                 stream.attempt,
+                stream.name,
             ),
             timeout_s=SUBMIT_TIMEOUT_S,
         )
@@ -224,16 +234,17 @@
 
     def open(self, request_id: str, attempt: int, offset: int) -> Stream:
         """Register a stream before its order is sent."""
-        stream = Stream(request_id, attempt, offset)
         with self.lock:
-            self.streams[request_id] = stream
+            self.opened += 1
+            name = answers.make_reader_name(request_id, self.opened)
+            stream = Stream(name, request_id, attempt, offset)
+            self.streams[name] = stream
         return stream
 
     def forget(self, stream: Stream) -> None:
         """Stop delivering to a stream."""
         with self.lock:
-            if self.streams.get(stream.request_id) is stream:
-                del self.streams[stream.request_id]
+            self.streams.pop(stream.name, None)
 
     def submit(self, order: ttypes.WorkOrder) -> ttypes.OrderReceipt:
         """Send a work order.
@@ -249,10 +260,14 @@
         self.note_load(receipt.load)
         return receipt
 
-    def cancel(self, request_id: str, attempt: int) -> None:
-        """Cancel an attempt, if this entry still reads it."""
+    def cancel(self, stream: Stream) -> None:
+        """Stop reading; the agent cancels what nobody reads."""
         request = ttypes.CancelRequest(
-            request_id, attempt, self.owner, self.get_owner_incarnation()
+            stream.request_id,
+            stream.attempt,
+            self.owner,
+            self.get_owner_incarnation(),
+            stream.name,
         )
         try:
             self.rpc.call("cancel", request, timeout_s=SUBMIT_TIMEOUT_S)
--- a/src/hemlockkeel/_internal/rpc/gen/hk/ttypes.py
+++ b/src/hemlockkeel/_internal/rpc/gen/hk/ttypes.py
@@ -285,11 +285,12 @@
      - popularity
      - hold_ms
      - stall_weight
+     - reader
 
     """
 
 
-    def __init__(self, request_id=None, attempt=None, owner=None, owner_incarnation=None, target_id=None, target_incarnation=None, adapter=None, adapter_version=None, base_model=None, body=None, content_digest=None, idempotent=None, priority=None, deadline_ms=None, suspect=None, view_version=None, path=None, method=None, session=None, session_sequence=None, resume_attempt=None, caller=None, deployment=None, popularity=None, hold_ms=None, stall_weight=None,):
+    def __init__(self, request_id=None, attempt=None, owner=None, owner_incarnation=None, target_id=None, target_incarnation=None, adapter=None, adapter_version=None, base_model=None, body=None, content_digest=None, idempotent=None, priority=None, deadline_ms=None, suspect=None, view_version=None, path=None, method=None, session=None, session_sequence=None, resume_attempt=None, caller=None, deployment=None, popularity=None, hold_ms=None, stall_weight=None, reader=None,):
         self.request_id = request_id
         self.attempt = attempt
         self.owner = owner
@@ -316,6 +317,7 @@
         self.popularity = popularity
         self.hold_ms = hold_ms
         self.stall_weight = stall_weight
+        self.reader = reader
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -456,6 +458,11 @@
                     self.stall_weight = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 27:
+                if ftype == TType.STRING:
+                    self.reader = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -570,6 +577,10 @@
             oprot.writeFieldBegin('stall_weight', TType.DOUBLE, 26)
             oprot.writeDouble(self.stall_weight)
             oprot.writeFieldEnd()
+        if self.reader is not None:
+            oprot.writeFieldBegin('reader', TType.STRING, 27)
+            oprot.writeString(self.reader.encode('utf-8') if sys.version_info[0] == 2 else self.reader)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -941,11 +952,12 @@
      - load_stall_us
      - payload
      - content_type
+     - reader
 
     """
 
 
-    def __init__(self, request_id=None, attempt=None, offset=None, kind=None, tokens=None, digest=None, length=None, verdict=None, code=None, message=None, status=None, adapter=None, adapter_version=None, load_stall_us=None, payload=None, content_type=None,):
+    def __init__(self, request_id=None, attempt=None, offset=None, kind=None, tokens=None, digest=None, length=None, verdict=None, code=None, message=None, status=None, adapter=None, adapter_version=None, load_stall_us=None, payload=None, content_type=None, reader=None,):
         self.request_id = request_id
         self.attempt = attempt
         self.offset = offset
@@ -962,6 +974,7 @@
         self.load_stall_us = load_stall_us
         self.payload = payload
         self.content_type = content_type
+        self.reader = reader
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1057,6 +1070,11 @@
                     self.content_type = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.STRING:
+                    self.reader = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1134,6 +1152,10 @@
             oprot.writeFieldBegin('content_type', TType.STRING, 16)
             oprot.writeString(self.content_type.encode('utf-8') if sys.version_info[0] == 2 else self.content_type)
             oprot.writeFieldEnd()
+        if self.reader is not None:
+            oprot.writeFieldBegin('reader', TType.STRING, 17)
+            oprot.writeString(self.reader.encode('utf-8') if sys.version_info[0] == 2 else self.reader)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1372,17 +1394,19 @@
      - owner_incarnation
      - block_if_unknown
      - attempt
+     - reader
 
     """
 
 
-    def __init__(self, request_id=None, offset=None, owner=None, owner_incarnation=None, block_if_unknown=None, attempt=None,):
+    def __init__(self, request_id=None, offset=None, owner=None, owner_incarnation=None, block_if_unknown=None, attempt=None, reader=None,):
         self.request_id = request_id
         self.offset = offset
         self.owner = owner
         self.owner_incarnation = owner_incarnation
         self.block_if_unknown = block_if_unknown
         self.attempt = attempt
+        self.reader = reader
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1423,6 +1447,11 @@
                     self.attempt = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.reader = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1457,6 +1486,10 @@
             oprot.writeFieldBegin('attempt', TType.I32, 6)
             oprot.writeI32(self.attempt)
             oprot.writeFieldEnd()
+        if self.reader is not None:
+            oprot.writeFieldBegin('reader', TType.STRING, 7)
+            oprot.writeString(self.reader.encode('utf-8') if sys.version_info[0] == 2 else self.reader)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1482,15 +1515,17 @@
      - attempt
      - owner
      - owner_incarnation
+     - reader
 
     """
 
 
-    def __init__(self, request_id=None, attempt=None, owner=None, owner_incarnation=None,):
+    def __init__(self, request_id=None, attempt=None, owner=None, owner_incarnation=None, reader=None,):
         self.request_id = request_id
         self.attempt = attempt
         self.owner = owner
         self.owner_incarnation = owner_incarnation
+        self.reader = reader
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1521,6 +1556,11 @@
                     self.owner_incarnation = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.reader = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1547,6 +1587,10 @@
             oprot.writeFieldBegin('owner_incarnation', TType.I64, 4)
             oprot.writeI64(self.owner_incarnation)
             oprot.writeFieldEnd()
+        if self.reader is not None:
+            oprot.writeFieldBegin('reader', TType.STRING, 5)
+            oprot.writeString(self.reader.encode('utf-8') if sys.version_info[0] == 2 else self.reader)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2627,6 +2671,7 @@
     (24, TType.DOUBLE, 'popularity', None, None, ),  # 24
     (25, TType.I32, 'hold_ms', None, None, ),  # 25
     (26, TType.DOUBLE, 'stall_weight', None, None, ),  # 26
+    (27, TType.STRING, 'reader', 'UTF8', None, ),  # 27
 )
 all_structs.append(LoadReport)
 LoadReport.thrift_spec = (
@@ -2674,6 +2719,7 @@
     (14, TType.I32, 'load_stall_us', None, None, ),  # 14
     (15, TType.STRING, 'payload', 'BINARY', None, ),  # 15
     (16, TType.STRING, 'content_type', 'UTF8', None, ),  # 16
+    (17, TType.STRING, 'reader', 'UTF8', None, ),  # 17
 )
 all_structs.append(PollRequest)
 PollRequest.thrift_spec = (
@@ -2701,6 +2747,7 @@
     (4, TType.I64, 'owner_incarnation', None, None, ),  # 4
     (5, TType.BOOL, 'block_if_unknown', None, None, ),  # 5
     (6, TType.I32, 'attempt', None, None, ),  # 6
+    (7, TType.STRING, 'reader', 'UTF8', None, ),  # 7
 )
 all_structs.append(CancelRequest)
 CancelRequest.thrift_spec = (
@@ -2709,6 +2756,7 @@
     (2, TType.I32, 'attempt', None, None, ),  # 2
     (3, TType.STRING, 'owner', 'UTF8', None, ),  # 3
     (4, TType.I64, 'owner_incarnation', None, None, ),  # 4
+    (5, TType.STRING, 'reader', 'UTF8', None, ),  # 5
 )
 all_structs.append(AttachReply)
 AttachReply.thrift_spec = (
--- a/src/hemlockkeel/_internal/standins/dev.py
+++ b/src/hemlockkeel/_internal/standins/dev.py
@@ -1,5 +1,6 @@
 """All roles and stand-ins as threads of one process."""
 
+import collections.abc
 import contextlib
 import dataclasses
 import pathlib
@@ -7,6 +8,8 @@
 import time
 
 from hemlockkeel._internal.agent import process as agent_process
+from hemlockkeel._internal.consensus import core
+from hemlockkeel._internal.consensus import messages
 from hemlockkeel._internal.control import process as control_process
 from hemlockkeel._internal.entry import process as entry_process
 from hemlockkeel._internal.follower import follower
@@ -66,6 +69,20 @@
     )
 
 
+def wait_until(
+    condition: collections.abc.Callable[[], bool], what: str
+) -> None:
+    """Wait until a condition holds.
+
+    :raises TimeoutError: when that takes too long.
+    """
+    deadline = time.monotonic() + READY_TIMEOUT_S
+    while not condition():
+        if time.monotonic() > deadline:
+            raise TimeoutError(f"not reached in time: {what}")
+        time.sleep(POLL_S)
+
+
 class StandInTarget:
     """A stand-in engine or plain service with its web server."""
 
@@ -205,22 +222,66 @@
         """Start everything and wait until the entries are ready."""
         for control in self.controls:
             control.start()
+        self.join_controls()
         for agent in self.agents:
             agent.start()
         for entry in self.entries:
             entry.start()
         self.wait_until_ready()
 
+    def join_controls(self) -> None:
+        """Add the other control members to the first one's cluster."""
+        leader = self.controls[0]
+        wait_until(leader.node.has_lease, "the first control member leads")
+        for control in self.controls[1:]:
+            peer = messages.Peer(
+                control.node.member_id, control.address, False
+            )
+            wait_until(
+                lambda peer=peer: self.add_peer(peer),  # type: ignore[misc]
+                "a control member is added",
+            )
+
+    def add_peer(self, peer: messages.Peer) -> bool:
+        """Propose a member if need be; tell whether it votes."""
+        node = self.controls[0].node
+        with node.lock:
+            membership = node.core.membership
+        known = membership.get(peer.member_id)
+        if known is None:
+            grown = messages.Membership([*membership.peers, peer])
+            node.propose(
+                core.make_membership_entry(grown),
+                messages.EntryKind.MEMBERSHIP,
+            )
+            return False
+        return known.voter
+
+    def find_leader(self) -> control_process.ControlProcess | None:
+        """Return the control member that leads."""
+        for control in self.controls:
+            if control.node.has_lease() and control.service.leading:
+                return control
+        return None
+
+    def restart_agent(self, number: int) -> None:
+        """Stop an agent at once and start another beside its target."""
+        old = self.agents[number]
+        old.stop()
+        self.agents[number] = agent_process.AgentProcess(
+            old.settings, self.counters
+        )
+        self.agents[number].start()
+
     def wait_until_ready(self) -> None:
         """Wait until each entry is ready and reaches every target.
 
         :raises TimeoutError: when that takes too long.
         """
-        deadline = time.monotonic() + READY_TIMEOUT_S
-        while not all(self.is_ready(entry) for entry in self.entries):
-            if time.monotonic() > deadline:
-                raise TimeoutError("the cluster did not become ready")
-            time.sleep(POLL_S)
+        wait_until(
+            lambda: all(self.is_ready(entry) for entry in self.entries),
+            "every entry is ready",
+        )
 
     def is_ready(self, entry: entry_process.EntryProcess) -> bool:
         """Tell whether an entry serves with all targets."""
--- /dev/null
+++ b/src/hemlockkeel_bench/soak.py
@@ -0,0 +1,75 @@
+"""Long randomised runs: ``python -m hemlockkeel_bench.soak``.
+
+Alternates between the consensus cores under a failing network and the whole
+system with requests while parts fail. Prints what it tried, and exits with 1
+on any violation, naming the seed that brings it back.
+"""
+
+import json
+import logging as std_logging
+import random
+import time
+
+from absl import logging
+import typer
+
+from hemlockkeel._internal import exceptions
+from hemlockkeel_bench import chaos
+from hemlockkeel_bench import raft_world
+
+CORE_ACTIONS = 4_000
+CORES_A_ROUND = 20
+REQUESTS_A_ROUND = 120
+
+
+def run_core(seed: int) -> tuple[int, str]:
+    """Run the consensus cores once; return values accepted and a fault."""
+    rng = random.Random(seed)
+    world = raft_world.World(rng.choice([1, 3, 3, 5]), rng)
+    try:
+        for _ in range(CORE_ACTIONS):
+            raft_world.act_at_random(world)
+        world.settle()
+    except exceptions.InvariantError as fault:
+        return len(world.acknowledged), f"consensus seed {seed}: {fault}"
+    return len(world.acknowledged), ""
+
+
+def main(seed: int = 7, minutes: float = 2.0) -> None:
+    """Run until the time is over."""
+    logging.set_verbosity(logging.FATAL)
+    std_logging.getLogger("waitress").setLevel(std_logging.CRITICAL)
+    end = time.monotonic() + minutes * 60.0
+    violations: list[str] = []
+    round_seed = seed * 1_000
+    while time.monotonic() < end:
+        accepted = 0
+        for number in range(CORES_A_ROUND):
+            values, fault = run_core(round_seed + number)
+            accepted += values
+            violations += [fault] if fault else []
+        print(
+            json.dumps(
+                {
+                    "consensus_seeds": [
+                        round_seed,
+                        round_seed + CORES_A_ROUND - 1,
+                    ],
+                    "actions": CORES_A_ROUND * CORE_ACTIONS,
+                    "accepted": accepted,
+                }
+            ),
+            flush=True,
+        )
+        figures, faults = chaos.measure(round_seed, REQUESTS_A_ROUND)
+        print(json.dumps(figures), flush=True)
+        violations += [f"system seed {round_seed}: {f}" for f in faults]
+        round_seed += CORES_A_ROUND
+    for violation in violations:
+        print(f"VIOLATION {violation}", flush=True)
+    print(f"{len(violations)} violations", flush=True)
+    raise typer.Exit(1 if violations else 0)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/src/hemlockkeel_bench/streams.py
@@ -0,0 +1,133 @@
+"""Processor time of entries and agents against concurrent streams."""
+
+import concurrent.futures
+import contextlib
+import dataclasses
+import http.client
+import json
+import pathlib
+import time
+import typing
+import urllib.parse
+
+import msgspec
+
+from hemlockkeel._internal.models import declarations
+from hemlockkeel._internal.standins import dev
+from hemlockkeel._internal.state import files
+from hemlockkeel_bench import declare
+from hemlockkeel_bench import hosts
+from hemlockkeel_bench import load
+
+TOKENS = 100
+STEP_S = 0.026
+REQUEST_TIMEOUT_S = 120.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Role:
+    """A host process whose processor time is read."""
+
+    name: str
+    host: hosts.Host
+
+    def get_cpu_s(self) -> float:
+        """Return the processor seconds used so far."""
+        stat = pathlib.Path(f"/proc/{self.host.process.pid}/stat").read_text()
+        fields = stat.rpartition(")")[2].split()
+        # User and system time follow eleven fields after the state.
+        return sum(int(value) for value in fields[11:13]) / 100.0
+
+
+def measure(count: int) -> dict[str, typing.Any]:
+    """Run streams at once; return processor time a token by role."""
+    spec = hosts.Spec(
+        step_s=STEP_S,
+        batch_slots=count,
+        adapter_slots=4,
+        loads_per_second=50.0,
+        # Normal priority may fill 0.85 of an entry's places.
+        max_in_flight=2 * count,
+    )
+    with contextlib.ExitStack() as stack:
+        control = start(stack, "control", spec)
+        spec = msgspec.structs.replace(
+            spec,
+            control=control.where["control"],
+            weights=control.where["weights"],
+        )
+        targets = start(stack, "targets", spec)
+        entry = start(stack, "entry", spec)
+        operator = declare.OperatorCall(control.where["admin"], dev.DEV_TOKEN)
+        url = entry.where["entry"]
+        dev.wait_until(lambda: is_ready(url, operator), "the entry is ready")
+        declare.apply_items(operator, make_items(), "streams")
+        roles = [Role("entry", entry), Role("targets", targets)]
+        before = [role.get_cpu_s() for role in roles]
+        begun = time.monotonic()
+        with concurrent.futures.ThreadPoolExecutor(count) as pool:
+            list(pool.map(lambda n: run_stream(url, n), range(count)))
+        elapsed = time.monotonic() - begun
+        used = [
+            role.get_cpu_s() - earlier
+            for role, earlier in zip(roles, before, strict=True)
+        ]
+    tokens = count * TOKENS
+    return {
+        "streams": count,
+        "tokens_per_s": round(tokens / elapsed, 1),
+        "entry_us_a_token": round(used[0] / tokens * 1e6, 1),
+        "engine_and_agent_us_a_token": round(used[1] / tokens * 1e6, 1),
+        "stretch": round(elapsed / (TOKENS * STEP_S), 3),
+    }
+
+
+def start(
+    stack: contextlib.ExitStack, kind: str, spec: hosts.Spec
+) -> hosts.Host:
+    """Start a host process that ends with the stack."""
+    host = hosts.start_host(kind, spec)
+    stack.callback(host.stop)
+    return host
+
+
+def is_ready(url: str, operator: declare.OperatorCall) -> bool:
+    """Tell whether the entry serves and its target is registered."""
+    if not load.call_json(f"{url}/readyz")["ready"]:
+        return False
+    return bool(operator.send("GET", "/v1/targets")["targets"])
+
+
+def make_items() -> files.ItemMap:
+    """Return a configuration with one deployment."""
+    return files.make_base_items(
+        declarations.BaseFile(
+            sites={"bench": declarations.Site(["dc"], 50.0)},
+            deployments={
+                "d": declarations.DeclaredDeployment(
+                    base_model="bench-7b",
+                    service=hosts.SERVICE,
+                    adapters=["a@1", "b@1"],
+                )
+            },
+        )
+    )
+
+
+def run_stream(url: str, number: int) -> None:
+    """Read one stream to its end."""
+    parts = urllib.parse.urlsplit(url)
+    connection = http.client.HTTPConnection(
+        parts.hostname or "", parts.port, timeout=REQUEST_TIMEOUT_S
+    )
+    body = {
+        "model": "a@1",
+        "prompt": f"stream {number}",
+        "max_tokens": TOKENS,
+        "stream": True,
+    }
+    with contextlib.closing(connection):
+        connection.request("POST", "/v1/completions", json.dumps(body))
+        data = connection.getresponse().read()
+    if b"[DONE]" not in data:
+        raise RuntimeError(f"stream {number} ended early: {data[-300:]!r}")
--- /dev/null
+++ b/tests/functional/test_control.py
@@ -0,0 +1,400 @@
+"""Control members as processes: histories, kills, replacement."""
+
+import collections.abc
+import concurrent.futures
+import dataclasses
+import http.client
+import json
+import pathlib
+import random
+import signal
+import tempfile
+import threading
+import time
+import unittest
+
+from tests.lib import calls
+from tests.lib import clusters
+from tests.lib import history
+from tests.lib import processes
+
+# A frozen member answers nothing; a client then turns to another one.
+CALL_TIMEOUT_S = 1.0
+RUN_LIMIT_S = 90.0
+MIN_ACCEPTED = 3
+ITEM = "base/deployment/d1"
+BASE = """
+[sites.north]
+data_centres = ["a"]
+[deployments.d1]
+base_model = "m"
+service = "s"
+"""
+
+
+def make_value(number: int) -> str:
+    """Return a value of the item that names its writer."""
+    return json.dumps({"base_model": f"m{number}", "service": "s"})
+
+
+class Client:
+    """Reads and changes one item, and writes down what it saw."""
+
+    def __init__(self, urls: list[str], number: int, seed: int) -> None:
+        self.operators = [
+            clusters.Operator(url, processes.TOKEN, CALL_TIMEOUT_S)
+            for url in urls
+        ]
+        self.number = number
+        self.rng = random.Random(seed * 100 + number)
+        self.operations: list[history.Operation] = []
+        self.written = 0
+
+    def call(self, method: str, path: str, body: object = None) -> object:
+        """Return a good reply's JSON, or None when there is no answer."""
+        operator = self.rng.choice(self.operators)
+        try:
+            if method == "GET":
+                reply = operator.get(path)
+            else:
+                reply = operator.post(path, body)
+        except (OSError, http.client.HTTPException):
+            return None
+        return None if reply.status == 503 else reply.json()
+
+    def read(self) -> dict[str, object] | None:
+        """Read the item once."""
+        begun = time.monotonic()
+        found = self.call("GET", "/v1/config")
+        if not isinstance(found, dict):
+            return None
+        self.operations.append(
+            history.Operation(
+                history.Kind.READ,
+                begun,
+                time.monotonic(),
+                history.Outcome.OK,
+                found["version"],
+                found["items"][ITEM],
+            )
+        )
+        return found
+
+    def write(self) -> None:
+        """Change the item from what a read showed; resend until told."""
+        seen = self.read()
+        if seen is None:
+            return
+        self.written += 1
+        number = self.number * 1000 + self.written
+        value = make_value(number)
+        body = {
+            "change_id": f"c{number}",
+            "operator": f"client-{self.number}",
+            "read_version": seen["version"],
+            "writes": {ITEM: value},
+        }
+        begun = time.monotonic()
+        reply = None
+        for _ in range(40):
+            reply = self.call("POST", "/v1/changes", body)
+            if isinstance(reply, dict) and "status" in reply:
+                break
+            threading.Event().wait(0.05)
+        operation = history.Operation(
+            history.Kind.WRITE,
+            begun,
+            time.monotonic(),
+            history.Outcome.UNKNOWN,
+            0,
+            value,
+            int(str(seen["version"])),
+            f"c{number}",
+        )
+        if isinstance(reply, dict) and "status" in reply:
+            accepted = reply["status"] == "ok"
+            operation = dataclasses.replace(
+                operation,
+                outcome=history.Outcome.OK
+                if accepted
+                else history.Outcome.REFUSED,
+                version=reply["version"] if accepted else 0,
+            )
+        self.operations.append(operation)
+
+    def count_accepted(self) -> int:
+        """Return how many of this client's changes were accepted."""
+        return sum(
+            operation.kind is history.Kind.WRITE
+            and operation.outcome is history.Outcome.OK
+            for operation in self.operations
+        )
+
+    def run(self, steps: int) -> None:
+        """Read and write at random until some changes were accepted."""
+        deadline = time.monotonic() + RUN_LIMIT_S
+        pause = threading.Event()
+        while time.monotonic() < deadline:
+            enough = len(self.operations) >= steps
+            if enough and self.count_accepted() >= MIN_ACCEPTED:
+                return
+            before = len(self.operations)
+            if self.rng.random() < 0.5:
+                self.read()
+            else:
+                self.write()
+            if len(self.operations) == before:
+                # No member leads at the moment.
+                pause.wait(0.02)
+
+
+class GroupCase(unittest.TestCase):
+    """Three control members as processes."""
+
+    size = 3
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        self.group = processes.ControlGroup(self.folder, self.size)
+        self.addCleanup(self.group.stop)
+        self.base = self.folder / "base.toml"
+        self.base.write_text(BASE)
+        processes.run_tool("apply", str(self.base), env=self.group.env)
+
+    def read_state(self) -> dict[str, object]:
+        done = processes.run_tool("status", "--json", env=self.group.env)
+        found: dict[str, object] = json.loads(done)
+        return found
+
+
+class TestHistories(GroupCase):
+    """Concurrent changes and reads while members die and freeze."""
+
+    def run_history(
+        self,
+        seed: int,
+        disturb: collections.abc.Callable[[], None],
+        mend: collections.abc.Callable[[], None],
+    ) -> None:
+        urls = [member.admin_url for member in self.group.members]
+        start = Client(urls, 0, seed)
+        calls.wait_until(start.read, "a first read")
+        first = start.operations[0]
+        clients = [Client(urls, n, seed) for n in (1, 2, 3, 4)]
+        done = threading.Event()
+
+        def count() -> int:
+            return sum(len(client.operations) for client in clients)
+
+        def disturb_all() -> None:
+            for threshold in (6, 14, 22):
+                while count() < threshold and not done.wait(0.01):
+                    pass
+                disturb()
+
+        disturber = threading.Thread(target=disturb_all)
+        disturber.start()
+        with concurrent.futures.ThreadPoolExecutor(4) as pool:
+            list(pool.map(lambda client: client.run(10), clients))
+        done.set()
+        disturber.join()
+        mend()
+        operations = [o for c in clients for o in c.operations]
+        faults = history.find_faults(operations, first.version, first.value)
+        self.assertEqual([], faults)
+        accepted = [
+            o
+            for o in operations
+            if o.kind is history.Kind.WRITE and o.outcome is history.Outcome.OK
+        ]
+        self.assertGreaterEqual(len(accepted), 4 * MIN_ACCEPTED)
+        calls.wait_until(start.read, "a last read")
+        newest = max(o.version for o in accepted)
+        self.assertGreaterEqual(start.operations[-1].version, newest)
+
+    def test_leader_is_killed_again_and_again(self) -> None:
+        def kill_leader() -> None:
+            leader = self.group.find_leader()
+            leader.kill()
+            leader.start()
+
+        self.run_history(1, kill_leader, lambda: None)
+
+    def test_leader_freezes_and_wakes_up(self) -> None:
+        frozen: list[processes.ControlDaemon] = []
+
+        def wake() -> None:
+            for member in frozen:
+                member.send(signal.SIGCONT)
+            frozen.clear()
+
+        def freeze_leader() -> None:
+            wake()
+            leader = self.group.find_leader()
+            leader.send(signal.SIGSTOP)
+            frozen.append(leader)
+
+        self.addCleanup(wake)
+        self.run_history(2, freeze_leader, wake)
+
+
+class TestReplacement(GroupCase):
+    """Lost members and lost disks."""
+
+    def test_second_loss_right_after_a_repair_loses_nothing(self) -> None:
+        before = self.read_state()
+        lost = self.group.members[2]
+        lost.kill()
+        blank = processes.ControlDaemon(self.folder / "m9", False)
+        self.group.members.append(blank)
+        processes.run_tool(
+            "control",
+            "replace",
+            lost.member_id,
+            blank.member_id,
+            "--address",
+            blank.address,
+            env=self.group.env,
+        )
+        # Now another of the old members goes, with its disk.
+        self.group.members[1].kill()
+        after = self.read_state()
+        self.assertEqual(before["version"], after["version"])
+        self.assertEqual(before["counts"], after["counts"])
+        self.base.write_text(BASE + "[services.more]\n")
+        processes.run_tool("apply", str(self.base), env=self.group.env)
+
+    def test_without_quorum_nothing_is_accepted(self) -> None:
+        leader = self.group.find_leader()
+        others = [m for m in self.group.members if m is not leader]
+        for member in others:
+            member.kill()
+        self.base.write_text(BASE + "[services.more]\n")
+        done = processes.run_tool_any(
+            "apply", str(self.base), env=self.group.env
+        )
+        self.assertEqual(5, done.returncode, done.stderr)
+        self.assertIn("no control leader", done.stderr)
+        for member in others:
+            member.start()
+        processes.run_tool("apply", str(self.base), env=self.group.env)
+
+
+class TestCatchUp(GroupCase):
+    """A member that returns after hundreds of changes."""
+
+    def test_member_returns_by_snapshot(self) -> None:
+        lost = self.group.members[2]
+        leader = self.group.find_leader()
+        if lost is leader:
+            lost = self.group.members[1]
+        lost.kill()
+        operator = clusters.Operator(leader.admin_url, processes.TOKEN)
+        for number in range(300):
+            body = {
+                "change_id": f"c{number}",
+                "operator": "tester",
+                "read_version": 10**9,
+                "writes": {ITEM: make_value(number)},
+            }
+            reply = operator.post("/v1/changes", body)
+            self.assertEqual(200, reply.status, reply.body)
+        lost.start()
+        own = clusters.Operator(lost.admin_url, processes.TOKEN)
+        commit = operator.get("/v1/control").json()["commit"]
+        calls.wait_until(
+            lambda: own.get("/v1/control").json()["commit"] >= commit,
+            "the member caught up",
+        )
+
+
+class TestBackup(GroupCase):
+    """Backup and restore of the whole state."""
+
+    size = 1
+
+    def test_restored_cluster_goes_on_with_larger_versions(self) -> None:
+        before = self.read_state()
+        copy = str(self.folder / "copy")
+        processes.run_tool("backup", copy, env=self.group.env)
+        self.group.members[0].kill()
+        folder = self.folder / "restored"
+        listening = self.group.members[0].address
+        processes.run_tool(
+            "restore",
+            copy,
+            "--data-dir",
+            str(folder),
+            "--address",
+            listening,
+        )
+        member = self.group.members[0]
+        words = list(member.words)
+        words[words.index(str(member.folder))] = str(folder)
+        member.words = tuple(w for w in words if w != "--bootstrap")
+        member.start()
+        after = self.read_state()
+        self.assertEqual(before["counts"], after["counts"])
+        self.assertGreater(after["view_version"], before["view_version"])
+        self.base.write_text(BASE + "[services.more]\n")
+        done = processes.run_tool(
+            "apply", str(self.base), "--json", env=self.group.env
+        )
+        version = json.loads(done.splitlines()[-1])["version"]
+        self.assertGreater(version, after["view_version"])
+
+
+class TestChecker(unittest.TestCase):
+    """The history checker itself."""
+
+    def make(
+        self,
+        kind: history.Kind,
+        begun: float,
+        ended: float,
+        version: int,
+        value: str,
+        **changes: object,
+    ) -> history.Operation:
+        return history.Operation(
+            kind,
+            begun,
+            ended,
+            history.Outcome.OK,
+            version,
+            value,
+            **changes,
+        )
+
+    def test_good_history(self) -> None:
+        read, write = history.Kind.READ, history.Kind.WRITE
+        good = [
+            self.make(read, 0, 1, 1, "a"),
+            self.make(write, 1, 4, 5, "b", read_version=1, change_id="x"),
+            self.make(read, 2, 3, 5, "b"),
+            self.make(write, 6, 7, 5, "b", read_version=1, change_id="x"),
+        ]
+        self.assertEqual([], history.find_faults(good, 1, "a"))
+
+    def test_bad_histories(self) -> None:
+        read, write = history.Kind.READ, history.Kind.WRITE
+        first = self.make(write, 1, 2, 5, "b", read_version=1, change_id="x")
+        bad = {
+            "stale read": self.make(read, 3, 4, 1, "a"),
+            "wrong value": self.make(read, 3, 4, 5, "a"),
+            "lost update": self.make(
+                write, 3, 4, 7, "c", read_version=1, change_id="y"
+            ),
+            "two outcomes": self.make(
+                write, 3, 4, 8, "b", read_version=5, change_id="x"
+            ),
+            "shared version": self.make(
+                write, 1, 4, 5, "z", read_version=1, change_id="z"
+            ),
+        }
+        for name, operation in bad.items():
+            with self.subTest(name):
+                faults = history.find_faults([first, operation], 1, "a")
+                self.assertNotEqual([], faults)
--- a/tests/lib/calls.py
+++ b/tests/lib/calls.py
@@ -37,11 +37,12 @@
     method: str = "GET",
     body: typing.Any = None,
     headers: dict[str, str] | None = None,
+    timeout_s: float = TIMEOUT_S,
 ) -> Reply:
     """Send one call; a body that is not bytes is sent as JSON."""
     parts = urllib.parse.urlsplit(url)
     connection = http.client.HTTPConnection(
-        parts.hostname, parts.port, timeout=TIMEOUT_S
+        parts.hostname, parts.port, timeout=timeout_s
     )
     path = parts.path + (f"?{parts.query}" if parts.query else "")
     data = body
--- a/tests/lib/clusters.py
+++ b/tests/lib/clusters.py
@@ -57,17 +57,27 @@
 class Operator:
     """Calls the operators' interface."""
 
-    def __init__(self, url: str, token: str = dev.DEV_TOKEN) -> None:
+    def __init__(
+        self,
+        url: str,
+        token: str = dev.DEV_TOKEN,
+        timeout_s: float = calls.TIMEOUT_S,
+    ) -> None:
         self.url = url
+        self.timeout_s = timeout_s
         self.headers = {"Authorization": f"Bearer {token}"}
 
     def get(self, path: str) -> calls.Reply:
         """Read something."""
-        return calls.call(self.url + path, headers=self.headers)
+        return calls.call(
+            self.url + path, headers=self.headers, timeout_s=self.timeout_s
+        )
 
     def post(self, path: str, body: typing.Any) -> calls.Reply:
         """Change something."""
-        return calls.call(self.url + path, "POST", body, self.headers)
+        return calls.call(
+            self.url + path, "POST", body, self.headers, self.timeout_s
+        )
 
     def apply(
         self,
--- /dev/null
+++ b/tests/lib/processes.py
@@ -0,0 +1,208 @@
+"""Real daemons as processes, for tests that kill them."""
+
+import contextlib
+import http.client
+import json
+import os
+import pathlib
+import re
+import signal
+import subprocess
+import sys
+import time
+import typing
+import urllib.parse
+
+SECRET = "test-shared-secret"  # noqa: S105
+TOKEN = "test-operator-token"  # noqa: S105
+BIN = pathlib.Path(sys.executable).parent
+START_TIMEOUT_S = 30.0
+
+
+class Daemon:
+    """One process and the line that says where it listens."""
+
+    def __init__(self, *words: str) -> None:
+        self.words = words
+        self.process: subprocess.Popen[str] | None = None
+        self.line = ""
+        self.start()
+
+    def start(self) -> None:
+        """Start the process and read its first line."""
+        self.process = subprocess.Popen(
+            [str(BIN / self.words[0]), *self.words[1:]],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+            text=True,
+            env={**os.environ, "HEMLOCKKEEL_SECRET": SECRET},
+        )
+        assert self.process.stdout is not None
+        self.line = self.process.stdout.readline()
+        assert self.line, f"{self.words} did not start"
+
+    @property
+    def addresses(self) -> list[str]:
+        """Return every host:port of the first line."""
+        return re.findall(r"\d+\.\d+\.\d+\.\d+:\d+", self.line)
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal."""
+        assert self.process is not None
+        self.process.send_signal(number)
+
+    def kill(self) -> None:
+        """Kill the process at once."""
+        assert self.process is not None
+        self.process.kill()
+        self.process.wait()
+        self.close_pipe()
+
+    def wait(self, timeout_s: float = START_TIMEOUT_S) -> int:
+        """Wait for the end and return the exit code."""
+        assert self.process is not None
+        code = self.process.wait(timeout_s)
+        self.close_pipe()
+        return code
+
+    def close_pipe(self) -> None:
+        """Close the pipe to the process."""
+        if self.process is not None and self.process.stdout is not None:
+            self.process.stdout.close()
+
+    def stop(self) -> None:
+        """End the process, whatever it does."""
+        if self.process is None or self.process.poll() is not None:
+            return
+        with contextlib.suppress(ProcessLookupError):
+            self.send(signal.SIGCONT)
+        self.kill()
+
+
+def get_status(url: str) -> dict[str, typing.Any] | None:
+    """Return a leader's status; None from any other member."""
+    parts = urllib.parse.urlsplit(url)
+    connection = http.client.HTTPConnection(
+        parts.hostname, parts.port, timeout=1.0
+    )
+    headers = {"Authorization": f"Bearer {TOKEN}"}
+    with contextlib.closing(connection):
+        try:
+            connection.request("GET", "/v1/status", headers=headers)
+            response = connection.getresponse()
+            data = response.read()
+        except (OSError, http.client.HTTPException):
+            return None
+    return json.loads(data) if response.status == 200 else None
+
+
+class ControlDaemon(Daemon):
+    """A control member with fixed ports, so that it can restart."""
+
+    def __init__(self, folder: pathlib.Path, bootstrap: bool) -> None:
+        self.folder = folder
+        words = [
+            "hemlockkeeld",
+            "--role",
+            "control",
+            "--data-dir",
+            str(folder),
+            "--admin-token",
+            TOKEN,
+        ]
+        if bootstrap:
+            words.append("--bootstrap")
+        super().__init__(*words)
+        rpc, admin = self.addresses
+        self.address = rpc
+        self.admin_url = f"http://{admin}"
+        self.member_id = re.findall(r"control-\w+", self.line)[0]
+        self.words = (
+            *words[:1],
+            "--port",
+            rpc.rsplit(":", 1)[1],
+            "--admin-port",
+            admin.rsplit(":", 1)[1],
+            *words[1:],
+        )
+
+    def leads(self) -> bool:
+        """Tell whether this member leads now."""
+        assert self.process is not None
+        if self.process.poll() is not None:
+            return False
+        return get_status(self.admin_url) is not None
+
+
+def run_tool(*words: str, env: dict[str, str] | None = None) -> str:
+    """Run the command-line tool and return what it printed."""
+    done = run_tool_any(*words, env=env)
+    assert done.returncode == 0, (words, done.stdout, done.stderr)
+    return done.stdout
+
+
+def run_tool_any(
+    *words: str, env: dict[str, str] | None = None
+) -> subprocess.CompletedProcess[str]:
+    """Run the command-line tool, whatever its exit code."""
+    return subprocess.run(
+        [str(BIN / "hemlockkeel"), *words],
+        capture_output=True,
+        text=True,
+        timeout=120,
+        check=False,
+        env={**os.environ, **(env or {})},
+    )
+
+
+class ControlGroup:
+    """Control members started with the page's commands."""
+
+    def __init__(self, folder: pathlib.Path, size: int) -> None:
+        self.folder = folder
+        self.members = [ControlDaemon(folder / "m0", True)]
+        for number in range(1, size):
+            self.add(number)
+
+    @property
+    def urls(self) -> str:
+        """Return every operators' URL, as the tool takes them."""
+        return ",".join(member.admin_url for member in self.members)
+
+    @property
+    def env(self) -> dict[str, str]:
+        """Return the tool's environment."""
+        return {
+            "HEMLOCKKEEL_CONTROL_URL": self.urls,
+            "HEMLOCKKEEL_ADMIN_TOKEN": TOKEN,
+            "HEMLOCKKEEL_OPERATOR": "tester",
+        }
+
+    def add(self, number: int) -> ControlDaemon:
+        """Start a blank member and add it."""
+        member = ControlDaemon(self.folder / f"m{number}", False)
+        self.members.append(member)
+        run_tool(
+            "control",
+            "add",
+            member.member_id,
+            "--address",
+            member.address,
+            env=self.env,
+        )
+        return member
+
+    def find_leader(self, timeout_s: float = 20.0) -> ControlDaemon:
+        """Return the member that leads now."""
+
+        deadline = time.monotonic() + timeout_s
+        while time.monotonic() < deadline:
+            for member in self.members:
+                if member.leads():
+                    return member
+        raise AssertionError("no leader was found")
+
+    def stop(self) -> None:
+        """End every member."""
+        for member in self.members:
+            member.stop()
