--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 7
 MINUTES ?= 2
 
-.PHONY: demo test lint format idl examples soak bench slopes clean
+.PHONY: demo test lint format idl examples pages soak bench slopes clean
 
 $(VENV)/.installed: pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -19,14 +19,14 @@
 	    discover -s tests -t .
 
 lint: $(VENV)/.installed
-	$(BIN)/ruff check src tests examples
-	$(BIN)/ruff format --check src tests examples
-	$(BIN)/flake8 src tests examples
+	$(BIN)/ruff check src tests examples tools
+	$(BIN)/ruff format --check src tests examples tools
+	$(BIN)/flake8 src tests examples tools
 	$(BIN)/mypy
 
 format: $(VENV)/.installed
-	$(BIN)/ruff check --fix src tests examples
-	$(BIN)/ruff format src tests examples
+	$(BIN)/ruff check --fix src tests examples tools
+	$(BIN)/ruff format src tests examples tools
 
 # Needs Debian's thrift-compiler; the generated code is committed.
 idl:
@@ -40,6 +40,9 @@
 examples: $(VENV)/.installed
 	$(BIN)/python examples/generate.py
 
+pages: $(VENV)/.installed
+	$(BIN)/python -m tools.make_pages
+
 soak: $(VENV)/.installed
 	$(BIN)/python -m hemlockkeel_bench.soak --seed $(SEED) \
 	    --minutes $(MINUTES)
--- a/src/hemlockkeel/_internal/entry/process.py
+++ b/src/hemlockkeel/_internal/entry/process.py
@@ -23,6 +23,9 @@
 # Threads beyond the request limit, so that refusals stay prompt.
 SPARE_THREADS = 16
 HOUSEKEEPING_S = 0.2
+# Bodies up to this many times the limit are read and refused in words; the
+# server breaks the connection of larger ones.
+SERVER_BODY_SHARE = 4
 DRAIN_POLL_S = 0.05
 # The balancer sees not-ready before listening ends.
 BALANCER_NOTICE_S = 1.0
@@ -93,7 +96,7 @@
             settings.host,
             settings.port,
             settings.max_in_flight + SPARE_THREADS,
-            parse.MAX_BODY_BYTES + 1,
+            SERVER_BODY_SHARE * parse.MAX_BODY_BYTES,
         )
         self.thread = threading.Thread(
             target=self.run, name="entry", daemon=True
--- a/src/hemlockkeel/_internal/policy/limits.py
+++ b/src/hemlockkeel/_internal/policy/limits.py
@@ -12,6 +12,8 @@
 # Below this use, a caller may take as much as it likes.
 CONTENDED_SHARE = 0.5
 MIN_CALLER_PLACES = 2
+# One caller alone may fill this share; the rest is for whoever comes next.
+MAX_CALLER_SHARE = 0.75
 RETRY_AFTER_MS = 500
 
 
@@ -55,8 +57,9 @@
         if self.in_flight < self.capacity * CONTENDED_SHARE:
             return False
         active = len(self.by_caller) + (caller not in self.by_caller)
-        share = max(MIN_CALLER_PLACES, math.ceil(self.capacity / active))
-        return self.by_caller[caller] >= share
+        share = min(1.0 / active, MAX_CALLER_SHARE)
+        places = max(MIN_CALLER_PLACES, math.ceil(self.capacity * share))
+        return self.by_caller[caller] >= places
 
     def leave(self, place: Place) -> None:
         """Give a place back."""
--- /dev/null
+++ b/tests/functional/test_bad_input.py
@@ -0,0 +1,252 @@
+"""Bad input: a clear error, nothing lost, the process goes on."""
+
+import pathlib
+import socket
+import subprocess
+import tempfile
+import unittest
+
+from hemlockkeel._internal import exceptions
+from hemlockkeel._internal.entry import parse
+from hemlockkeel._internal.rpc import client
+from hemlockkeel._internal.rpc import frames
+from hemlockkeel._internal.rpc.gen.hk import Agent
+from hemlockkeel._internal.rpc.gen.hk import Control
+from hemlockkeel._internal.standins import dev
+from tests.lib import calls
+from tests.lib import clusters
+from tests.lib import processes
+
+
+class TestCallers(unittest.TestCase):
+    """Malformed calls to an entry and to control."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.cluster = clusters.Cluster()
+        cls.addClassCleanup(cls.cluster.stop)
+
+    def tearDown(self) -> None:
+        reply = calls.complete(self.cluster.url, "check-1@1")
+        self.assertEqual(200, reply.status, "the process goes on")
+
+    def post(self, body: bytes, **headers: str) -> calls.Reply:
+        named = {k.replace("_", "-"): v for k, v in headers.items()}
+        url = f"{self.cluster.url}/v1/completions"
+        return calls.call(url, "POST", body, named)
+
+    def check(self, reply: calls.Reply, code: str, text: str) -> None:
+        self.assertEqual(code, reply.error["code"])
+        self.assertIn(text, reply.error["message"])
+        self.assertEqual("not_run", reply.error["verdict"])
+
+    def test_malformed_json(self) -> None:
+        self.check(self.post(b'{"model": '), "bad_request", "not a valid")
+
+    def test_wrong_type_names_its_path(self) -> None:
+        reply = self.post(b'{"model": "x", "max_tokens": "many"}')
+        self.check(reply, "bad_request", "$.max_tokens")
+
+    def test_missing_prompt(self) -> None:
+        reply = self.post(b'{"model": "check-1@1"}')
+        self.check(reply, "bad_request", "needs a prompt")
+
+    def test_unknown_adapter_and_version(self) -> None:
+        for model in ("nobody@1", "check-1@99", "check-1"):
+            reply = calls.complete(self.cluster.url, model)
+            self.check(reply, "unknown_model", "name@version")
+
+    def test_too_many_tokens(self) -> None:
+        reply = calls.complete(self.cluster.url, "check-1@1", "x", 10**6)
+        self.check(reply, "bad_request", "allows 4096")
+
+    def test_oversize_body(self) -> None:
+        body = b" " * (parse.MAX_BODY_BYTES + 1)
+        self.check(self.post(body), "too_large", "over")
+
+    def test_oversize_header(self) -> None:
+        reply = self.post(b"{}", Idempotency_Key="k" * 100_000)
+        self.assertEqual(431, reply.status)
+
+    def test_bad_headers(self) -> None:
+        body = b'{"model": "check-1@1", "prompt": "x"}'
+        cases = {
+            "Idempotency_Key": "k" * 300,
+            "Hemlockkeel_Priority": "urgent!",
+            "Hemlockkeel_Timeout": "soon",
+            "Last_Event_ID": "nonsense",
+            "Hemlockkeel_Session": "s",
+        }
+        for name, value in cases.items():
+            with self.subTest(name):
+                reply = self.post(body, **{name: value})
+                self.assertEqual("bad_request", reply.error["code"])
+
+    def test_unknown_service_path_and_method(self) -> None:
+        url = self.cluster.url
+        reply = calls.call(f"{url}/services/nothing/x")
+        self.check(reply, "unknown_service", "nothing")
+        self.check(calls.call(f"{url}/nowhere"), "not_found", "/nowhere")
+        reply = calls.call(f"{url}/v1/completions")
+        self.check(reply, "method_not_allowed", "POST")
+
+    def test_operators_need_the_token(self) -> None:
+        wrong = clusters.Operator(self.cluster.operator.url, "wrong")
+        reply = wrong.get("/v1/status")
+        self.assertEqual(401, reply.status)
+        self.assertIn("HEMLOCKKEEL_ADMIN_TOKEN", reply.error["message"])
+
+    def test_malformed_change_is_refused(self) -> None:
+        reply = self.cluster.operator.post("/v1/changes", {"operator": 1})
+        self.assertEqual(400, reply.status)
+        self.assertIn("$", reply.error["message"])
+
+    def test_drain_of_unknown_target(self) -> None:
+        body = {
+            "change_id": "x",
+            "operator": "o",
+            "target_id": "nobody",
+            "drained": True,
+        }
+        reply = self.cluster.operator.post("/v1/drains", body)
+        self.assertEqual(404, reply.status)
+
+
+class TestFrames(unittest.TestCase):
+    """Truncated, oversize and garbage frames between processes."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.cluster = clusters.Cluster(engines=1, plain=0)
+        cls.addClassCleanup(cls.cluster.stop)
+
+    def get_addresses(self) -> list[str]:
+        return [
+            self.cluster.dev.controls[0].address,
+            self.cluster.dev.agents[0].address,
+        ]
+
+    def send(self, address: str, data: bytes) -> bytes:
+        """Send bytes and return what comes back before the end."""
+        host, port = client.parse_address(address)
+        with socket.create_connection((host, port), timeout=10) as sock:
+            sock.sendall(data)
+            sock.shutdown(socket.SHUT_WR)
+            received = b""
+            try:
+                while chunk := sock.recv(4096):
+                    received += chunk
+            except ConnectionResetError:
+                pass
+            return received
+
+    def test_garbage_is_dropped_and_service_goes_on(self) -> None:
+        header = frames.HEADER
+        cases = {
+            "truncated header": b"\x00\x00",
+            "truncated frame": header.pack(100) + b"abc",
+            "oversize": header.pack(frames.MAX_FRAME_BYTES + 1) + b"x",
+            "garbage": header.pack(64) + bytes(range(64)),
+            "huge container": header.pack(8) + b"\xff" * 8,
+            "empty": header.pack(0),
+        }
+        for address in self.get_addresses():
+            for name, data in cases.items():
+                with self.subTest(name):
+                    self.send(address, data)
+        reply = calls.complete(self.cluster.url, "check-1@1")
+        self.assertEqual(200, reply.status, reply.body)
+
+    def test_wrong_secret_is_refused(self) -> None:
+        for address, make in zip(
+            self.get_addresses(),
+            (Control.Client, Agent.Client),
+            strict=True,
+        ):
+            rpc = client.RpcClient(make, address, "a wrong secret", "me")
+            with self.assertRaises(exceptions.UnreachableError) as caught:
+                rpc.call("cancel" if make is Agent.Client else "read", None)
+            self.assertIn("HEMLOCKKEEL_SECRET", str(caught.exception))
+
+    def test_call_without_handshake_is_refused(self) -> None:
+        address = self.get_addresses()[0]
+        host, port = client.parse_address(address)
+        with socket.create_connection((host, port), timeout=10) as sock:
+            connection = client.Connection(sock, Control.Client)
+            with self.assertRaises(
+                (EOFError, OSError, frames.PeerClosedError)
+            ):
+                connection.stub.read(None)
+        rpc = client.RpcClient(Control.Client, address, dev.DEV_SECRET, "me")
+        rpc.connect(10**12).close()
+
+
+class TestTool(unittest.TestCase):
+    """The command-line tool and the daemon's settings."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+
+    def run_apply(self, text: str, *words: str) -> str:
+        path = self.folder / "base.toml"
+        path.write_text(text)
+        env = {"HEMLOCKKEEL_CONTROL_URL": "http://127.0.0.1:9"}
+        done = processes.run_tool_any("apply", str(path), *words, env=env)
+        self.assertEqual(2, done.returncode, done.stderr)
+        return done.stderr
+
+    def test_clash_and_unknown_overlay(self) -> None:
+        base = '[deployments.d]\nbase_model = "m"\nservice = "s"\n'
+        clash = base + 'adapters = ["a@1", "a@1"]\n'
+        self.assertIn("declared twice", self.run_apply(clash))
+        overlay = self.folder / "o.toml"
+        overlay.write_text("")
+        text = self.run_apply(base, "--overlay", f"nowhere={overlay}")
+        self.assertIn("unknown site 'nowhere'", text)
+        self.assertIn("SITE=FILE", self.run_apply(base, "--overlay", "x"))
+
+    def run_daemon(self, *words: str) -> str:
+
+        done = subprocess.run(
+            [str(processes.BIN / "hemlockkeeld"), *words],
+            capture_output=True,
+            text=True,
+            timeout=60,
+            check=False,
+        )
+        self.assertEqual(2, done.returncode, done.stderr)
+        return done.stderr
+
+    def test_all_setting_faults_at_once(self) -> None:
+        text = self.run_daemon("--role", "agent", "--port", "70000")
+        for flag in (
+            "--secret",
+            "--control",
+            "--site",
+            "--target-id",
+            "--port",
+        ):
+            self.assertIn(flag, text)
+
+    def test_data_folder_that_cannot_be_written(self) -> None:
+        blocked = self.folder / "file"
+        blocked.write_text("")
+        text = self.run_daemon(
+            "--role",
+            "control",
+            "--secret",
+            processes.SECRET,
+            "--admin-token",
+            processes.TOKEN,
+            "--data-dir",
+            str(blocked / "data"),
+        )
+        self.assertIn("cannot be written", text)
+
+    def test_no_control_member(self) -> None:
+        env = {"HEMLOCKKEEL_CONTROL_URL": "http://127.0.0.1:9"}
+        done = processes.run_tool_any("status", env=env)
+        self.assertEqual(5, done.returncode)
+        self.assertIn("no control leader", done.stderr)
--- /dev/null
+++ b/tools/make_pages.py
@@ -0,0 +1,74 @@
+"""Writes the pages that are made from the code: settings and metrics."""
+
+import pathlib
+import typing
+
+import typer.main
+
+from hemlockkeel._internal.cli import daemon
+from hemlockkeel._internal.utils import metrics
+
+FOLDER = pathlib.Path(__file__).parent.parent / "docs" / "operations"
+
+SETTINGS_HEAD = """\
+# Settings
+
+Made from the code by `make pages`. Each setting of `hemlockkeeld` is a flag
+and an environment variable; a flag wins. All faults are told at once, at the
+start.
+
+| flag | variable | default | meaning |
+| --- | --- | --- | --- |
+"""
+
+METRICS_HEAD = """\
+# Metrics and audit
+
+Made from the code by `make pages`. Sent to statsd with the prefix
+`hemlockkeel` when `--statsd-host` is set; an entry also answers
+`GET /v1/counters`, a control member the same with the operators' token. Logs
+have a line only where a state changes.
+
+`hemlockkeel audit` shows who changed what, when, from which version, to which
+version, and the outcome, refused changes too. The last 20,000 lines are kept
+in the durable state.
+
+| name | kind |
+| --- | --- |
+"""
+
+
+def make_settings() -> str:
+    """Return the page of settings."""
+    command: typing.Any = typer.main.get_command(daemon.app)
+    rows = []
+    for parameter in command.params:
+        if not parameter.envvar:
+            continue
+        flag = parameter.opts[0]
+        default = "" if parameter.default is None else parameter.default
+        rows.append(
+            f"| `{flag}` | `{parameter.envvar}` | {default} "
+            f"| {parameter.help} |"
+        )
+    return SETTINGS_HEAD + "\n".join(rows) + "\n"
+
+
+def make_metrics() -> str:
+    """Return the page of metrics."""
+    rows = [f"| `{counter.value}` | counter |" for counter in metrics.Counter]
+    rows += [f"| `{timer.value}` | timer, ms |" for timer in metrics.Timer]
+    return METRICS_HEAD + "\n".join(rows) + "\n"
+
+
+PAGES = {"settings.md": make_settings, "metrics.md": make_metrics}
+
+
+def main() -> None:
+    """Write every page."""
+    for name, make in PAGES.items():
+        (FOLDER / name).write_text(make())
+
+
+if __name__ == "__main__":
+    main()
