--- a/tests/functional/test_bad_input.py
+++ b/tests/functional/test_bad_input.py
@@ -130,14 +130,17 @@
         """Send bytes and return what comes back before the end."""
         host, port = client.parse_address(address)
         with socket.create_connection((host, port), timeout=10) as sock:
-            sock.sendall(data)
-            sock.shutdown(socket.SHUT_WR)
             received = b""
             try:
+                sock.sendall(data)
+                sock.shutdown(socket.SHUT_WR)
                 while chunk := sock.recv(4096):
                     received += chunk
-            except ConnectionResetError:
-                pass
+            except TimeoutError:
+                raise
+            except OSError:
+                # The server may drop the connection at any moment.
+                return received
             return received
 
     def test_garbage_is_dropped_and_service_goes_on(self) -> None:
