--- a/src/hemlockkeel/_internal/cli/roles.py
+++ b/src/hemlockkeel/_internal/cli/roles.py
@@ -3,6 +3,7 @@
 import abc
 import dataclasses
 import pathlib
+import typing
 
 from hemlockkeel._internal import exceptions
 from hemlockkeel._internal import settings
@@ -120,7 +121,42 @@
         """Return how much accepted work would be cut off now."""
 
 
-class ControlRole(Process):
+class ServingProcess(typing.Protocol):
+    """What the processes of all roles have in common."""
+
+    def start(self) -> None:
+        """Start serving."""
+
+    def drain(self) -> None:
+        """Finish accepted work and take no new."""
+
+    def stop(self) -> None:
+        """Stop at once."""
+
+    def count_unfinished(self) -> int:
+        """Return how much accepted work would be cut off now."""
+
+
+class ServingRole(Process):
+    """A role with one process."""
+
+    def __init__(self, serving: ServingProcess) -> None:
+        self.serving = serving
+
+    def start(self) -> None:
+        self.serving.start()
+
+    def drain(self) -> None:
+        self.serving.drain()
+
+    def stop(self) -> None:
+        self.serving.stop()
+
+    def count_unfinished(self) -> int:
+        return self.serving.count_unfinished()
+
+
+class ControlRole(ServingRole):
     """A control member."""
 
     def __init__(self, values: Values) -> None:
@@ -139,9 +175,7 @@
             ),
             values.make_metrics(),
         )
-
-    def start(self) -> None:
-        self.process.start()
+        super().__init__(self.process)
 
     def describe(self) -> str:
         return (
@@ -149,17 +183,8 @@
             f"{self.process.address}, operators on {self.process.admin_url}"
         )
 
-    def drain(self) -> None:
-        """Nothing to finish: what is committed is on disk."""
-
-    def stop(self) -> None:
-        self.process.stop()
-
-    def count_unfinished(self) -> int:
-        return 0
-
 
-class EntryRole(Process):
+class EntryRole(ServingRole):
     """An entry."""
 
     def __init__(self, values: Values) -> None:
@@ -177,25 +202,14 @@
             ),
             values.make_metrics(),
         )
-
-    def start(self) -> None:
-        self.process.start()
+        super().__init__(self.process)
 
     def describe(self) -> str:
         name = self.process.settings.member_id
         return f"entry {name} on {self.process.url}"
 
-    def drain(self) -> None:
-        self.process.drain()
-
-    def stop(self) -> None:
-        self.process.stop()
-
-    def count_unfinished(self) -> int:
-        return self.process.count_unfinished()
 
-
-class AgentRole(Process):
+class AgentRole(ServingRole):
     """An agent."""
 
     def __init__(self, values: Values) -> None:
@@ -215,23 +229,12 @@
             ),
             values.make_metrics(),
         )
-
-    def start(self) -> None:
-        self.process.start()
+        super().__init__(self.process)
 
     def describe(self) -> str:
         name = self.process.settings.target_id
         return f"agent of {name} on {self.process.address}"
 
-    def drain(self) -> None:
-        self.process.drain()
-
-    def stop(self) -> None:
-        self.process.stop()
-
-    def count_unfinished(self) -> int:
-        return self.process.count_unfinished()
-
 
 class DevRole(Process):
     """All roles and stand-ins as threads of one process."""
--- a/src/hemlockkeel/_internal/consensus/storage.py
+++ b/src/hemlockkeel/_internal/consensus/storage.py
@@ -29,8 +29,6 @@
 IDENTITY_NAME = "identity.json"
 TEMPORARY_SUFFIX = ".new"
 
-Record = messages.HardState | messages.StoredEntries
-
 
 class LogBase(msgspec.Struct, frozen=True, tag=True):
     """First record of a log file: where its entries start."""
--- a/src/hemlockkeel/_internal/control/process.py
+++ b/src/hemlockkeel/_internal/control/process.py
@@ -159,6 +159,13 @@
         )
         logs.log_state("control_promoted", member=learner)
 
+    def drain(self) -> None:
+        """Nothing to finish: what is committed is on disk."""
+
+    def count_unfinished(self) -> int:
+        """Return 0: a member has no work of its own in flight."""
+        return 0
+
     def stop(self) -> None:
         """Stop serving."""
         self.stopping.set()
--- a/src/hemlockkeel/_internal/entry/filters/admission.py
+++ b/src/hemlockkeel/_internal/entry/filters/admission.py
@@ -101,7 +101,8 @@
 
     def apply_caller_wishes(self, request: context.RequestContext) -> None:
         """Let a caller lower its priority or forbid running twice."""
-        if request.stricter:
+        if request.stricter or request.session:
+            # A session's steps run exactly once, whatever is declared.
             request.idempotent = False
         if not request.wanted_priority:
             return
--- a/src/hemlockkeel/_internal/entry/runs.py
+++ b/src/hemlockkeel/_internal/entry/runs.py
@@ -164,7 +164,11 @@
             return False
         if time.monotonic() >= self.request.deadline:
             return False
-        return self.shared.may_retry()
+        if not self.shared.may_retry():
+            return False
+        if failure.verdict is outcomes.Verdict.MAY_HAVE_RUN:
+            self.shared.counters.count(metrics.Counter.RERUN)
+        return True
 
     # Starting an attempt
 
--- a/src/hemlockkeel/_internal/follower/catalog.py
+++ b/src/hemlockkeel/_internal/follower/catalog.py
@@ -218,16 +218,6 @@
                 return None
             return merge(base, self.service_patches.get(name))
 
-    def find_targets(self, service: str) -> list[members.Member]:
-        """Return the members whose target serves a service."""
-        with self.lock:
-            return [
-                member
-                for member in self.members.values()
-                if member.description.target is not None
-                and member.description.target.service == service
-            ]
-
     def list_models(self) -> list[str]:
         """Return every adapter version served at this site."""
         with self.lock:
--- a/src/hemlockkeel/_internal/models/outcomes.py
+++ b/src/hemlockkeel/_internal/models/outcomes.py
@@ -3,8 +3,6 @@
 import dataclasses
 import enum
 
-from hemlockkeel._internal.models import ids
-
 
 class Verdict(enum.IntEnum):
     """Whether a request may have run. Values match the thrift enum."""
@@ -23,7 +21,6 @@
     """Reasons for a refusal, with the HTTP status of each."""
 
     BAD_REQUEST = ("bad_request", 400)
-    UNAUTHORIZED = ("unauthorized", 401)
     NOT_FOUND = ("not_found", 404)
     UNKNOWN_MODEL = ("unknown_model", 404)
     UNKNOWN_SERVICE = ("unknown_service", 404)
@@ -62,16 +59,6 @@
     message: str
     verdict: Verdict
     retry_after_ms: int | None = None
-    retry_target: ids.TargetId | None = None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Accepted:
-    """An agent took the request; its answer is read by offset."""
-
-    target_id: ids.TargetId
-    incarnation: ids.Incarnation
-    attempt: int
 
 
 def refuse(
--- a/src/hemlockkeel/_internal/policy/routing.py
+++ b/src/hemlockkeel/_internal/policy/routing.py
@@ -42,7 +42,6 @@
     free_slots: int
     eviction_value: float
     prefixes: frozenset[str] = frozenset()
-    reported: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/hemlockkeel/_internal/standins/engine.py
+++ b/src/hemlockkeel/_internal/standins/engine.py
@@ -119,7 +119,6 @@
         )
         self.busy_steps = 0
         self.filled_slots = 0
-        self.backlog_steps = 0
         self.load_count = 0
         self.evicted_in_use = 0
         self.thread = threading.Thread(
--- a/src/hemlockkeel/_internal/utils/clock.py
+++ b/src/hemlockkeel/_internal/utils/clock.py
@@ -24,20 +24,3 @@
 
     def wall(self) -> float:
         return time.time()
-
-
-class ManualClock(Clock):
-    """A clock that tests move by hand."""
-
-    def __init__(self, start: float = 1000.0) -> None:
-        self.now = start
-
-    def monotonic(self) -> float:
-        return self.now
-
-    def wall(self) -> float:
-        return self.now
-
-    def advance(self, seconds: float) -> None:
-        """Move the clock forward."""
-        self.now += seconds
--- a/src/hemlockkeel/_internal/utils/metrics.py
+++ b/src/hemlockkeel/_internal/utils/metrics.py
@@ -31,7 +31,6 @@
     ADAPTER_EVICTIONS = "adapters.evictions"
     ADAPTER_PRELOADS = "adapters.preloads"
     ENGINE_RESTARTS = "engine.restarts"
-    ORDERS_FENCED = "engine.orders_fenced"
     RPC_REJECTED = "rpc.rejected"
     RPC_BAD_FRAMES = "rpc.bad_frames"
     HEARTBEATS = "control.heartbeats"
--- a/tests/functional/test_outcomes.py
+++ b/tests/functional/test_outcomes.py
@@ -377,6 +377,22 @@
         self.assertEqual(first.json()["choices"], again.json()["choices"])
         self.assertEqual(1, self.cluster.count_runs("step 1"))
 
+    def test_step_of_repeatable_work_is_not_repeated(self) -> None:
+        headers = {
+            "Hemlockkeel-Session": "case-8",
+            "Hemlockkeel-Session-Sequence": "1",
+        }
+        stream = calls.SseStream(
+            self.urls[0], "club-1@1", "only once", 60, headers
+        )
+        self.assertTrue(stream.read_event())
+        number = self.find_agent_running("only once")
+        with self.cluster.engines[number].changed:
+            self.cluster.engines[number].restart()
+        stream.read_all()
+        self.assertEqual("may_have_run", stream.error["verdict"])
+        self.assertEqual(1, self.cluster.count_runs("only once"))
+
     def test_obsolete_request_is_not_delivered(self) -> None:
         with concurrent.futures.ThreadPoolExecutor(1) as pool:
             old = pool.submit(self.send, 0, 1)
