Count only equal or more urgent work against a request's limit

Cause: at four times the load 35% of the high-priority requests were refused (busy, or the caller's share) while low-priority ones were served: one count of requests in flight, and of a caller's, stood for all priorities. Ruled out: the agents' queues, which start the most urgent work first.

Change: limits and fair shares count work of the same or a higher priority only; entries have threads for the most that can then be in flight.

--- a/src/hemlockkeel/_internal/entry/process.py
+++ b/src/hemlockkeel/_internal/entry/process.py
@@ -14,6 +14,7 @@
 from hemlockkeel._internal.follower import control_client
 from hemlockkeel._internal.follower import follower
 from hemlockkeel._internal.models import members
+from hemlockkeel._internal.policy import limits
 from hemlockkeel._internal.policy import routing
 from hemlockkeel._internal.utils import clock
 from hemlockkeel._internal.utils import logs
@@ -95,7 +96,7 @@
             app.EntryApp(self.follow, chain, self.recorder, counters),
             settings.host,
             settings.port,
-            settings.max_in_flight + SPARE_THREADS,
+            int(settings.max_in_flight * limits.MAX_SHARE) + SPARE_THREADS,
             SERVER_BODY_SHARE * parse.MAX_BODY_BYTES,
         )
         self.thread = threading.Thread(
--- a/tests/unit/test_policy.py
+++ b/tests/unit/test_policy.py
@@ -469,6 +469,20 @@
         self.assertEqual(6, len(shed))
         self.assertIsInstance(limit.enter("u", 0), limits.Place)
 
+    def test_less_urgent_work_never_blocks_urgent_work(self) -> None:
+        limit = limits.AdmissionLimit(10)
+        for number in range(10):
+            limit.enter(f"low-{number}", 2)
+            limit.enter("mixed", 2)
+        for number in range(8):
+            limit.enter(f"normal-{number}", 1)
+        urgent = [limit.enter(f"u{n}", 0) for n in range(9)]
+        urgent.append(limit.enter("mixed", 0))
+        refused = [u for u in urgent if isinstance(u, outcomes.Refused)]
+        self.assertEqual([], refused)
+        self.assertIsInstance(limit.enter("late", 0), outcomes.Refused)
+        self.assertLessEqual(limit.in_flight, 10 * limits.MAX_SHARE)
+
     def test_retries_are_a_share_of_fresh_requests(self) -> None:
         budget = limits.RetryBudget(share=0.2, reserve=10.0)
         spent = 0
