Record changes of control members in the audit trail

Cause: following the start page as a new operator showed that adding and removing control members left no line in the trail.

Change: the leader commits a line after a membership change; the replacement test reads it back. Not covered: a leader that removes itself no longer leads when the line would be written.

--- a/src/hemlockkeel/_internal/control/admin.py
+++ b/src/hemlockkeel/_internal/control/admin.py
@@ -388,9 +388,23 @@
                 "lead is new; look at 'hemlockkeel control list' and try "
                 "again",
             )
+        self.commit(
+            commands.RecordAudit(
+                operator=body.operator,
+                action="control",
+                detail=describe_membership_change(body),
+            )
+        )
         return http.make_json(200, self.describe_control())
 
 
+def describe_membership_change(body: MembershipBody) -> str:
+    """Return what a change of control members did, for the audit trail."""
+    if body.remove_id:
+        return f"removed {body.remove_id}"
+    return f"added {body.add_id} at {body.add_address}"
+
+
 def split_path(path: str) -> tuple[str, str]:
     """Split ``/v1/versions/7`` into the route and its argument."""
     parts = path.split("/", 3)
--- a/src/hemlockkeel/_internal/state/commands.py
+++ b/src/hemlockkeel/_internal/state/commands.py
@@ -119,6 +119,14 @@
     digest: str
 
 
+class RecordAudit(Command, frozen=True, tag=True, kw_only=True):
+    """Add a change that was made outside the state machine to the trail."""
+
+    operator: str
+    action: str
+    detail: str
+
+
 class ExpireRecords(Command, frozen=True, tag=True, kw_only=True):
     """Drop records, outcomes and suspicions that are past their window."""
 
@@ -135,6 +143,7 @@
     | ReportCrash
     | ClearSuspect
     | ReleaseQuarantine
+    | RecordAudit
     | ExpireRecords
 )
 
--- a/src/hemlockkeel/_internal/state/machine.py
+++ b/src/hemlockkeel/_internal/state/machine.py
@@ -130,6 +130,8 @@
                 return self.set_drain(index, command)
             case commands.ReleaseQuarantine():
                 return self.release_quarantine(index, command)
+            case commands.RecordAudit():
+                return self.add_audit(index, command)
             case commands.ExpireRecords():
                 return self.expire(index, command)
         raise exceptions.InvariantError(f"no handler of {command!r}")
@@ -388,6 +390,22 @@
         )
         return outcome
 
+    def add_audit(
+        self, index: int, command: commands.RecordAudit
+    ) -> commands.Outcome:
+        """Add a line for a change of the control members."""
+        outcome = commands.Outcome(commands.Status.OK, index)
+        self.record_audit(
+            command.at,
+            command.operator,
+            "",
+            command.action,
+            self.config.version,
+            outcome,
+            command.detail,
+        )
+        return outcome
+
     def expire(
         self, index: int, command: commands.ExpireRecords
     ) -> commands.Outcome:
--- a/tests/functional/test_control.py
+++ b/tests/functional/test_control.py
@@ -258,6 +258,10 @@
             blank.address,
             env=self.group.env,
         )
+        audit = processes.run_tool("audit", "--json", env=self.group.env)
+        details = [line["detail"] for line in json.loads(audit)["audit"]]
+        self.assertIn(f"added {blank.member_id} at {blank.address}", details)
+        self.assertIn(f"removed {lost.member_id}", details)
         # Now another of the old members goes, with its disk.
         self.group.members[1].kill()
         after = self.read_state()
