--- /dev/null
+++ b/deploy/launch.py
@@ -0,0 +1,11 @@
+"""Starts a role from a checkout, without an installed package."""
+
+import pathlib
+import sys
+
+SOURCE = pathlib.Path(__file__).resolve().parent.parent / "src"
+sys.path.insert(0, str(SOURCE))
+
+from hemlockkeel.platform import __main__ as program  # noqa: E402
+
+program.main()
--- /dev/null
+++ b/src/hemlockkeel/_internal/announced/__init__.py
@@ -0,0 +1,1 @@
+"""Targets as they announce themselves."""
--- /dev/null
+++ b/src/hemlockkeel/_internal/announced/records.py
@@ -0,0 +1,127 @@
+"""What a target announces about itself, and how announcements merge.
+
+Announcements arrive late, out of order, twice, and from processes that are
+gone. A record is ordered by its start (`born_ms`), then by its sequence
+number, so every process that has seen the same announcements believes the
+same, whatever their order.
+"""
+
+import enum
+import typing
+
+import msgspec
+
+InstanceId = typing.NewType("InstanceId", str)
+ServiceName = typing.NewType("ServiceName", str)
+
+
+class TargetState(enum.Enum):
+    """What a target says of itself."""
+
+    READY = "ready"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+class HeldModel(msgspec.Struct, frozen=True):
+    """A base model that a target holds, with its adapters' versions."""
+
+    name: str
+    version: int
+    adapters: dict[str, int]
+
+
+class TargetRecord(msgspec.Struct, frozen=True):
+    """The latest announcement of one start of a target."""
+
+    instance_id: InstanceId
+    service: ServiceName
+    address: str
+    data_centre: str
+    state: TargetState
+    sequence: int
+    # Start of the target's process, milliseconds since the epoch.
+    born_ms: int
+    slots: int = 0
+    # Models of an engine, perhaps none; None for a plain service.
+    models: list[HeldModel] | None = None
+    # How long the target still works slowly after its start, seconds.
+    cold_left_s: float = 0.0
+    # Until a target that is taken away is gone, seconds; None if unknown.
+    remaining_s: float | None = None
+
+    def is_newer_than(self, other: "TargetRecord") -> bool:
+        """Tell whether this record replaces another of the same id."""
+        if self.born_ms != other.born_ms:
+            return self.born_ms > other.born_ms
+        if (other.state is TargetState.GONE) != (
+            self.state is TargetState.GONE
+        ):
+            # A start that has ended never returns.
+            return self.state is TargetState.GONE
+        return self.sequence > other.sequence
+
+
+class Table:
+    """All targets that a process has heard of."""
+
+    def __init__(self, forget_after_s: float) -> None:
+        self.forget_after_s = forget_after_s
+        self.by_id: dict[InstanceId, TargetRecord] = {}
+        self.heard_at: dict[InstanceId, float] = {}
+
+    def merge(self, record: TargetRecord, now: float) -> bool:
+        """Take an announcement; tell whether it changed anything."""
+        known = self.by_id.get(record.instance_id)
+        if known is not None and not record.is_newer_than(known):
+            return False
+        self.by_id[record.instance_id] = record
+        self.heard_at[record.instance_id] = now
+        return True
+
+    def withdraw(
+        self, instance_id: InstanceId, now: float
+    ) -> TargetRecord | None:
+        """Mark a target as gone; return its record, None if unknown."""
+        known = self.by_id.get(instance_id)
+        if known is None:
+            return None
+        gone = msgspec.structs.replace(
+            known, state=TargetState.GONE, sequence=known.sequence + 1
+        )
+        self.by_id[instance_id] = gone
+        self.heard_at[instance_id] = now
+        return gone
+
+    def forget_old(self, now: float) -> list[InstanceId]:
+        """Drop targets that have been silent for long; return their ids."""
+        old = [
+            instance_id
+            for instance_id, at in self.heard_at.items()
+            if now - at > self.forget_after_s
+        ]
+        for instance_id in old:
+            del self.by_id[instance_id]
+            del self.heard_at[instance_id]
+        return old
+
+    def find_usable(
+        self, service: ServiceName, now: float, silent_after_s: float
+    ) -> list[TargetRecord]:
+        """Return the targets of a service that may get new work."""
+        return [
+            record
+            for record in self.by_id.values()
+            if record.service == service
+            and record.state is TargetState.READY
+            and now - self.heard_at[record.instance_id] <= silent_after_s
+            and not self.is_replaced(record)
+        ]
+
+    def is_replaced(self, record: TargetRecord) -> bool:
+        """Tell whether a later start has taken over the address."""
+        return any(
+            other.address == record.address and other.born_ms > record.born_ms
+            for other in self.by_id.values()
+            if other.instance_id != record.instance_id
+        )
--- a/src/hemlockkeel/_internal/consensus/node.py
+++ b/src/hemlockkeel/_internal/consensus/node.py
@@ -92,6 +92,18 @@
 Input = Proposal | Received | None
 
 
+@dataclasses.dataclass(frozen=True)
+class Founding:
+    """A new cluster whose voters are known to each other beforehand.
+
+    All founders derive the same ids, so each can start on its own.
+    """
+
+    member_id: str
+    cluster_id: str
+    peers: tuple[messages.Peer, ...]
+
+
 class Node:
     """One control member."""
 
@@ -106,6 +118,7 @@
         time_source: clock.Clock,
         bootstrap: bool = False,
         seed: int | None = None,
+        founding: Founding | None = None,
     ) -> None:
         self.address = address
         self.applier = applier
@@ -120,7 +133,12 @@
         self.failed: exceptions.StorageError | None = None
         self.applied_index = 0
         self.storage = storage.Storage(folder)
-        self.identity = self.storage.load_identity()
+        founds = founding is not None and self.storage.is_blank
+        self.identity = self.storage.load_identity(
+            storage.Identity(founding.member_id, founding.cluster_id)
+            if founding is not None
+            else None
+        )
         saved = self.storage.load()
         self.core = core.RaftCore(
             self.identity.member_id,
@@ -132,7 +150,9 @@
         self.hard_state = saved.hard_state
         if saved.snapshot is not None:
             self.restore(*saved.snapshot)
-        if bootstrap and not self.core.membership.peers:
+        if founding is not None and founds:
+            self.write_first_membership(list(founding.peers))
+        elif bootstrap and not self.core.membership.peers:
             self.bootstrap()
         self.last_state = self.core.state
         self.thread = threading.Thread(
@@ -151,11 +171,16 @@
 
     def bootstrap(self) -> None:
         """Start a new cluster with this member as its only voter."""
-        peer = messages.Peer(self.member_id, self.address)
-        data = core.make_membership_entry(messages.Membership([peer]))
+        self.join_cluster("cluster-" + self.member_id)
+        self.write_first_membership(
+            [messages.Peer(self.member_id, self.address)]
+        )
+
+    def write_first_membership(self, peers: list[messages.Peer]) -> None:
+        """Store the first log entry: the voters of a new cluster."""
+        data = core.make_membership_entry(messages.Membership(peers))
         entry = messages.Entry(1, 1, messages.EntryKind.MEMBERSHIP, data)
         self.hard_state = messages.HardState(1, "")
-        self.join_cluster("cluster-" + self.member_id)
         self.storage.append(self.hard_state, [entry])
         self.core.term = 1
         self.core.log.append(entry)
@@ -213,6 +238,17 @@
         with self.lock:
             return self.core.has_lease(self.clock.monotonic())
 
+    def is_in_contact(self, within_s: float) -> bool:
+        """Tell whether a majority was heard of lately."""
+        if self.failed is not None:
+            return False
+        now = self.clock.monotonic()
+        with self.lock:
+            if self.core.state is core.State.LEADER:
+                return now - self.core.get_quorum_time(now) <= within_s
+            heard = bool(self.core.leader_id)
+            return heard and now - self.core.leader_heard_at <= within_s
+
     def get_leader_address(self) -> str:
         """Return the leader's address; empty when unknown."""
         with self.lock:
--- a/src/hemlockkeel/_internal/consensus/storage.py
+++ b/src/hemlockkeel/_internal/consensus/storage.py
@@ -155,8 +155,16 @@
                 f"{fault.strerror}; choose another with --data-dir"
             ) from fault
 
-    def load_identity(self) -> Identity:
-        """Return this disk's identity; a blank disk gets a new one."""
+    @property
+    def is_blank(self) -> bool:
+        """Tell whether the folder belongs to nobody yet."""
+        return not (self.folder / IDENTITY_NAME).exists()
+
+    def load_identity(self, founder: Identity | None = None) -> Identity:
+        """Return this disk's identity.
+
+        A blank disk gets the founder's, if there is one, or a new one.
+        """
         path = self.folder / IDENTITY_NAME
         if path.exists():
             return msgspec.json.decode(path.read_bytes(), type=Identity)
@@ -165,7 +173,7 @@
                 f"{path} is missing but a log exists; restore the folder "
                 "from a backup or start with a blank one"
             )
-        identity = Identity("control-" + uuid.uuid4().hex[:12])
+        identity = founder or Identity("control-" + uuid.uuid4().hex[:12])
         self.save_identity(identity)
         return identity
 
--- /dev/null
+++ b/src/hemlockkeel/_internal/coordinator/__init__.py
@@ -0,0 +1,1 @@
+"""Control members that keep routes, versions and announced targets."""
--- /dev/null
+++ b/src/hemlockkeel/_internal/coordinator/membership.py
@@ -0,0 +1,145 @@
+"""Decides changes of the control members; pure.
+
+A member whose disk is lost comes back under another id. It joins as a
+learner, gets a vote once it has caught up, and the silent one is removed.
+"""
+
+import dataclasses
+
+from hemlockkeel._internal.consensus import messages
+
+# Silence after which a voter may be removed in favour of another. Longer
+# than a restart or an election, shorter than a repair by hand.
+SILENT_AFTER_S = 2.5
+# Age after which a wish to join has lapsed; wishes are repeated each second.
+JOIN_LAPSES_S = 2.5
+# Log entries that a learner may lack to get its vote.
+CAUGHT_UP_ENTRIES = 50
+
+
+@dataclasses.dataclass(frozen=True)
+class Wish:
+    """A process that wants to be a member."""
+
+    member_id: str
+    address: str
+    at: float
+
+
+@dataclasses.dataclass(frozen=True)
+class PeerState:
+    """What the leader knows of a peer."""
+
+    # When it last answered, seconds.
+    heard_at: float
+    # Log entries that it lacks; None when it never answered.
+    lag: int | None
+
+
+def plan(
+    membership: messages.Membership,
+    own_id: str,
+    states: dict[str, PeerState],
+    wishes: list[Wish],
+    leading_since: float,
+    now: float,
+) -> messages.Membership | None:
+    """Return the next membership, one member apart; None for no change."""
+    fresh = [w for w in wishes if now - w.at <= JOIN_LAPSES_S]
+    replaced = find_replaced(membership, own_id, fresh)
+    if replaced is not None:
+        return without(membership, replaced)
+    silent = find_silent(membership, own_id, states, leading_since, now)
+    if silent is not None:
+        return without(membership, silent)
+    learner = find_caught_up(membership, own_id, states)
+    if learner is not None:
+        return with_vote(membership, learner)
+    for wish in fresh:
+        if membership.get(wish.member_id) is None:
+            peer = messages.Peer(wish.member_id, wish.address, False)
+            return messages.Membership([*membership.peers, peer])
+    return None
+
+
+def find_replaced(
+    membership: messages.Membership, own_id: str, wishes: list[Wish]
+) -> str | None:
+    """Return a member at whose address another process now lives."""
+    for wish in wishes:
+        for peer in membership.peers:
+            if peer.address != wish.address or peer.member_id == own_id:
+                continue
+            if peer.member_id != wish.member_id and may_lose_one(membership):
+                return peer.member_id
+    return None
+
+
+def may_lose_one(membership: messages.Membership) -> bool:
+    """Tell whether a voter can be removed at all."""
+    return len(membership.voters) > 1
+
+
+def find_silent(
+    membership: messages.Membership,
+    own_id: str,
+    states: dict[str, PeerState],
+    leading_since: float,
+    now: float,
+) -> str | None:
+    """Return a silent member that is not needed.
+
+    A voter is removed from an even number only: the quorum then stays as
+    large as before or gets smaller, and a replacement is there already.
+    """
+    voters = membership.voters
+    for peer in membership.peers:
+        if peer.member_id == own_id:
+            continue
+        state = states.get(peer.member_id)
+        heard_at = state.heard_at if state else float("-inf")
+        if now - max(heard_at, leading_since) <= SILENT_AFTER_S:
+            continue
+        if not peer.voter or (len(voters) > 2 and len(voters) % 2 == 0):
+            return peer.member_id
+    return None
+
+
+def find_caught_up(
+    membership: messages.Membership,
+    own_id: str,
+    states: dict[str, PeerState],
+) -> str | None:
+    """Return a learner whose log is nearly as long as the leader's."""
+    for peer in membership.peers:
+        if peer.voter or peer.member_id == own_id:
+            continue
+        state = states.get(peer.member_id)
+        if state is None or state.lag is None:
+            continue
+        if state.lag <= CAUGHT_UP_ENTRIES:
+            return peer.member_id
+    return None
+
+
+def without(
+    membership: messages.Membership, member_id: str
+) -> messages.Membership:
+    """Return a membership less one member."""
+    return messages.Membership(
+        [peer for peer in membership.peers if peer.member_id != member_id]
+    )
+
+
+def with_vote(
+    membership: messages.Membership, member_id: str
+) -> messages.Membership:
+    """Return a membership in which a learner votes."""
+    return messages.Membership(
+        [
+            messages.Peer(peer.member_id, peer.address, True)
+            if peer.member_id == member_id
+            else peer
+            for peer in membership.peers
+        ]
+    )
--- /dev/null
+++ b/src/hemlockkeel/_internal/coordinator/sender.py
@@ -0,0 +1,39 @@
+"""Sends consensus messages over links; called from the member's thread."""
+
+import asyncio
+
+from hemlockkeel._internal.consensus import messages as consensus_messages
+from hemlockkeel._internal.consensus import node
+from hemlockkeel._internal.links import dialer
+from hemlockkeel._internal.links import messages
+
+
+class LinkSender(node.Sender):
+    """Hands batches to the event loop, which owns the links."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, own_address: str
+    ) -> None:
+        self.loop = loop
+        self.own_address = own_address
+        self.cluster_id = ""
+        self.peers: dialer.DialerSet | None = None
+
+    def send(
+        self, address: str, batch: list[consensus_messages.AnyMessage]
+    ) -> None:
+        data = [node.encode_message(message) for message in batch]
+        self.loop.call_soon_threadsafe(self.deliver, address, data)
+
+    def deliver(self, address: str, data: list[bytes]) -> None:
+        """Send on the link to an address; without one, drop."""
+        peer = self.peers.get(address) if self.peers else None
+        if peer is None:
+            return
+        peer.send(
+            messages.RaftBatch(
+                sender_address=self.own_address,
+                cluster_id=self.cluster_id,
+                data=data,
+            )
+        )
--- /dev/null
+++ b/src/hemlockkeel/_internal/links/__init__.py
@@ -0,0 +1,1 @@
+"""Connections between hemlockkeel's own processes."""
--- /dev/null
+++ b/src/hemlockkeel/_internal/links/link.py
@@ -0,0 +1,108 @@
+"""One connection that carries length-prefixed messages both ways."""
+
+import asyncio
+import socket
+import struct
+
+import msgspec
+
+from hemlockkeel._internal.links import messages
+
+LENGTH = struct.Struct("!I")
+# A full configuration of the largest size that operators may send, 4 MiB,
+# fits with room.
+MAX_FRAME_BYTES = 8 * 1024 * 1024
+# What may wait for a peer that does not read before the link is given up.
+MAX_UNSENT_BYTES = 16 * 1024 * 1024
+# Time in ms after which the kernel gives up on unacknowledged bytes.
+TCP_USER_TIMEOUT_MS = 2000
+
+
+class LinkClosedError(Exception):
+    """The connection ended, or its peer sent what is no message."""
+
+
+class Link:
+    """A connection to another process of hemlockkeel."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.reader = reader
+        self.writer = writer
+        self.role = ""
+        self.name = ""
+        self.last_call = 0
+        self.calls: dict[int, asyncio.Future[messages.AnyMessage]] = {}
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
+        )
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def send(self, message: messages.AnyMessage) -> None:
+        """Queue a message; give up on a peer that does not read."""
+        if self.writer.is_closing():
+            return
+        transport = self.writer.transport
+        if transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            transport.abort()
+            return
+        data = messages.ENCODER.encode(message)
+        self.writer.write(LENGTH.pack(len(data)) + data)
+
+    async def receive(self) -> messages.AnyMessage:
+        """Return the next message.
+
+        :raises LinkClosedError: when there will be none.
+        """
+        try:
+            head = await self.reader.readexactly(LENGTH.size)
+            (size,) = LENGTH.unpack(head)
+            if size > MAX_FRAME_BYTES:
+                raise LinkClosedError(f"frame of {size} bytes")
+            data = await self.reader.readexactly(size)
+            return messages.DECODER.decode(data)
+        except (OSError, asyncio.IncompleteReadError) as fault:
+            raise LinkClosedError(str(fault)) from fault
+        except msgspec.DecodeError as fault:
+            raise LinkClosedError(f"not a message: {fault}") from fault
+
+    async def call(
+        self, message: messages.AnyMessage, timeout_s: float
+    ) -> messages.AnyMessage:
+        """Send a call and return its reply.
+
+        :raises LinkClosedError: when the link ends first.
+        :raises TimeoutError: when no reply comes in time.
+        """
+        if self.writer.is_closing():
+            raise LinkClosedError("closed")
+        self.last_call += 1
+        call_id = self.last_call
+        future: asyncio.Future[messages.AnyMessage] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.calls[call_id] = future
+        self.send(msgspec.structs.replace(message, call_id=call_id))
+        try:
+            return await asyncio.wait_for(future, timeout_s)
+        finally:
+            self.calls.pop(call_id, None)
+
+    def resolve(self, message: messages.AnyMessage) -> bool:
+        """Hand a reply to whoever called; tell whether it was one."""
+        future = self.calls.pop(message.call_id, None)
+        if future is None:
+            return False
+        if not future.done():
+            future.set_result(message)
+        return True
+
+    def close(self) -> None:
+        """End the connection and all calls on it."""
+        self.writer.transport.abort()
+        for future in self.calls.values():
+            if not future.done():
+                future.set_exception(LinkClosedError("closed"))
+        self.calls.clear()
--- /dev/null
+++ b/src/hemlockkeel/_internal/links/messages.py
@@ -0,0 +1,159 @@
+"""Messages between the entries, agents and control members."""
+
+import msgspec
+
+from hemlockkeel._internal.announced import records
+
+
+class Message(msgspec.Struct, frozen=True, tag=True, kw_only=True):
+    """Base of all messages; a reply repeats the number of its call."""
+
+    call_id: int = 0
+
+
+class Ping(Message, frozen=True, tag=True, kw_only=True):
+    """Keeps a connection alive and shows that it is."""
+
+
+class Pong(Message, frozen=True, tag=True, kw_only=True):
+    """Answer to a ping."""
+
+
+class Hello(Message, frozen=True, tag=True, kw_only=True):
+    """First message of whoever dials; updates follow from then on."""
+
+    role: str
+    name: str
+
+
+class RaftBatch(Message, frozen=True, tag=True, kw_only=True):
+    """Consensus messages, each encoded by the consensus package."""
+
+    sender_address: str
+    cluster_id: str
+    data: list[bytes]
+
+
+class Propose(Message, frozen=True, tag=True, kw_only=True):
+    """A command for the replicated catalogue; only a leader takes it."""
+
+    command: bytes
+
+
+class Read(Message, frozen=True, tag=True, kw_only=True):
+    """Asks a leader for the newest configuration."""
+
+
+class Join(Message, frozen=True, tag=True, kw_only=True):
+    """Asks a leader to make the sender a control member."""
+
+    member_id: str
+    address: str
+
+
+class Outcome(Message, frozen=True, tag=True, kw_only=True):
+    """Reply to a call."""
+
+    done: bool
+    data: bytes = b""
+    index: int = 0
+    # Where the leader is, when the callee does not lead.
+    leader: str = ""
+    cluster_id: str = ""
+
+
+class ShareRecord(Message, frozen=True, tag=True, kw_only=True):
+    """An announcement, passed on among control members."""
+
+    record: records.TargetRecord
+
+
+class RecordsUpdate(Message, frozen=True, tag=True, kw_only=True):
+    """Announcements that a control member has taken."""
+
+    records: list[records.TargetRecord]
+
+
+class ConfigurationUpdate(Message, frozen=True, tag=True, kw_only=True):
+    """The configuration in force."""
+
+    version: int
+    body: bytes
+
+
+class VersionsUpdate(Message, frozen=True, tag=True, kw_only=True):
+    """Newest versions of adapters, by model and adapter."""
+
+    versions: list[tuple[str, str, int]]
+
+
+class MembersUpdate(Message, frozen=True, tag=True, kw_only=True):
+    """Addresses of the control members, and how many entries serve."""
+
+    addresses: list[str]
+    entries: int
+
+
+class EnsureAdapter(Message, frozen=True, tag=True, kw_only=True):
+    """Asks an agent to hold an adapter until it is released."""
+
+    model: str
+    adapter: str
+    priority: int
+    wait_s: float
+
+
+class AdapterGrant(Message, frozen=True, tag=True, kw_only=True):
+    """Reply to `EnsureAdapter`."""
+
+    granted: bool
+    version: int = 0
+    reason: str = ""
+
+
+class ReleaseAdapter(Message, frozen=True, tag=True, kw_only=True):
+    """The grant with this call number is not needed any more."""
+
+    granted_call: int
+
+
+class LoadUpdate(Message, frozen=True, tag=True, kw_only=True):
+    """What an agent knows of its target."""
+
+    running: int
+    queued: int
+    kv_used: int
+    kv_total: int
+    adapter_slots: int
+    # Adapters as MODEL/NAME that are held, on their way, and granted.
+    held: list[str]
+    coming: list[str]
+    granted: list[str]
+    # Requests that wait for an adapter at the agent.
+    waiting: int
+
+
+AnyMessage = (
+    Ping
+    | Pong
+    | Hello
+    | RaftBatch
+    | Propose
+    | Read
+    | Join
+    | Outcome
+    | ShareRecord
+    | RecordsUpdate
+    | ConfigurationUpdate
+    | VersionsUpdate
+    | MembersUpdate
+    | EnsureAdapter
+    | AdapterGrant
+    | ReleaseAdapter
+    | LoadUpdate
+)
+
+DECODER: msgspec.msgpack.Decoder[AnyMessage] = msgspec.msgpack.Decoder(
+    AnyMessage
+)
+ENCODER = msgspec.msgpack.Encoder()
--- /dev/null
+++ b/src/hemlockkeel/_internal/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to engines: which adapters a target holds."""
--- /dev/null
+++ b/src/hemlockkeel/_internal/orders/http_client.py
@@ -0,0 +1,98 @@
+"""Calls an engine over HTTP on one kept connection."""
+
+import asyncio
+
+from hemlockkeel._internal.orders import engine
+from hemlockkeel._internal.relay import dialect
+from hemlockkeel._internal.relay import exchange
+from hemlockkeel._internal.relay import forwarder
+from hemlockkeel._internal.relay import pool
+
+# An engine beside its agent answers within milliseconds; an order that got
+# no answer in this time may still be carried out.
+CALL_TIMEOUT_S = 1.0
+
+
+class PlainAnswers(dialect.Dialect):
+    """Reads nothing from headers: calls need only status and body."""
+
+    def read_request(self, headers: dialect.Headers) -> dialect.RequestFacts:
+        return dialect.RequestFacts("")
+
+    def make_request_headers(
+        self, headers: dialect.Headers, forwarding: dialect.Forwarding
+    ) -> dialect.Headers:
+        return headers
+
+    def read_answer(
+        self, status: int, headers: dialect.Headers
+    ) -> dialect.AnswerFacts:
+        return dialect.AnswerFacts("", sealed=False, not_run=False)
+
+
+class HttpEngineClient(engine.EngineClient):
+    """Calls the engine at an address."""
+
+    def __init__(self, address: str, codec: engine.EngineCodec) -> None:
+        self.address = address
+        self.codec = codec
+        self.connections = pool.TargetPool(address)
+        self.speaks = PlainAnswers()
+
+    async def read_report(self) -> engine.Report:
+        try:
+            status, body = await self.call(self.codec.encode_report_call())
+        except (
+            exchange.ConnectFailedError,
+            exchange.BrokenAnswerError,
+        ) as fault:
+            raise OSError(str(fault)) from fault
+        if status != 200:
+            raise ValueError(f"report answered with {status}")
+        return self.codec.decode_report(body)
+
+    async def give_order(self, order: engine.SignedOrder) -> engine.Reply:
+        try:
+            status, _ = await self.call(self.codec.encode_order(order))
+        except (
+            exchange.ConnectFailedError,
+            exchange.BrokenAnswerError,
+            TimeoutError,
+        ):
+            return engine.Reply.UNKNOWN
+        return self.codec.decode_order_reply(status)
+
+    async def call(self, call: engine.HttpCall) -> tuple[int, bytes]:
+        """Return the status and body of the answer.
+
+        :raises ConnectFailedError: when there is no connection.
+        :raises BrokenAnswerError: when the answer is cut off.
+        :raises TimeoutError: when none comes.
+        """
+        loop = asyncio.get_running_loop()
+        connection = self.connections.take_idle(loop.time())
+        if connection is None:
+            connection = await self.connections.connect()
+        answer: exchange.Answer | None = None
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                length = str(len(call.body)).encode()
+                head = [
+                    (b"Host", self.address.encode()),
+                    *call.headers,
+                    (b"Content-Length", length),
+                ]
+                connection.send(call.method, call.path, head, call.body)
+                answer = await connection.read_head(self.speaks, "")
+                body = await forwarder.read_whole(connection)
+                return answer.status, body
+        except BaseException:
+            answer = None
+            raise
+        finally:
+            if answer is None:
+                self.connections.drop(connection)
+            else:
+                self.connections.give_back(
+                    connection, answer.headers, loop.time()
+                )
--- /dev/null
+++ b/src/hemlockkeel/_internal/orders/keeper.py
@@ -0,0 +1,289 @@
+"""Keeps an engine's adapters in step with the requests that need them."""
+
+import asyncio
+import dataclasses
+import itertools
+
+from hemlockkeel._internal.announced import records
+from hemlockkeel._internal.links import link
+from hemlockkeel._internal.links import messages
+from hemlockkeel._internal.orders import engine
+from hemlockkeel._internal.orders import slots
+from hemlockkeel._internal.routes import table
+from hemlockkeel._internal.utils import event_log
+
+# Between reports while an order is under way, and otherwise.
+BUSY_REPORT_S = 0.03
+CALM_REPORT_S = 0.1
+# Two model loads at one engine are at least this far apart, so that
+# engines that restart together stay below the store's rate.
+MODEL_LOAD_GAP_S = 2.5
+# Adapters whose last use is remembered.
+MAX_REMEMBERED = 4096
+# A restarted agent gives no order for this long: requests that its
+# predecessor granted adapters to are unknown to it.
+QUIET_START_S = 0.3
+
+
+@dataclasses.dataclass
+class Waiter:
+    """A request that waits for an adapter."""
+
+    key: slots.Key
+    priority: int
+    number: int
+    future: asyncio.Future[messages.AdapterGrant]
+
+
+class Keeper:
+    """Orders loads and unloads for one engine."""
+
+    def __init__(
+        self,
+        client: engine.EngineClient,
+        holder: str,
+        log: event_log.EventLog,
+    ) -> None:
+        self.client = client
+        self.holder = holder
+        self.log = log
+        self.report: engine.Report | None = None
+        self.fence: int | None = None
+        self.fence_refused = False
+        self.service: table.Service | None = None
+        self.instance_id = records.InstanceId("")
+        self.newest: dict[slots.Key, int] = {}
+        self.waiters: list[Waiter] = []
+        self.numbers = itertools.count()
+        self.grants: dict[tuple[link.Link, int], slots.Key] = {}
+        self.used_at: dict[slots.Key, float] = {}
+        self.wake = asyncio.Event()
+        self.model_loaded_at = float("-inf")
+        self.reported_at = float("-inf")
+        self.count_base = 0
+
+    @property
+    def now(self) -> float:
+        """Return the loop's time."""
+        return asyncio.get_running_loop().time()
+
+    # Requests
+
+    async def ensure(
+        self, peer: link.Link, call: messages.EnsureAdapter
+    ) -> messages.AdapterGrant:
+        """Hold an adapter for a request, or say why not."""
+        key = (call.model, call.adapter)
+        waiter = Waiter(
+            key,
+            call.priority,
+            next(self.numbers),
+            asyncio.get_running_loop().create_future(),
+        )
+        self.grants[peer, call.call_id] = key
+        self.waiters.append(waiter)
+        self.serve_waiters()
+        if not waiter.future.done():
+            self.wake.set()
+        try:
+            grant = await asyncio.wait_for(waiter.future, call.wait_s)
+        except TimeoutError:
+            grant = messages.AdapterGrant(
+                granted=False, reason="no slot came free in time"
+            )
+            self.log.write(
+                "adapter_not_granted",
+                adapter=f"{call.model}/{call.adapter}",
+                waiting=len(self.waiters),
+                report_age=round(self.now - self.reported_at, 3),
+                orders=self.fence is not None,
+            )
+        if waiter in self.waiters:
+            self.waiters.remove(waiter)
+        if not grant.granted:
+            self.grants.pop((peer, call.call_id), None)
+        return grant
+
+    def release(self, peer: link.Link, call_id: int) -> None:
+        """End a request's use of an adapter."""
+        key = self.grants.pop((peer, call_id), None)
+        if key is not None:
+            self.note_use(key)
+        if self.waiters:
+            self.wake.set()
+
+    def release_all(self, peer: link.Link) -> None:
+        """End the uses of an entry that is gone.
+
+        Its requests end too: the engine ends work whose caller is gone.
+        """
+        for held_by, call_id in list(self.grants):
+            if held_by is peer:
+                self.release(peer, call_id)
+
+    def note_use(self, key: slots.Key) -> None:
+        """Remember when an adapter was used last."""
+        self.used_at.pop(key, None)
+        self.used_at[key] = self.now
+        while len(self.used_at) > MAX_REMEMBERED:
+            del self.used_at[next(iter(self.used_at))]
+
+    def serve_waiters(self) -> None:
+        """Grant what is held already."""
+        holding = self.get_holding()
+        if holding is None:
+            return
+        demand = self.get_demand()
+        for waiter in list(self.waiters):
+            if not slots.is_current(waiter.key, holding, demand):
+                continue
+            self.waiters.remove(waiter)
+            if not waiter.future.done():
+                self.note_use(waiter.key)
+                waiter.future.set_result(
+                    messages.AdapterGrant(
+                        granted=True, version=holding.adapters[waiter.key]
+                    )
+                )
+
+    # Belief
+
+    def get_holding(self) -> slots.Holding | None:
+        """Return what the engine holds, if that is known."""
+        report = self.report
+        if report is None or self.service is None:
+            return None
+        if self.service.engine is None:
+            return None
+        return slots.Holding(
+            {
+                (model.name, name): version
+                for model in report.models
+                for name, version in model.adapters.items()
+            },
+            set(report.coming),
+            {model.name for model in report.models},
+            self.service.engine.adapter_slots,
+        )
+
+    def get_demand(self) -> slots.Demand:
+        """Return what requests need."""
+        ordered = sorted(
+            self.waiters, key=lambda waiter: (waiter.priority, waiter.number)
+        )
+        waiting = [waiter.key for waiter in ordered]
+        return slots.Demand(
+            list(dict.fromkeys(waiting)),
+            set(self.grants.values()),
+            self.used_at,
+            self.newest,
+        )
+
+    # The loop
+
+    async def run(self) -> None:
+        """Read reports and give orders until cancelled."""
+        await asyncio.sleep(QUIET_START_S)
+        while True:
+            busy = await self.step()
+            pause = BUSY_REPORT_S if busy else CALM_REPORT_S
+            try:
+                await asyncio.wait_for(self.wake.wait(), pause)
+            except TimeoutError:
+                continue
+            finally:
+                self.wake.clear()
+            # Let requests that arrive together be seen together.
+            await asyncio.sleep(0)
+
+    async def step(self) -> bool:
+        """Read one report, give what orders it allows; tell if busy."""
+        if not await self.refresh():
+            return False
+        self.serve_waiters()
+        for _ in range(slots.MAX_COMING + 1):
+            order = self.choose_order()
+            if order is None or not await self.give(order):
+                break
+        assert self.report is not None
+        return bool(self.waiters or self.report.coming or self.report.busy)
+
+    async def refresh(self) -> bool:
+        """Read the engine's report; tell whether that went well."""
+        try:
+            report = await self.client.read_report()
+        except (OSError, ValueError, TimeoutError) as fault:
+            if self.report is not None:
+                self.log.write("engine_lost", reason=str(fault))
+            self.report = None
+            return False
+        if self.report is None:
+            self.log.write(
+                "engine_up",
+                models=[model.name for model in report.models],
+                orders=report.order_count,
+            )
+        elif report.born_ms != self.report.born_ms:
+            self.log.write("engine_restarted", born_ms=report.born_ms)
+        self.report = report
+        self.reported_at = self.now
+        return True
+
+    def choose_order(self) -> engine.Order | None:
+        """Return the next order, if one may be given."""
+        holding = self.get_holding()
+        if holding is None or self.fence is None or self.fence_refused:
+            return None
+        assert self.report is not None
+        if not holding.models:
+            return self.choose_model()
+        return slots.choose_order(holding, self.get_demand())
+
+    def choose_model(self) -> engine.Order | None:
+        """Return the order that gives an empty engine its model."""
+        assert self.report is not None
+        assert self.service is not None
+        if self.report.busy or self.service.engine is None:
+            return None
+        if self.now - self.model_loaded_at < MODEL_LOAD_GAP_S:
+            return None
+        fitting = [
+            model
+            for model in self.service.engine.models
+            if model.weights_mb <= self.service.engine.weights_mb
+        ]
+        if not fitting:
+            return None
+        wanted = {waiter.key[0] for waiter in self.waiters}
+        chosen = next((m for m in fitting if m.name in wanted), fitting[0])
+        self.model_loaded_at = self.now
+        return engine.Order(engine.Operation.LOAD, chosen.name)
+
+    async def give(self, order: engine.Order) -> bool:
+        """Give an order; tell whether another may follow at once."""
+        assert self.report is not None
+        assert self.fence is not None
+        signed = engine.SignedOrder(
+            order,
+            self.holder,
+            self.fence,
+            self.report.order_count,
+            self.instance_id,
+        )
+        reply = await self.client.give_order(signed)
+        self.log.write(
+            "order",
+            operation=order.operation.value,
+            model=order.model,
+            adapter=order.adapter,
+            version=order.version,
+            fence=self.fence,
+            expected=signed.expected_count,
+            reply=reply.value,
+        )
+        if reply is engine.Reply.STALE_FENCE:
+            self.fence_refused = True
+            return False
+        if reply not in (engine.Reply.ACCEPTED, engine.Reply.HOLDS_ALREADY):
+            return False
+        return await self.refresh()
--- /dev/null
+++ b/src/hemlockkeel/_internal/orders/process.py
@@ -0,0 +1,253 @@
+"""The agent process beside an engine."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import pathlib
+
+import msgspec
+
+from hemlockkeel._internal import exceptions
+from hemlockkeel._internal.announced import records
+from hemlockkeel._internal.links import dialer
+from hemlockkeel._internal.links import link
+from hemlockkeel._internal.links import messages
+from hemlockkeel._internal.links import server
+from hemlockkeel._internal.orders import engine
+from hemlockkeel._internal.orders import keeper
+from hemlockkeel._internal.routes import catalogue
+from hemlockkeel._internal.routes import codec
+from hemlockkeel._internal.utils import event_log
+from hemlockkeel._internal.utils import event_process
+
+# Between load updates to entries when only numbers have changed.
+UPDATE_S = 0.15
+FENCE_RETRY_S = 0.3
+FENCE_TIMEOUT_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class AgentSettings:
+    """Settings of an agent."""
+
+    name: str
+    host: str
+    link_port: int
+    control: frozenset[str]
+    # Address of the engine beside it.
+    engine_address: str
+    service: records.ServiceName
+
+
+class AgentProcess(event_process.EventProcess, server.Service):
+    """Holds adapters at one engine for the entries' requests."""
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        settings_path: pathlib.Path,
+        read_settings: collections.abc.Callable[[pathlib.Path], AgentSettings],
+        client: engine.EngineClient,
+        configurations: codec.ConfigurationCodec,
+        log: event_log.EventLog,
+    ) -> None:
+        super().__init__(settings_path, log)
+        self.settings = settings
+        self.read_settings = read_settings
+        self.configurations = configurations
+        self.version = 0
+        self.entries: set[link.Link] = set()
+        self.last_update: messages.LoadUpdate | None = None
+        self.known_control: frozenset[str] = frozenset()
+        self.keeper = keeper.Keeper(client, settings.name, log)
+        self.control = dialer.DialerSet(
+            messages.Hello(role="agent", name=settings.name),
+            ControlListener(self),
+            log,
+        )
+        self.links = server.LinkServer(self, log)
+
+    # Process
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.dial_control()
+        await self.links.start(self.settings.host, self.settings.link_port)
+        self.tasks = [
+            loop.create_task(self.keeper.run()),
+            loop.create_task(self.update_entries()),
+            loop.create_task(self.fetch_fences()),
+        ]
+
+    async def stop(self) -> None:
+        """Stop; the engine keeps what it holds."""
+        for task in self.tasks:
+            task.cancel()
+
+    def reload(self) -> None:
+        self.settings = self.read_settings(self.settings_path)
+        self.dial_control()
+
+    def dial_control(self) -> None:
+        """Keep links to all control members that are known."""
+        self.control.set_addresses(
+            set(self.settings.control) | set(self.known_control)
+        )
+
+    # What control members tell
+
+    def take_control(self, message: messages.AnyMessage) -> None:
+        """Take an update."""
+        match message:
+            case messages.ConfigurationUpdate():
+                self.take_configuration(message)
+            case messages.VersionsUpdate():
+                for model, adapter, version in message.versions:
+                    key = (model, adapter)
+                    known = self.keeper.newest.get(key, 0)
+                    self.keeper.newest[key] = max(known, version)
+                self.keeper.wake.set()
+            case messages.RecordsUpdate():
+                for record in message.records:
+                    self.take_record(record)
+            case messages.MembersUpdate():
+                self.known_control = frozenset(message.addresses)
+                self.dial_control()
+
+    def take_configuration(
+        self, message: messages.ConfigurationUpdate
+    ) -> None:
+        """Learn what engines of the service are like."""
+        if message.version <= self.version:
+            return
+        try:
+            configuration = self.configurations.decode(message.body)
+        except exceptions.BadDeclarationError as fault:
+            self.log.write("configuration_unreadable", reason=str(fault))
+            return
+        self.version = message.version
+        service = configuration.services.get(self.settings.service)
+        if service is not None:
+            self.keeper.service = service
+
+    def take_record(self, record: records.TargetRecord) -> None:
+        """Learn which start of the engine is beside this agent."""
+        if record.address != self.settings.engine_address:
+            return
+        if record.state is records.TargetState.GONE:
+            return
+        report = self.keeper.report
+        if report is not None and report.born_ms not in (
+            None,
+            record.born_ms,
+        ):
+            return
+        if record.instance_id != self.keeper.instance_id:
+            self.log.write("engine_named", target=record.instance_id)
+            self.keeper.instance_id = record.instance_id
+
+    # Fences
+
+    async def fetch_fences(self) -> None:
+        """Get a fence at the start, and after one was refused."""
+        while True:
+            if self.keeper.fence is None or self.keeper.fence_refused:
+                await self.fetch_fence()
+            await asyncio.sleep(FENCE_RETRY_S)
+
+    async def fetch_fence(self) -> None:
+        """Ask control members until one issues a fence."""
+        command = msgspec.msgpack.encode(
+            catalogue.IssueFence(self.settings.name)
+        )
+        for peer in self.control.links():
+            try:
+                outcome = await peer.call(
+                    messages.Propose(command=command), FENCE_TIMEOUT_S
+                )
+            except (link.LinkClosedError, TimeoutError) as fault:
+                self.log.write("fence_call_failed", reason=str(fault))
+                continue
+            if isinstance(outcome, messages.Outcome) and outcome.done:
+                self.keeper.fence = outcome.index
+                self.keeper.fence_refused = False
+                self.keeper.wake.set()
+                self.log.write("fence_issued", fence=outcome.index)
+                return
+
+    # Entries
+
+    def on_hello(self, peer: link.Link) -> None:
+        self.entries.add(peer)
+        if self.last_update is not None:
+            peer.send(self.last_update)
+
+    def on_gone(self, peer: link.Link) -> None:
+        self.entries.discard(peer)
+        self.keeper.release_all(peer)
+
+    def on_message(
+        self, peer: link.Link, message: messages.AnyMessage
+    ) -> None:
+        if isinstance(message, messages.ReleaseAdapter):
+            self.keeper.release(peer, message.granted_call)
+
+    async def on_call(
+        self, peer: link.Link, message: messages.AnyMessage
+    ) -> None:
+        if not isinstance(message, messages.EnsureAdapter):
+            peer.send(messages.Outcome(call_id=message.call_id, done=False))
+            return
+        grant = await self.keeper.ensure(peer, message)
+        if peer not in self.entries:
+            self.keeper.release(peer, message.call_id)
+            return
+        peer.send(msgspec.structs.replace(grant, call_id=message.call_id))
+
+    async def update_entries(self) -> None:
+        """Tell entries the engine's load and adapters when they change."""
+        while True:
+            update = self.make_update()
+            if update is not None and update != self.last_update:
+                self.last_update = update
+                for peer in self.entries:
+                    peer.send(update)
+            await asyncio.sleep(UPDATE_S)
+
+    def make_update(self) -> messages.LoadUpdate | None:
+        """Return the engine's load and adapters, if known."""
+        report = self.keeper.report
+        holding = self.keeper.get_holding()
+        if report is None or holding is None:
+            return None
+        return messages.LoadUpdate(
+            running=report.running,
+            queued=report.queued,
+            kv_used=report.kv_used,
+            kv_total=report.kv_total,
+            adapter_slots=holding.adapter_slots,
+            held=sorted("/".join(key) for key in holding.adapters),
+            coming=sorted("/".join(key) for key in holding.coming),
+            granted=sorted(
+                {"/".join(key) for key in self.keeper.grants.values()}
+            ),
+            waiting=len(self.keeper.waiters),
+        )
+
+
+class ControlListener(dialer.Listener):
+    """Takes what control members tell an agent."""
+
+    def __init__(self, agent: AgentProcess) -> None:
+        self.agent = agent
+
+    def on_up(self, address: str, peer: link.Link) -> None:
+        return
+
+    def on_message(
+        self, address: str, peer: link.Link, message: messages.AnyMessage
+    ) -> None:
+        self.agent.take_control(message)
+
+    def on_down(self, address: str) -> None:
+        return
--- /dev/null
+++ b/src/hemlockkeel/_internal/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Forwards requests byte for byte to targets, and their answers back."""
--- /dev/null
+++ b/src/hemlockkeel/_internal/relay/channel.py
@@ -0,0 +1,141 @@
+"""A TCP connection with a receive buffer of bounded size."""
+
+import asyncio
+import collections.abc
+import socket
+
+# Bytes received and not yet read, after which reading pauses.
+HIGH_WATER_BYTES = 128 * 1024
+# Time in ms after which the kernel gives up on unacknowledged bytes; also
+# finds connections that went silent without a reset.
+TCP_USER_TIMEOUT_MS = 5000
+
+
+class Channel(asyncio.Protocol):
+    """Reads and writes bytes; tells at once when the peer goes."""
+
+    def __init__(
+        self,
+        on_connected: collections.abc.Callable[["Channel"], None]
+        | None = None,
+    ) -> None:
+        self.on_connected = on_connected
+        # Called once when the peer ends its side or the connection.
+        self.on_end: collections.abc.Callable[[], None] | None = None
+        self.transport: asyncio.Transport | None = None
+        self.received = bytearray()
+        self.ended = False
+        self.fault: Exception | None = None
+        self.waiter: asyncio.Future[None] | None = None
+        self.drain_waiter: asyncio.Future[None] | None = None
+        self.writable = True
+
+    # Called by the event loop
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(
+                socket.IPPROTO_TCP,
+                socket.TCP_USER_TIMEOUT,
+                TCP_USER_TIMEOUT_MS,
+            )
+        if self.on_connected is not None:
+            self.on_connected(self)
+
+    def data_received(self, data: bytes) -> None:
+        self.received += data
+        if len(self.received) > HIGH_WATER_BYTES and self.transport:
+            self.transport.pause_reading()
+        self.wake()
+
+    def eof_received(self) -> bool:
+        self.end(None)
+        return True
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if not self.ended or exc is not None:
+            self.fault = exc or ConnectionResetError("connection lost")
+        self.end(self.fault)
+        if self.drain_waiter is not None and not self.drain_waiter.done():
+            self.drain_waiter.set_result(None)
+
+    def pause_writing(self) -> None:
+        self.writable = False
+
+    def resume_writing(self) -> None:
+        self.writable = True
+        if self.drain_waiter is not None and not self.drain_waiter.done():
+            self.drain_waiter.set_result(None)
+
+    # Called by users
+
+    def end(self, fault: Exception | None) -> None:
+        """Note that nothing more will arrive."""
+        first = not self.ended
+        self.ended = True
+        self.wake()
+        if first and self.on_end is not None:
+            self.on_end()
+
+    def wake(self) -> None:
+        """Let a waiting reader go on."""
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_result(None)
+
+    @property
+    def closing(self) -> bool:
+        """Tell whether the connection is gone or going."""
+        return self.transport is None or self.transport.is_closing()
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes that wait to be sent."""
+        if self.transport is None:
+            return 0
+        return self.transport.get_write_buffer_size()
+
+    async def read(self) -> bytes:
+        """Return what has arrived; empty at the end of the stream.
+
+        :raises ConnectionError: when the connection was reset or timed out.
+        """
+        while not self.received and not self.ended:
+            self.waiter = asyncio.get_running_loop().create_future()
+            try:
+                await self.waiter
+            finally:
+                self.waiter = None
+        if self.received:
+            data = bytes(self.received)
+            self.received.clear()
+            if self.transport and not self.transport.is_closing():
+                self.transport.resume_reading()
+            return data
+        if self.fault is not None:
+            raise ConnectionResetError(str(self.fault)) from self.fault
+        return b""
+
+    def write(self, data: bytes) -> None:
+        """Queue bytes."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(data)
+
+    async def drain(self) -> None:
+        """Wait until the peer takes more."""
+        while not self.writable and not self.closing:
+            self.drain_waiter = asyncio.get_running_loop().create_future()
+            await self.drain_waiter
+
+    def close(self) -> None:
+        """Close after what is queued has been sent."""
+        if self.transport is not None:
+            self.transport.close()
+
+    def abort(self) -> None:
+        """Close at once."""
+        if self.transport is not None:
+            self.transport.abort()
--- /dev/null
+++ b/src/hemlockkeel/_internal/relay/choice.py
@@ -0,0 +1,173 @@
+"""Which target gets a request: the least expected time to its first byte.
+
+Pure decision code. It answers two loads: many short requests at plain
+services, where places are few and reports are a little old; and engines,
+where prompts wait behind each other and adapters have few slots.
+"""
+
+import dataclasses
+import random
+
+from hemlockkeel._internal.announced import records
+from hemlockkeel._internal.policy import routing
+
+# Prompt tokens that an engine reads in a second, from the engines' sheet.
+PREFILL_TOKENS_PER_S = 38_700.0
+# Slowest step of an engine's batch, seconds, from the engines' sheet.
+STEP_S = 0.0055
+# Time of a load from the store, and of one of an adapter that the target
+# held a short while ago, seconds, from the engines' sheet.
+ADAPTER_LOAD_S = 0.25
+# Extra time that a request takes between data centres, there and back.
+DISTANCE_S = 0.003
+# Expected work of one request at a plain service, seconds.
+PLAIN_WORK_S = 0.06
+# What evicting a held adapter costs its next request, on average, seconds.
+EVICTION_S = 0.1
+# Expected wait for an adapter slot when all are in use, seconds.
+SLOT_WAIT_S = 0.8
+# Expected wait for memory, for each multiple of it that is asked for.
+MEMORY_WAIT_S = 1.5
+# Added for a share of failures among a target's last answers; a target
+# that fails everything comes after any wait that a request can stand.
+FAILURE_S = 10.0
+# Orders the targets of an adapter that is held nowhere.
+SPREAD_S = 0.05
+
+
+@dataclasses.dataclass(slots=True)
+class EngineView:
+    """What an entry knows of an engine beyond its requests."""
+
+    held: frozenset[str] = frozenset()
+    coming: frozenset[str] = frozenset()
+    granted: frozenset[str] = frozenset()
+    adapter_slots: int = 0
+    kv_used: int = 0
+    kv_total: int = 0
+    # Requests waiting for an adapter at the agent.
+    waiting: int = 0
+    queued: int = 0
+    # Whether the agent that orders adapters answers.
+    agent_up: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Candidate:
+    """A target that may run a request."""
+
+    record: records.TargetRecord
+    # Requests of this entry that have not ended.
+    own: int
+    # Prompt tokens this entry sent that no first byte has answered yet.
+    own_prefill_tokens: int
+    # Requests and places as the target last reported them.
+    running: int
+    waiting: int
+    slots: int
+    # Share of failures among its last answers.
+    failure_share: float
+    # Tokens of the prompt that it probably keeps.
+    kept_tokens: int = 0
+    engine: EngineView | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Need:
+    """What a request needs of a target."""
+
+    data_centre: str
+    adapter: str = ""
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+
+
+def choose(
+    need: Need, candidates: list[Candidate], rng: random.Random
+) -> Candidate | None:
+    """Return the target with the least expected time."""
+    if not candidates:
+        return None
+    held = any(
+        candidate.engine is not None
+        and need.adapter in candidate.engine.held | candidate.engine.coming
+        for candidate in candidates
+    )
+    return min(
+        candidates,
+        key=lambda candidate: (
+            expect_s(need, candidate, held),
+            rng.random(),
+        ),
+    )
+
+
+def expect_s(need: Need, candidate: Candidate, held: bool) -> float:
+    """Return the expected seconds to the first byte at a target."""
+    cost = candidate.failure_share * FAILURE_S
+    if candidate.record.data_centre != need.data_centre:
+        cost += DISTANCE_S
+    cost += candidate.record.cold_left_s * 0.1
+    if candidate.engine is None:
+        return cost + expect_plain_s(candidate)
+    cost += expect_prefill_s(need, candidate)
+    cost += expect_memory_s(need, candidate, candidate.engine)
+    if need.adapter:
+        cost += expect_adapter_s(need, candidate, candidate.engine, held)
+    return cost
+
+
+def expect_plain_s(candidate: Candidate) -> float:
+    """Return the expected wait at a plain service's target."""
+    ahead = max(candidate.own, candidate.running + candidate.waiting)
+    slots = max(1, candidate.slots)
+    waits = max(0.0, (ahead + 1 - slots) / slots)
+    return waits * PLAIN_WORK_S + 0.01 * ahead / slots
+
+
+def expect_prefill_s(need: Need, candidate: Candidate) -> float:
+    """Return the expected time until an engine has read the prompt."""
+    own = max(0, need.prompt_tokens - candidate.kept_tokens)
+    ahead = candidate.own_prefill_tokens
+    batch = candidate.running / max(1, candidate.slots)
+    return (own + ahead) / PREFILL_TOKENS_PER_S * (1.0 + batch)
+
+
+def expect_memory_s(
+    need: Need, candidate: Candidate, engine: EngineView
+) -> float:
+    """Return the expected wait for memory and a place in the batch."""
+    wait = 0.05 * engine.queued
+    if engine.kv_total:
+        wanted = engine.kv_used + need.prompt_tokens + need.output_tokens
+        wanted += candidate.own_prefill_tokens
+        over = max(0.0, wanted / engine.kv_total - 0.9)
+        wait += over * MEMORY_WAIT_S
+    full = candidate.running + 1 - max(1, candidate.slots)
+    if full > 0:
+        wait += 0.1 * full
+    return wait
+
+
+def expect_adapter_s(
+    need: Need, candidate: Candidate, engine: EngineView, held: bool
+) -> float:
+    """Return the expected wait for the adapter and what it displaces."""
+    if not engine.agent_up:
+        # Nobody can order a load there; what it holds is as last heard.
+        return 0.0 if need.adapter in engine.held else FAILURE_S
+    if need.adapter in engine.held:
+        return 0.0
+    if need.adapter in engine.coming:
+        return ADAPTER_LOAD_S / 2
+    cost = ADAPTER_LOAD_S + engine.waiting * 0.1
+    taken = len(engine.held) + len(engine.coming)
+    if len(engine.granted | engine.coming) >= engine.adapter_slots:
+        cost += SLOT_WAIT_S
+    elif taken >= engine.adapter_slots:
+        cost += EVICTION_S
+    if held:
+        cost += EVICTION_S
+    name = need.adapter
+    spread = routing.get_spread(name, candidate.record.instance_id)
+    return cost + SPREAD_S * spread
--- /dev/null
+++ b/src/hemlockkeel/_internal/relay/exchange.py
@@ -0,0 +1,186 @@
+"""One request and its answer on a connection to a target."""
+
+import asyncio
+
+import h11
+
+from hemlockkeel._internal.relay import channel
+from hemlockkeel._internal.relay import dialect
+from hemlockkeel._internal.relay import headers
+
+CONNECT_TIMEOUT_S = 1.0
+MAX_HEAD_BYTES = 64 * 1024
+# Answers of other requests that are skipped before a connection is given up.
+MAX_FOREIGN_ANSWERS = 2
+
+
+class ConnectFailedError(Exception):
+    """No connection was made, so nothing was sent."""
+
+
+class BrokenAnswerError(Exception):
+    """The answer ended early or is no answer."""
+
+
+class Answer:
+    """Head of a target's answer."""
+
+    def __init__(
+        self, response: h11.Response, facts: dialect.AnswerFacts
+    ) -> None:
+        self.status = response.status_code
+        self.headers: dialect.Headers = [
+            (bytes(key), bytes(value))
+            for key, value in response.headers.raw_items()
+        ]
+        self.facts = facts
+
+    @property
+    def is_event_stream(self) -> bool:
+        """Tell whether the body is a stream of events."""
+        kind = headers.get(self.headers, b"content-type") or b""
+        return kind.lower().startswith(b"text/event-stream")
+
+
+class TargetConnection:
+    """A connection to a target, for one exchange at a time."""
+
+    def __init__(self, bytes_channel: channel.Channel) -> None:
+        self.channel = bytes_channel
+        self.state = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
+        self.used = False
+        self.idle_since = 0.0
+        self.idle_limit_s: float | None = None
+        self.request: h11.Request | None = None
+        self.body = b""
+
+    def send(
+        self, method: bytes, target: bytes, head: dialect.Headers, body: bytes
+    ) -> None:
+        """Send a request with its whole body."""
+        self.request = h11.Request(method=method, target=target, headers=head)
+        self.body = body
+        self.channel.write(self.encode_request())
+
+    def encode_request(self) -> bytes:
+        """Let the protocol state pass the request; return its bytes."""
+        assert self.request is not None
+        data = self.state.send(self.request) or b""
+        if self.body:
+            data += self.state.send(h11.Data(data=self.body)) or b""
+        data += self.state.send(h11.EndOfMessage()) or b""
+        return data
+
+    async def next_event(self) -> h11.Event | type[h11.PAUSED]:
+        """Return the next protocol event.
+
+        :raises BrokenAnswerError: when the answer is cut off or malformed.
+        """
+        while True:
+            try:
+                event = self.state.next_event()
+            except h11.RemoteProtocolError as fault:
+                raise BrokenAnswerError(str(fault)) from fault
+            if not isinstance(event, type) or event is h11.PAUSED:
+                return event
+            try:
+                data = await self.channel.read()
+                self.state.receive_data(data)
+            except (ConnectionError, h11.RemoteProtocolError) as fault:
+                raise BrokenAnswerError(str(fault)) from fault
+
+    async def read_head(
+        self, speaks: dialect.Dialect, request_id: str
+    ) -> Answer:
+        """Return the head of the answer to the request sent last.
+
+        Answers to other requests are skipped: an extra one may lie where
+        this one is due.
+
+        :raises BrokenAnswerError: when no such answer comes.
+        """
+        for _ in range(MAX_FOREIGN_ANSWERS):
+            event = await self.next_event()
+            while isinstance(event, h11.InformationalResponse):
+                event = await self.next_event()
+            if not isinstance(event, h11.Response):
+                raise BrokenAnswerError("no answer")
+            raw = [(bytes(k), bytes(v)) for k, v in event.headers.raw_items()]
+            answer = Answer(event, speaks.read_answer(event.status_code, raw))
+            if answer.facts.request_id in ("", request_id):
+                return answer
+            await self.skip_foreign()
+        raise BrokenAnswerError("only answers to other requests")
+
+    async def skip_foreign(self) -> None:
+        """Read an answer to another request to its end and go on."""
+        while await self.read_data() is not None:
+            continue
+        trailing, closed = self.state.trailing_data
+        if closed:
+            raise BrokenAnswerError("closed after another answer")
+        self.state = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
+        self.encode_request()
+        if trailing:
+            self.state.receive_data(trailing)
+
+    async def read_data(self) -> bytes | None:
+        """Return the next bytes of the body; None at its end.
+
+        :raises BrokenAnswerError: when the body ends early.
+        """
+        event = await self.next_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise BrokenAnswerError("the body ended early")
+
+    def take_available(self) -> bool:
+        """Tell whether more of the body has arrived already."""
+        return bool(self.channel.received)
+
+    def finish(self) -> bool:
+        """End the exchange; tell whether the connection may be kept."""
+        self.used = True
+        if self.channel.closing or self.channel.ended:
+            return False
+        if self.channel.received or self.channel.unsent_bytes:
+            return False
+        if self.state.trailing_data[0]:
+            return False
+        try:
+            self.state.start_next_cycle()
+        except h11.LocalProtocolError:
+            return False
+        return True
+
+    @property
+    def sound(self) -> bool:
+        """Tell whether an idle connection can still be used."""
+        return not (
+            self.channel.closing or self.channel.ended or self.channel.received
+        )
+
+    def abort(self) -> None:
+        """Drop the connection at once."""
+        self.channel.abort()
+
+
+async def connect(address: str) -> TargetConnection:
+    """Connect to a target.
+
+    :raises ConnectFailedError: when that fails.
+    """
+    host, port = address.rsplit(":", 1)
+    loop = asyncio.get_running_loop()
+    try:
+        _, made = await asyncio.wait_for(
+            loop.create_connection(channel.Channel, host, int(port)),
+            CONNECT_TIMEOUT_S,
+        )
+    except (OSError, TimeoutError, ValueError) as fault:
+        raise ConnectFailedError(
+            f"{address}: {fault or type(fault).__name__}"
+        ) from fault
+    return TargetConnection(made)
--- /dev/null
+++ b/src/hemlockkeel/_internal/relay/fleet.py
@@ -0,0 +1,218 @@
+"""What an entry knows of targets: announcements, load and failures."""
+
+import collections
+import dataclasses
+
+from hemlockkeel._internal.announced import records
+from hemlockkeel._internal.links import messages
+from hemlockkeel._internal.relay import choice
+from hemlockkeel._internal.relay import dialect
+from hemlockkeel._internal.relay import pool
+
+# Heartbeats that a target may miss before it gets no new work.
+MISSED_HEARTBEATS = 4
+# Weight of the newest answer in a target's share of failures.
+FAILURE_WEIGHT = 0.2
+# A target that failed is tried again as its share decays, half every 3 s.
+FAILURE_HALF_LIFE_S = 3.0
+# Age after which a load report says nothing any more.
+LOAD_REPORT_S = 0.5
+# Chains of prompt parts that are remembered for a target.
+MAX_CHAINS = 2000
+# Share of a target's connections that the entries together may take.
+CONNECTION_SHARE = 0.9
+
+
+@dataclasses.dataclass
+class Target:
+    """One start of a target, as this entry knows it."""
+
+    record: records.TargetRecord
+    pool: pool.TargetPool
+    own: int = 0
+    own_prefill_tokens: int = 0
+    running: int = 0
+    waiting: int = 0
+    slots: int = 0
+    load_at: float = float("-inf")
+    failure_share: float = 0.0
+    failure_at: float = 0.0
+    engine: choice.EngineView | None = None
+    # Prompt parts that it probably keeps, by adapter and chain.
+    chains: collections.OrderedDict[tuple[str, ...], int] = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
+
+    def note_load(self, load: dialect.TargetLoad, now: float) -> None:
+        """Take a load report."""
+        self.running, self.waiting = load.running, load.waiting
+        self.slots = load.slots
+        self.load_at = now
+
+    def note_result(self, failed: bool, now: float) -> None:
+        """Count a good or failed answer."""
+        decayed = self.get_failure_share(now)
+        self.failure_share = decayed + FAILURE_WEIGHT * (failed - decayed)
+        self.failure_at = now
+
+    def get_failure_share(self, now: float) -> float:
+        """Return the share of failures, less what time has decayed."""
+        age = now - self.failure_at
+        return float(self.failure_share * 0.5 ** (age / FAILURE_HALF_LIFE_S))
+
+    def note_prompt(
+        self, adapter: str, parts: tuple[dialect.PromptPart, ...]
+    ) -> None:
+        """Remember the parts of a prompt that the target has read."""
+        chain: tuple[str, ...] = (adapter,)
+        tokens = 0
+        for part in parts:
+            chain = (*chain, part.part_id)
+            tokens += part.tokens
+            self.chains[chain] = tokens
+            self.chains.move_to_end(chain)
+        while len(self.chains) > MAX_CHAINS:
+            self.chains.popitem(last=False)
+
+    def get_kept_tokens(
+        self, adapter: str, parts: tuple[dialect.PromptPart, ...]
+    ) -> int:
+        """Return the tokens of a prompt that the target probably keeps."""
+        chain: tuple[str, ...] = (adapter,)
+        kept = 0
+        for part in parts:
+            chain = (*chain, part.part_id)
+            if chain not in self.chains:
+                break
+            kept = self.chains[chain]
+        return kept
+
+    def close(self) -> None:
+        """Close kept connections."""
+        self.pool.close()
+
+
+class Fleet:
+    """All targets."""
+
+    def __init__(self, heartbeat_s: float) -> None:
+        self.silent_after_s = heartbeat_s * MISSED_HEARTBEATS
+        self.table = records.Table(forget_after_s=heartbeat_s * 20)
+        self.targets: dict[records.InstanceId, Target] = {}
+        self.entries = 1
+
+    def merge(self, record: records.TargetRecord, now: float) -> bool:
+        """Take an announcement; tell whether it changed the state."""
+        before = self.table.by_id.get(record.instance_id)
+        if not self.table.merge(record, now):
+            return False
+        self.refresh(record)
+        return before is None or before.state is not record.state
+
+    def refresh(self, record: records.TargetRecord) -> None:
+        """Keep a target's state in step with its announcement."""
+        target = self.targets.get(record.instance_id)
+        if target is not None and (
+            target.record.born_ms != record.born_ms
+            or target.record.address != record.address
+        ):
+            # Another start: it knows nothing of before.
+            target.close()
+            target = None
+        if target is None:
+            target = Target(record, pool.TargetPool(record.address))
+            self.targets[record.instance_id] = target
+        target.record = record
+        if record.models is not None and target.engine is None:
+            target.engine = choice.EngineView()
+        if target.engine is not None and not target.engine.agent_up:
+            target.engine.held = list_adapters(record)
+
+    def expire(self, now: float) -> None:
+        """Forget silent targets and close idle connections."""
+        for instance_id in self.table.forget_old(now):
+            self.targets.pop(instance_id).close()
+        for target in self.targets.values():
+            target.pool.expire(now)
+
+    def find(self, address: str) -> Target | None:
+        """Return the newest start at an address."""
+        found = [
+            target
+            for target in self.targets.values()
+            if target.record.address == address
+        ]
+        return max(found, key=lambda t: t.record.born_ms, default=None)
+
+    def note_agent_load(
+        self, address: str, load: messages.LoadUpdate, now: float
+    ) -> None:
+        """Take what an agent says of its target."""
+        target = self.find(address)
+        if target is None:
+            return
+        target.engine = choice.EngineView(
+            frozenset(load.held),
+            frozenset(load.coming),
+            frozenset(load.granted),
+            load.adapter_slots,
+            load.kv_used,
+            load.kv_total,
+            load.waiting,
+            load.queued,
+            agent_up=True,
+        )
+        target.running, target.waiting = load.running, load.queued
+        target.load_at = now
+
+    def note_agent_down(self, address: str) -> None:
+        """Learn that nobody gives orders to a target for now."""
+        target = self.find(address)
+        if target is not None and target.engine is not None:
+            target.engine.agent_up = False
+
+    def list_candidates(
+        self,
+        service: records.ServiceName,
+        facts: dialect.RequestFacts,
+        now: float,
+        without: set[records.InstanceId],
+    ) -> list[choice.Candidate]:
+        """Return the targets of a service that may get a request."""
+        adapter = f"{facts.model}/{facts.adapter}" if facts.adapter else ""
+        found = []
+        for record in self.table.find_usable(
+            service, now, self.silent_after_s
+        ):
+            if record.instance_id in without:
+                continue
+            target = self.targets[record.instance_id]
+            fresh = now - target.load_at < LOAD_REPORT_S
+            found.append(
+                choice.Candidate(
+                    record,
+                    target.own,
+                    target.own_prefill_tokens,
+                    target.running if fresh else target.own,
+                    target.waiting if fresh else 0,
+                    target.slots or record.slots,
+                    target.get_failure_share(now),
+                    target.get_kept_tokens(adapter, facts.prompt_parts),
+                    target.engine,
+                )
+            )
+        return found
+
+    def get_connection_cap(self, max_connections: int) -> int:
+        """Return this entry's part of a target's connections."""
+        share = max_connections * CONNECTION_SHARE / max(1, self.entries)
+        return max(1, int(share))
+
+
+def list_adapters(record: records.TargetRecord) -> frozenset[str]:
+    """Return the adapters that a target announces, as MODEL/NAME."""
+    return frozenset(
+        f"{model.name}/{name}"
+        for model in record.models or []
+        for name in model.adapters
+    )
--- /dev/null
+++ b/src/hemlockkeel/_internal/relay/forwarder.py
@@ -0,0 +1,685 @@
+"""Carries one request to a target and its answer back to the caller.
+
+A verdict tells whether the request may have run. Refusals that promise that
+it has not are given only when each target it went to said so itself, or was
+never reached.
+"""
+
+import asyncio
+import dataclasses
+import enum
+import http
+import random
+
+from hemlockkeel._internal.announced import records
+from hemlockkeel._internal.links import link
+from hemlockkeel._internal.models import outcomes
+from hemlockkeel._internal.relay import adapters
+from hemlockkeel._internal.relay import caller
+from hemlockkeel._internal.relay import choice
+from hemlockkeel._internal.relay import dialect
+from hemlockkeel._internal.relay import events
+from hemlockkeel._internal.relay import exchange
+from hemlockkeel._internal.relay import fleet as fleet_module
+from hemlockkeel._internal.relay import headers
+from hemlockkeel._internal.routes import budget
+from hemlockkeel._internal.routes import table
+from hemlockkeel._internal.utils import event_log
+from hemlockkeel._internal.utils import instruments
+
+# A target answers at the deadline itself; this long after it the entry does.
+DEADLINE_GRACE_S = 0.1
+# Targets that could not be reached before a request is refused.
+MAX_UNREACHED = 4
+# Body of an answer that is held to be retried when it is cut off.
+MAX_HELD_BYTES = 8 * 1024 * 1024
+# Shortest time in which a target can do anything for a request.
+MIN_USEFUL_S = 0.02
+# When a refused caller may come back, seconds, spread at random so that
+# callers that were refused together do not return together.
+RETRY_AFTER_S = (0.15, 0.6)
+PROMISING = frozenset({408, 421, 429, 503})
+
+
+class Cause(enum.Enum):
+    """Why a request was answered by the entry itself."""
+
+    NO_CONFIGURATION = "no_configuration"
+    NO_ROUTE = "no_route"
+    NO_TARGET = "no_target"
+    TARGETS_BUSY = "targets_busy"
+    TARGET_REFUSED = "target_refused"
+    NO_ADAPTER = "no_adapter"
+    BROKEN_ANSWER = "broken_answer"
+    BAD_ANSWER = "bad_answer"
+    DEADLINE = "deadline"
+
+
+@dataclasses.dataclass
+class Failed:
+    """An attempt that gave no answer to pass on."""
+
+    verdict: outcomes.Verdict
+    cause: Cause
+    reason: str
+    # Whether the request was written to a target.
+    sent: bool = True
+
+
+@dataclasses.dataclass
+class Held:
+    """A whole answer that has not been passed on yet."""
+
+    answer: exchange.Answer
+    body: bytes
+
+
+@dataclasses.dataclass
+class Done:
+    """The answer has been passed on, or broken off."""
+
+    status: int
+    complete: bool
+
+
+@dataclasses.dataclass
+class StreamBroken:
+    """A stream ended early after some events had been passed on."""
+
+    reason: str
+
+
+Result = Failed | Held | Done | StreamBroken
+
+
+@dataclasses.dataclass
+class Knowledge:
+    """Everything that the forwarder decides from."""
+
+    fleet: fleet_module.Fleet
+    speaks: dialect.Dialect
+    grants: adapters.AdapterGrants
+    log: event_log.EventLog
+    instruments: instruments.Instruments
+    rng: random.Random
+    data_centre: str
+    bound: budget.BudgetBound
+    started_at: float
+    configuration: table.Configuration | None = None
+    budgets: dict[str, budget.RetryBudget] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def get_budget(self, service: str) -> budget.RetryBudget:
+        """Return a service's retry budget."""
+        found = self.budgets.get(service)
+        if found is None:
+            found = budget.RetryBudget(self.bound, self.started_at)
+            self.budgets[service] = found
+        return found
+
+
+class Forwarder:
+    """One request's way through the entry."""
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        connection: caller.CallerConnection,
+        request: caller.CallerRequest,
+    ) -> None:
+        self.knowledge = knowledge
+        self.connection = connection
+        self.request = request
+        self.facts = knowledge.speaks.read_request(request.headers)
+        self.route: table.Route | None = None
+        self.ends_at = 0.0
+        self.tried: set[records.InstanceId] = set()
+        self.sends = 0
+        self.unreached = 0
+        self.verdict = outcomes.Verdict.NOT_RUN
+        self.splitter: events.EventSplitter | None = None
+        self.last: Failed | Held | StreamBroken | None = None
+        self.first_byte_at: float | None = None
+
+    @property
+    def now(self) -> float:
+        """Return the loop's time."""
+        return asyncio.get_running_loop().time()
+
+    async def run(self) -> None:
+        """Answer the request."""
+        configuration = self.knowledge.configuration
+        if configuration is None:
+            self.refuse(Cause.NO_CONFIGURATION, "no configuration yet")
+            return
+        self.route = configuration.find_route(
+            self.request.host, self.request.path
+        )
+        if self.route is None:
+            self.reply(http.HTTPStatus.NOT_FOUND, Cause.NO_ROUTE, "no route")
+            return
+        wait_s = self.route.timeout_s
+        if self.facts.deadline_s is not None:
+            wait_s = min(wait_s, self.facts.deadline_s)
+        self.ends_at = self.request.arrived_at + wait_s
+        service = configuration.services[
+            self.route.choose_service(self.knowledge.rng)
+        ]
+        self.knowledge.get_budget(service.name).note_request(self.now)
+        try:
+            async with asyncio.timeout_at(self.ends_at + DEADLINE_GRACE_S):
+                await self.try_targets(self.route, service)
+        except TimeoutError:
+            self.give_up_at_deadline()
+        except asyncio.CancelledError:
+            self.note("caller_gone", sends=self.sends)
+            raise
+
+    def give_up_at_deadline(self) -> None:
+        """Answer when time is up."""
+        if self.connection.begun:
+            self.note("stream_cut_at_deadline")
+            self.connection.break_off()
+            return
+        if self.verdict is outcomes.Verdict.NOT_RUN:
+            self.refuse(Cause.DEADLINE, "not run before the deadline")
+            return
+        self.reply(
+            http.HTTPStatus.GATEWAY_TIMEOUT,
+            Cause.DEADLINE,
+            "no answer in time",
+        )
+
+    async def try_targets(
+        self, route: table.Route, service: table.Service
+    ) -> None:
+        """Send to one target after another until one answers."""
+        while True:
+            target = self.choose(service)
+            if target is None:
+                self.conclude(
+                    Failed(
+                        outcomes.Verdict.NOT_RUN,
+                        Cause.NO_TARGET,
+                        "no target left",
+                        sent=False,
+                    )
+                )
+                return
+            if self.sends and not self.may_send_again(route, service):
+                self.conclude(None)
+                return
+            result = await self.attempt(route, service, target)
+            if isinstance(result, Done):
+                self.note_answer(result.status, "target", result.complete)
+                return
+            self.last = result
+            if not self.wants_another(route, result):
+                self.conclude(None)
+                return
+
+    def choose(self, service: table.Service) -> fleet_module.Target | None:
+        """Return the best target that was not tried yet."""
+        knowledge = self.knowledge
+        candidates = knowledge.fleet.list_candidates(
+            service.name, self.facts, self.now, self.tried
+        )
+        adapter = ""
+        if self.facts.adapter:
+            adapter = f"{self.facts.model}/{self.facts.adapter}"
+        need = choice.Need(
+            knowledge.data_centre,
+            adapter,
+            self.facts.prompt_tokens,
+            self.facts.max_output_tokens,
+        )
+        chosen = choice.choose(need, candidates, knowledge.rng)
+        if chosen is None:
+            return None
+        self.note(
+            "target_chosen",
+            target=chosen.record.instance_id,
+            sequence=chosen.record.sequence,
+            candidates=len(candidates),
+            own=chosen.own,
+            running=chosen.running,
+            kept=chosen.kept_tokens,
+        )
+        return knowledge.fleet.targets[chosen.record.instance_id]
+
+    def may_send_again(
+        self, route: table.Route, service: table.Service
+    ) -> bool:
+        """Tell whether attempts, time and budget allow another send."""
+        if self.sends >= route.attempts:
+            return False
+        if self.ends_at - self.now < MIN_USEFUL_S:
+            return False
+        allowed = self.knowledge.get_budget(service.name).spend(
+            self.now, self.knowledge.fleet.entries
+        )
+        if not allowed:
+            self.note("retry_budget_empty", service=service.name)
+        return allowed
+
+    def wants_another(
+        self, route: table.Route, result: Failed | Held | StreamBroken
+    ) -> bool:
+        """Tell whether another target could help."""
+        if isinstance(result, StreamBroken):
+            return route.resumable
+        if isinstance(result, Held):
+            return route.idempotent
+        if not result.sent:
+            self.unreached += 1
+            return self.unreached < MAX_UNREACHED
+        if result.verdict is outcomes.Verdict.NOT_RUN:
+            return True
+        return route.idempotent or route.resumable
+
+    def conclude(self, fault: Failed | None) -> None:
+        """Give the caller the final answer after the last attempt."""
+        last = self.last or fault
+        if isinstance(last, Held):
+            self.pass_on(last)
+            return
+        if isinstance(last, StreamBroken):
+            self.note("stream_broken_off", reason=last.reason)
+            self.connection.break_off()
+            return
+        if last is None:
+            self.refuse(Cause.NO_TARGET, "no target")
+            return
+        if self.connection.begun:
+            self.note("stream_broken_off", reason=last.reason)
+            self.connection.break_off()
+            return
+        if self.verdict is outcomes.Verdict.NOT_RUN:
+            self.refuse(last.cause, last.reason)
+            return
+        self.reply(http.HTTPStatus.BAD_GATEWAY, last.cause, last.reason)
+
+    # One attempt
+
+    async def attempt(
+        self,
+        route: table.Route,
+        service: table.Service,
+        target: fleet_module.Target,
+    ) -> Result:
+        """Send the request to a target and take its answer."""
+        self.tried.add(target.record.instance_id)
+        if self.facts.adapter and target.engine is not None:
+            return await self.attempt_with_adapter(route, service, target)
+        return await self.attempt_on(route, service, target, None)
+
+    async def attempt_with_adapter(
+        self,
+        route: table.Route,
+        service: table.Service,
+        target: fleet_module.Target,
+    ) -> Result:
+        """Hold the adapter at the target while the request runs there."""
+        grants = self.knowledge.grants
+        begun = self.now
+        try:
+            grant = await grants.acquire(
+                target.record.address,
+                self.facts.model,
+                self.facts.adapter,
+                route.priority,
+                self.ends_at - begun,
+            )
+        except (link.LinkClosedError, TimeoutError) as fault:
+            return self.fail_unsent(Cause.NO_ADAPTER, f"agent: {fault}")
+        self.knowledge.instruments.adapter_wait.observe(self.now - begun)
+        if grant is None:
+            # No agent: the target may hold the adapter all the same.
+            return await self.attempt_on(route, service, target, None)
+        try:
+            if not grant.granted:
+                return self.fail_unsent(Cause.NO_ADAPTER, grant.reason)
+            version = grant.version or None
+            return await self.attempt_on(route, service, target, version)
+        finally:
+            grants.release(grant)
+
+    def fail_unsent(self, cause: Cause, reason: str) -> Failed:
+        """Return the outcome of an attempt that reached no target."""
+        self.note("not_sent", cause=cause.value, reason=reason)
+        self.knowledge.instruments.attempts.labels("not_sent").inc()
+        return Failed(outcomes.Verdict.NOT_RUN, cause, reason, sent=False)
+
+    async def attempt_on(
+        self,
+        route: table.Route,
+        service: table.Service,
+        target: fleet_module.Target,
+        version: int | None,
+    ) -> Result:
+        """Send on a connection, kept or new."""
+        now = self.now
+        cap = self.knowledge.fleet.get_connection_cap(service.max_connections)
+        connection = target.pool.take_idle(now)
+        if connection is None:
+            if target.pool.in_use >= cap:
+                return self.fail_unsent(
+                    Cause.TARGETS_BUSY, "all connections are in use"
+                )
+            try:
+                connection = await target.pool.connect()
+            except exchange.ConnectFailedError as fault:
+                target.note_result(True, self.now)
+                return self.fail_unsent(Cause.NO_TARGET, str(fault))
+        left = self.ends_at - self.now
+        if left < MIN_USEFUL_S:
+            target.pool.drop(connection)
+            return self.fail_unsent(Cause.DEADLINE, "no time left")
+        return await self.exchange_on(
+            route,
+            target,
+            connection,
+            self.make_forwarding(route, target, left, version),
+        )
+
+    def make_forwarding(
+        self,
+        route: table.Route,
+        target: fleet_module.Target,
+        left: float,
+        version: int | None,
+    ) -> dialect.Forwarding:
+        """Return what is added to the request for a target."""
+        last_id = self.facts.last_event_id
+        if self.splitter is not None and self.splitter.last_id:
+            last_id = self.splitter.last_id
+        return dialect.Forwarding(
+            left,
+            target.record.instance_id,
+            version,
+            route.priority if target.engine is not None else None,
+            last_id,
+        )
+
+    async def exchange_on(
+        self,
+        route: table.Route,
+        target: fleet_module.Target,
+        connection: exchange.TargetConnection,
+        forwarding: dialect.Forwarding,
+    ) -> Result:
+        """Exchange the request for an answer; always ends the connection's
+        use."""
+        knowledge = self.knowledge
+        prefill = max(
+            0,
+            self.facts.prompt_tokens
+            - target.get_kept_tokens(
+                self.adapter_key, self.facts.prompt_parts
+            ),
+        )
+        head = knowledge.speaks.make_request_headers(
+            headers.drop_hop_by_hop(self.request.headers), forwarding
+        )
+        if self.request.body or has_framing(self.request.headers):
+            length = str(len(self.request.body)).encode()
+            head.append((b"Content-Length", length))
+        target.own += 1
+        target.own_prefill_tokens += prefill
+        pending = Pending(target, prefill)
+        kept: exchange.Answer | None = None
+        before, self.verdict = self.verdict, outcomes.Verdict.MAY_HAVE_RUN
+        self.sends += 1
+        try:
+            connection.send(
+                self.request.method,
+                self.request.target,
+                head,
+                self.request.body,
+            )
+            answer = await connection.read_head(
+                knowledge.speaks, self.facts.request_id
+            )
+            if answer.facts.load is not None:
+                target.note_load(answer.facts.load, self.now)
+            result = await self.take_answer(
+                route, target, connection, answer, pending
+            )
+            if isinstance(result, Failed) and (
+                result.verdict is outcomes.Verdict.NOT_RUN
+            ):
+                self.verdict = before
+            if not isinstance(result, Failed) or (
+                result.verdict is outcomes.Verdict.NOT_RUN
+            ):
+                kept = answer
+            return result
+        except exchange.BrokenAnswerError as fault:
+            target.note_result(True, self.now)
+            knowledge.instruments.attempts.labels("broken").inc()
+            self.note(
+                "answer_broken",
+                target=target.record.instance_id,
+                reason=str(fault),
+            )
+            if self.connection.begun:
+                return StreamBroken(str(fault))
+            return Failed(
+                outcomes.Verdict.MAY_HAVE_RUN,
+                Cause.BROKEN_ANSWER,
+                str(fault),
+            )
+        finally:
+            pending.note_first_byte()
+            target.own -= 1
+            if kept is not None:
+                target.pool.give_back(connection, kept.headers, self.now)
+            else:
+                target.pool.drop(connection)
+
+    @property
+    def adapter_key(self) -> str:
+        """Return model and adapter as one name."""
+        return f"{self.facts.model}/{self.facts.adapter}"
+
+    async def take_answer(
+        self,
+        route: table.Route,
+        target: fleet_module.Target,
+        connection: exchange.TargetConnection,
+        answer: exchange.Answer,
+        pending: "Pending",
+    ) -> Result:
+        """Judge an answer's head and read its body."""
+        if answer.facts.not_run or answer.status == 421:
+            await read_whole(connection)
+            self.knowledge.instruments.attempts.labels("refused").inc()
+            self.note(
+                "target_refused",
+                target=target.record.instance_id,
+                status=answer.status,
+            )
+            return Failed(
+                outcomes.Verdict.NOT_RUN,
+                Cause.TARGET_REFUSED,
+                f"target refused with {answer.status}",
+            )
+        success = 200 <= answer.status < 300
+        if success and answer.facts.sealed and answer.is_event_stream:
+            return await self.take_stream(target, connection, answer, pending)
+        body = await read_whole(connection)
+        pending.note_first_byte()
+        target.note_result(answer.status >= 500, self.now)
+        if success and not answer.facts.sealed:
+            return self.fail_bad(target, "success without a seal")
+        if answer.status in PROMISING:
+            return self.fail_bad(target, f"unproved {answer.status}")
+        held = Held(answer, body)
+        if answer.status < 500 or not route.idempotent:
+            self.pass_on(held)
+            return Done(answer.status, True)
+        self.knowledge.instruments.attempts.labels("failed").inc()
+        self.note(
+            "target_failed",
+            target=target.record.instance_id,
+            status=answer.status,
+        )
+        return held
+
+    def fail_bad(self, target: fleet_module.Target, reason: str) -> Failed:
+        """Return the outcome of an answer that must not be passed on."""
+        target.note_result(True, self.now)
+        self.knowledge.instruments.attempts.labels("bad").inc()
+        self.note(
+            "answer_bad", target=target.record.instance_id, reason=reason
+        )
+        return Failed(outcomes.Verdict.MAY_HAVE_RUN, Cause.BAD_ANSWER, reason)
+
+    async def take_stream(
+        self,
+        target: fleet_module.Target,
+        connection: exchange.TargetConnection,
+        answer: exchange.Answer,
+        pending: "Pending",
+    ) -> Result:
+        """Pass whole events on as they arrive."""
+        last_id = self.splitter.last_id if self.splitter else ""
+        splitter = self.splitter = events.EventSplitter()
+        splitter.last_id = last_id
+        while True:
+            data = await connection.read_data()
+            if data is None:
+                break
+            try:
+                whole = splitter.feed(data)
+            except ValueError as fault:
+                raise exchange.BrokenAnswerError(str(fault)) from fault
+            if not whole:
+                continue
+            pending.note_first_byte()
+            if not self.connection.begun:
+                target.note_prompt(self.adapter_key, self.facts.prompt_parts)
+                self.begin(answer)
+            await self.connection.send_data(whole)
+        if not splitter.at_boundary:
+            raise exchange.BrokenAnswerError("ended inside an event")
+        if not self.connection.begun:
+            self.begin(answer)
+        self.connection.end_stream()
+        target.note_result(False, self.now)
+        return Done(answer.status, True)
+
+    # Answers to the caller
+
+    def begin(self, answer: exchange.Answer) -> None:
+        """Send the head of a stream."""
+        self.note_first_byte()
+        self.connection.begin_stream(
+            answer.status, headers.drop_hop_by_hop(answer.headers)
+        )
+
+    def pass_on(self, held: Held) -> None:
+        """Send a target's whole answer."""
+        self.note_first_byte()
+        self.connection.send_answer(
+            held.answer.status,
+            headers.drop_hop_by_hop(held.answer.headers),
+            held.body,
+        )
+        if held is self.last:
+            self.note_answer(held.answer.status, "target", True)
+
+    def note_first_byte(self) -> None:
+        """Measure the time to the first byte."""
+        kind = self.route.kind.value if self.route else "none"
+        self.knowledge.instruments.first_byte.labels(kind).observe(
+            self.now - self.request.arrived_at
+        )
+
+    def refuse(self, cause: Cause, reason: str) -> None:
+        """Refuse a request that has certainly not run."""
+        wait = self.knowledge.rng.uniform(*RETRY_AFTER_S)
+        self.reply(
+            http.HTTPStatus.SERVICE_UNAVAILABLE,
+            cause,
+            reason,
+            [(b"Retry-After", f"{wait:.2f}".encode())],
+        )
+
+    def reply(
+        self,
+        status: int,
+        cause: Cause,
+        reason: str,
+        extra: dialect.Headers | None = None,
+    ) -> None:
+        """Send an answer of the entry's own."""
+        body = f"{reason}\n".encode()
+        self.connection.send_answer(
+            status, [(b"Content-Type", b"text/plain"), *(extra or [])], body
+        )
+        self.note_answer(status, cause.value, True, reason)
+
+    def note_answer(
+        self, status: int, cause: str, complete: bool, reason: str = ""
+    ) -> None:
+        """Count and log the final answer."""
+        kind = self.route.kind.value if self.route else "none"
+        self.knowledge.instruments.answers.labels(
+            kind, str(int(status)), cause
+        ).inc()
+        self.note(
+            "answered",
+            status=int(status),
+            cause=cause,
+            complete=complete,
+            reason=reason,
+            verdict=self.verdict.label,
+            sends=self.sends,
+            seconds=round(self.now - self.request.arrived_at, 4),
+        )
+
+    def note(self, event: str, **fields: object) -> None:
+        """Log a decision on this request."""
+        configuration = self.knowledge.configuration
+        self.knowledge.log.write(
+            event,
+            id=self.facts.request_id,
+            route=self.route.name if self.route else "",
+            configuration=configuration.version if configuration else 0,
+            **fields,
+        )
+
+
+class Pending:
+    """Prompt tokens that a target has not answered yet."""
+
+    def __init__(self, target: fleet_module.Target, tokens: int) -> None:
+        self.target = target
+        self.tokens = tokens
+
+    def note_first_byte(self) -> None:
+        """The target has read the prompt."""
+        self.target.own_prefill_tokens -= self.tokens
+        self.tokens = 0
+
+
+async def read_whole(connection: exchange.TargetConnection) -> bytes:
+    """Return the whole body of an answer.
+
+    :raises BrokenAnswerError: when it ends early or is too long.
+    """
+    body = bytearray()
+    while True:
+        data = await connection.read_data()
+        if data is None:
+            return bytes(body)
+        body += data
+        if len(body) > MAX_HELD_BYTES:
+            raise exchange.BrokenAnswerError("answer too long")
+
+
+def has_framing(head: dialect.Headers) -> bool:
+    """Tell whether a request came with a body, be it empty."""
+    return any(key.lower() in headers.FRAMING for key, _ in head)
--- /dev/null
+++ b/src/hemlockkeel/_internal/relay/headers.py
@@ -0,0 +1,51 @@
+"""Headers that concern one connection only (RFC 9110, section 7.6.1)."""
+
+from hemlockkeel._internal.relay import dialect
+
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+    }
+)
+# Set anew for the body as it is sent on.
+FRAMING = frozenset({b"content-length", b"transfer-encoding"})
+
+
+def list_tokens(headers: dialect.Headers, name: bytes) -> set[bytes]:
+    """Return the lowercase tokens of a list header."""
+    tokens: set[bytes] = set()
+    for key, value in headers:
+        if key.lower() == name:
+            tokens |= {part.strip().lower() for part in value.split(b",")}
+    return tokens
+
+
+def drop_hop_by_hop(headers: dialect.Headers) -> dialect.Headers:
+    """Return the end-to-end headers without framing."""
+    # A caller must not have end-to-end headers removed by naming them.
+    named = {
+        token
+        for token in list_tokens(headers, b"connection")
+        if not token.startswith(b"x-") and token != b"host"
+    }
+    dropped = HOP_BY_HOP | FRAMING | named
+    return [
+        (key, value) for key, value in headers if key.lower() not in dropped
+    ]
+
+
+def get(headers: dialect.Headers, name: bytes) -> bytes | None:
+    """Return the first value of a header."""
+    for key, value in headers:
+        if key.lower() == name:
+            return value
+    return None
--- /dev/null
+++ b/src/hemlockkeel/_internal/relay/pool.py
@@ -0,0 +1,95 @@
+"""Kept connections to targets, with a cap for each target."""
+
+import asyncio
+import collections
+import re
+
+from hemlockkeel._internal.relay import dialect
+from hemlockkeel._internal.relay import exchange
+from hemlockkeel._internal.relay import headers
+
+# A target may drop idle connections without a word; kept ones are used for
+# this many seconds at most, and well before an announced time-out.
+DEFAULT_IDLE_S = 4.0
+IDLE_SHARE = 0.6
+TIMEOUT_VALUE = re.compile(rb"timeout=(\d+)")
+
+
+class TargetPool:
+    """Connections to one start of a target."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.idle: collections.deque[exchange.TargetConnection] = (
+            collections.deque()
+        )
+        self.in_use = 0
+
+    def take_idle(self, now: float) -> exchange.TargetConnection | None:
+        """Return the kept connection that was used last, if it is sound."""
+        while self.idle:
+            kept = self.idle.pop()
+            limit = kept.idle_limit_s or DEFAULT_IDLE_S
+            if kept.sound and now - kept.idle_since < limit:
+                self.in_use += 1
+                return kept
+            kept.abort()
+        return None
+
+    async def connect(self) -> exchange.TargetConnection:
+        """Open a connection.
+
+        :raises ConnectFailedError: when that fails.
+        """
+        self.in_use += 1
+        try:
+            return await exchange.connect(self.address)
+        except (exchange.ConnectFailedError, asyncio.CancelledError):
+            self.in_use -= 1
+            raise
+
+    def give_back(
+        self,
+        connection: exchange.TargetConnection,
+        answer_headers: dialect.Headers,
+        now: float,
+    ) -> None:
+        """Keep a connection after a whole answer, if it can be."""
+        self.in_use -= 1
+        limit = get_idle_limit(answer_headers)
+        if limit == 0.0 or not connection.finish():
+            connection.abort()
+            return
+        connection.idle_since = now
+        connection.idle_limit_s = limit
+        self.idle.append(connection)
+
+    def drop(self, connection: exchange.TargetConnection) -> None:
+        """Drop a connection whose exchange did not end well."""
+        self.in_use -= 1
+        connection.abort()
+
+    def close(self) -> None:
+        """Close the kept connections."""
+        while self.idle:
+            self.idle.pop().abort()
+
+    def expire(self, now: float) -> None:
+        """Close connections that were idle for long."""
+        while self.idle:
+            kept = self.idle[0]
+            limit = kept.idle_limit_s or DEFAULT_IDLE_S
+            if kept.sound and now - kept.idle_since < limit:
+                return
+            self.idle.popleft().abort()
+
+
+def get_idle_limit(answer_headers: dialect.Headers) -> float | None:
+    """Return how long a connection may be kept; 0 for not at all."""
+    if b"close" in headers.list_tokens(answer_headers, b"connection"):
+        return 0.0
+    value = headers.get(answer_headers, b"keep-alive")
+    match = TIMEOUT_VALUE.search(value) if value else None
+    if match is None:
+        return None
+    return int(match.group(1)) * IDLE_SHARE
--- /dev/null
+++ b/src/hemlockkeel/_internal/relay/process.py
@@ -0,0 +1,271 @@
+"""The entry process: callers in front, targets behind."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import pathlib
+import random
+
+from hemlockkeel._internal import exceptions
+from hemlockkeel._internal.links import dialer
+from hemlockkeel._internal.links import link
+from hemlockkeel._internal.links import messages
+from hemlockkeel._internal.relay import adapters
+from hemlockkeel._internal.relay import caller
+from hemlockkeel._internal.relay import dialect
+from hemlockkeel._internal.relay import fleet as fleet_module
+from hemlockkeel._internal.relay import forwarder
+from hemlockkeel._internal.routes import budget
+from hemlockkeel._internal.routes import codec
+from hemlockkeel._internal.routes import table
+from hemlockkeel._internal.utils import event_log
+from hemlockkeel._internal.utils import event_process
+from hemlockkeel._internal.utils import http_service
+
+HOUSEKEEPING_S = 0.5
+# From SIGTERM until the balancer has moved new callers elsewhere: two
+# missed checks a second apart, and one on the way.
+BALANCER_NOTICE_S = 3.0
+# End of the wait for answers in flight, before the platform kills.
+STOP_MARGIN_S = 0.3
+
+
+@dataclasses.dataclass(frozen=True)
+class EntrySettings:
+    """Settings of an entry."""
+
+    name: str
+    data_centre: str
+    host: str
+    front_port: int
+    ready_port: int
+    # Addresses of control members for links.
+    control: frozenset[str]
+    agent_port: int
+    heartbeat_s: float
+    # From SIGTERM until the process is killed, seconds.
+    grace_s: float
+    retry_bound: budget.BudgetBound
+
+
+class ControlListener(dialer.Listener):
+    """Takes what control members tell an entry."""
+
+    def __init__(self, entry: "EntryProcess") -> None:
+        self.entry = entry
+
+    def on_up(self, address: str, peer: link.Link) -> None:
+        return
+
+    def on_message(
+        self, address: str, peer: link.Link, message: messages.AnyMessage
+    ) -> None:
+        match message:
+            case messages.RecordsUpdate():
+                self.entry.take_records(message)
+            case messages.ConfigurationUpdate():
+                self.entry.take_configuration(message)
+            case messages.MembersUpdate():
+                self.entry.take_members(address, message)
+
+    def on_down(self, address: str) -> None:
+        self.entry.entry_counts.pop(address, None)
+
+
+class AgentListener(dialer.Listener):
+    """Takes what agents tell an entry."""
+
+    def __init__(self, entry: "EntryProcess") -> None:
+        self.entry = entry
+        # Address of the target beside each agent.
+        self.targets: dict[str, str] = {}
+
+    def on_up(self, address: str, peer: link.Link) -> None:
+        return
+
+    def on_message(
+        self, address: str, peer: link.Link, message: messages.AnyMessage
+    ) -> None:
+        target = self.targets.get(address, "")
+        if isinstance(message, messages.LoadUpdate):
+            now = asyncio.get_running_loop().time()
+            self.entry.fleet.note_agent_load(target, message, now)
+
+    def on_down(self, address: str) -> None:
+        self.entry.fleet.note_agent_down(self.targets.get(address, ""))
+
+
+class EntryProcess(event_process.EventProcess, caller.Service):
+    """Answers callers."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        settings_path: pathlib.Path,
+        read_settings: collections.abc.Callable[[pathlib.Path], EntrySettings],
+        speaks: dialect.Dialect,
+        configurations: codec.ConfigurationCodec,
+        log: event_log.EventLog,
+    ) -> None:
+        super().__init__(settings_path, log)
+        self.settings = settings
+        self.read_settings = read_settings
+        self.configurations = configurations
+        self.leaving = False
+        self.entry_counts: dict[str, int] = {}
+        self.known_control: frozenset[str] = frozenset()
+        self.fleet = fleet_module.Fleet(settings.heartbeat_s)
+        hello = messages.Hello(role="entry", name=settings.name)
+        self.control = dialer.DialerSet(hello, ControlListener(self), log)
+        self.agent_listener = AgentListener(self)
+        self.agents = dialer.DialerSet(hello, self.agent_listener, log)
+        self.grants = adapters.AdapterGrants(self.agents, settings.agent_port)
+        self.knowledge = forwarder.Knowledge(
+            self.fleet,
+            speaks,
+            self.grants,
+            log,
+            self.instruments,
+            random.Random(),
+            settings.data_centre,
+            settings.retry_bound,
+            asyncio.get_running_loop().time(),
+        )
+        self.front = http_service.HttpListener(self)
+        self.ready = http_service.HttpListener(
+            http_service.ReadyService(self.is_ready)
+        )
+
+    # Process
+
+    async def start(self) -> None:
+        self.control.set_addresses(set(self.settings.control))
+        await self.ready.start(self.settings.host, self.settings.ready_port)
+        await self.front.start(self.settings.host, self.settings.front_port)
+        self.keeper = asyncio.get_running_loop().create_task(self.keep())
+
+    async def stop(self) -> None:
+        """Serve on until callers have moved, then finish what is left."""
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + self.settings.grace_s - STOP_MARGIN_S
+        self.leaving = True
+        await asyncio.sleep(min(BALANCER_NOTICE_S, self.settings.grace_s / 2))
+        self.front.stop_listening()
+        while (busy := self.front.close_idle()) and loop.time() < ends_at:
+            await asyncio.sleep(0.02)
+        self.log.write("drained", unfinished=busy)
+
+    def reload(self) -> None:
+        self.settings = self.read_settings(self.settings_path)
+        self.dial_control()
+
+    def is_ready(self) -> bool:
+        """Tell whether this entry takes callers."""
+        return not self.leaving and self.knowledge.configuration is not None
+
+    async def keep(self) -> None:
+        """Forget what is old."""
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_S)
+            self.fleet.expire(asyncio.get_running_loop().time())
+            self.dial_agents()
+
+    # What control members tell
+
+    def dial_control(self) -> None:
+        """Keep links to all control members that are known."""
+        self.control.set_addresses(
+            set(self.settings.control) | set(self.known_control)
+        )
+
+    def take_members(
+        self, address: str, message: messages.MembersUpdate
+    ) -> None:
+        """Learn the control members and how many entries there are."""
+        self.entry_counts[address] = message.entries
+        self.fleet.entries = max(1, *self.entry_counts.values())
+        known = frozenset(message.addresses)
+        if known != self.known_control:
+            self.known_control = known
+            self.log.write("control_members", addresses=sorted(known))
+            self.dial_control()
+
+    def take_configuration(
+        self, message: messages.ConfigurationUpdate
+    ) -> None:
+        """Put a configuration in force; never an older one."""
+        current = self.knowledge.configuration
+        if current is not None and message.version <= current.version:
+            return
+        try:
+            configuration = self.configurations.decode(message.body)
+        except exceptions.BadDeclarationError as fault:
+            self.log.write(
+                "configuration_unreadable",
+                version=message.version,
+                reason=str(fault),
+            )
+            return
+        self.knowledge.configuration = configuration
+        self.log.write(
+            "configuration_in_force",
+            version=configuration.version,
+            routes=len(configuration.routes),
+        )
+
+    def take_records(self, message: messages.RecordsUpdate) -> None:
+        """Take announcements of targets."""
+        now = asyncio.get_running_loop().time()
+        changed = False
+        for record in message.records:
+            if not self.fleet.merge(record, now):
+                continue
+            changed = True
+            self.log.write(
+                "target_state",
+                target=record.instance_id,
+                service=record.service,
+                address=record.address,
+                state=record.state.value,
+                sequence=record.sequence,
+                born_ms=record.born_ms,
+            )
+        if changed:
+            self.dial_agents()
+
+    def dial_agents(self) -> None:
+        """Keep a link to the agent beside each engine."""
+        wanted = {
+            self.grants.get_agent_address(target.record.address): (
+                target.record.address
+            )
+            for target in self.fleet.targets.values()
+            if target.engine is not None
+        }
+        self.agent_listener.targets = wanted
+        self.agents.set_addresses(set(wanted))
+
+    # What callers' connections ask
+
+    def get_limits(self) -> table.Limits:
+        configuration = self.knowledge.configuration
+        return configuration.limits if configuration else table.Limits()
+
+    def is_leaving(self) -> bool:
+        return self.leaving
+
+    def note_rejected(self, status: int, reason: str) -> None:
+        self.instruments.answers.labels(
+            "none", str(int(status)), "unreadable"
+        ).inc()
+        self.log.write("request_unreadable", status=status, reason=reason)
+
+    async def answer(
+        self,
+        connection: caller.CallerConnection,
+        request: caller.CallerRequest,
+    ) -> None:
+        await forwarder.Forwarder(self.knowledge, connection, request).run()
+
+    def on_closed(self, connection: caller.CallerConnection) -> None:
+        return
--- /dev/null
+++ b/src/hemlockkeel/_internal/routes/__init__.py
@@ -0,0 +1,1 @@
+"""Routes: which requests go to which service, under one version."""
--- a/src/hemlockkeel/_internal/utils/clock.py
+++ b/src/hemlockkeel/_internal/utils/clock.py
@@ -24,3 +24,13 @@
 
     def wall(self) -> float:
         return time.time()
+
+
+class SuspendAwareClock(SystemClock):
+    """The clock of this machine; time spent suspended counts.
+
+    A lease that ran out during a suspension must not look valid after it.
+    """
+
+    def monotonic(self) -> float:
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
--- /dev/null
+++ b/src/hemlockkeel/_internal/utils/http_service.py
@@ -0,0 +1,107 @@
+"""Small HTTP services of a process: readiness and metrics."""
+
+import asyncio
+import http
+import typing
+
+from hemlockkeel._internal.relay import caller
+from hemlockkeel._internal.relay import channel
+from hemlockkeel._internal.relay import dialect
+from hemlockkeel._internal.routes import table
+
+BACKLOG = 1024
+
+
+class HttpListener:
+    """Accepts connections for a service and keeps track of them."""
+
+    def __init__(self, service: caller.Service) -> None:
+        self.service = service
+        self.connections: dict[caller.CallerConnection, typing.Any] = {}
+        self.server: asyncio.Server | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen on an address."""
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            lambda: channel.Channel(self.accept),
+            host,
+            port,
+            backlog=BACKLOG,
+        )
+
+    def accept(self, bytes_channel: channel.Channel) -> None:
+        """Serve a new connection."""
+        connection = caller.CallerConnection(bytes_channel, self.service)
+        task = asyncio.get_running_loop().create_task(connection.run())
+        self.connections[connection] = task
+        task.add_done_callback(
+            lambda _: self.connections.pop(connection, None)
+        )
+
+    def stop_listening(self) -> None:
+        """Accept no more connections."""
+        if self.server is not None:
+            self.server.close()
+
+    def close_idle(self) -> int:
+        """Close connections without a request; return the others."""
+        busy = 0
+        for connection, task in list(self.connections.items()):
+            if connection.idle:
+                task.cancel()
+            else:
+                busy += 1
+        return busy
+
+
+class PlainService(caller.Service):
+    """Base of services that answer at once."""
+
+    def get_limits(self) -> table.Limits:
+        return table.Limits()
+
+    def is_leaving(self) -> bool:
+        return False
+
+    def note_rejected(self, status: int, reason: str) -> None:
+        return
+
+    def on_closed(self, connection: caller.CallerConnection) -> None:
+        return
+
+
+class ReadyService(PlainService):
+    """Tells the balancer whether this process takes callers."""
+
+    def __init__(self, is_ready: typing.Callable[[], bool]) -> None:
+        self.is_ready = is_ready
+
+    async def answer(
+        self,
+        connection: caller.CallerConnection,
+        request: caller.CallerRequest,
+    ) -> None:
+        status = (
+            http.HTTPStatus.OK
+            if self.is_ready()
+            else http.HTTPStatus.SERVICE_UNAVAILABLE
+        )
+        connection.send_answer(status, [], b"")
+
+
+class MetricsService(PlainService):
+    """Serves metrics as text."""
+
+    def __init__(self, render: typing.Callable[[], bytes]) -> None:
+        self.render = render
+
+    async def answer(
+        self,
+        connection: caller.CallerConnection,
+        request: caller.CallerRequest,
+    ) -> None:
+        head: dialect.Headers = [
+            (b"Content-Type", b"text/plain; version=0.0.4")
+        ]
+        connection.send_answer(http.HTTPStatus.OK, head, self.render())
--- /dev/null
+++ b/src/hemlockkeel/_internal/utils/instruments.py
@@ -0,0 +1,50 @@
+"""Counters and latency histograms, served as text."""
+
+import prometheus_client
+
+# Upper bounds in seconds, around the latency objectives of 0.2 to 1 s.
+LATENCY_BUCKETS_S = (
+    0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.0, 2.0, 5.0, 15.0,
+)  # fmt: skip
+
+
+class Instruments:
+    """Metrics of one process, in a registry of its own."""
+
+    def __init__(self) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        self.answers = prometheus_client.Counter(
+            "hemlockkeel_answers",
+            "Answers to callers by route kind, status and cause",
+            ["kind", "status", "cause"],
+            registry=self.registry,
+        )
+        self.attempts = prometheus_client.Counter(
+            "hemlockkeel_attempts",
+            "Requests sent to targets by outcome",
+            ["outcome"],
+            registry=self.registry,
+        )
+        self.first_byte = prometheus_client.Histogram(
+            "hemlockkeel_first_byte_seconds",
+            "From the request's arrival to the first byte of its answer",
+            ["kind"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.adapter_wait = prometheus_client.Histogram(
+            "hemlockkeel_adapter_wait_seconds",
+            "Wait for an adapter's slot and load",
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.events = prometheus_client.Counter(
+            "hemlockkeel_events",
+            "Changes of state by name",
+            ["name"],
+            registry=self.registry,
+        )
+
+    def render(self) -> bytes:
+        """Return all metrics as text."""
+        return prometheus_client.generate_latest(self.registry)
--- /dev/null
+++ b/src/hemlockkeel/platform/__main__.py
@@ -0,0 +1,103 @@
+"""Runs one role on the platform: ``python -m hemlockkeel.platform ROLE``."""
+
+import argparse
+import asyncio
+import os
+import pathlib
+import sys
+
+from hemlockkeel._internal.utils import event_log
+from hemlockkeel._internal.utils import event_process
+
+SETTINGS_VARIABLE = "HEMLOCKKEEL_NODE_FILE"
+EXIT_BAD_SETTINGS = 2
+
+
+def make_entry(path: pathlib.Path) -> event_process.EventProcess:
+    """Return an entry."""
+    from hemlockkeel._internal.relay import process
+    from hemlockkeel.platform import configuration
+    from hemlockkeel.platform import headers
+    from hemlockkeel.platform import settings
+
+    values = settings.read_entry(path)
+    return process.EntryProcess(
+        values,
+        path,
+        settings.read_entry,
+        headers.PlatformDialect(),
+        configuration.JsonConfigurationCodec(),
+        event_log.EventLog(values.name),
+    )
+
+
+def make_control(path: pathlib.Path) -> event_process.EventProcess:
+    """Return a control member."""
+    from hemlockkeel._internal.coordinator import process
+    from hemlockkeel.platform import api
+    from hemlockkeel.platform import settings
+
+    values = settings.read_control(path)
+    return process.ControlProcess(
+        values,
+        path,
+        settings.read_control,
+        api.PlatformApiCodec(),
+        event_log.EventLog(values.name),
+    )
+
+
+def make_agent(path: pathlib.Path) -> event_process.EventProcess:
+    """Return an agent."""
+    from hemlockkeel._internal.orders import http_client
+    from hemlockkeel._internal.orders import process
+    from hemlockkeel.platform import configuration
+    from hemlockkeel.platform import engine
+    from hemlockkeel.platform import settings
+
+    values = settings.read_agent(path)
+    client = http_client.HttpEngineClient(
+        values.engine_address, engine.PlatformEngineCodec()
+    )
+    return process.AgentProcess(
+        values,
+        path,
+        settings.read_agent,
+        client,
+        configuration.JsonConfigurationCodec(),
+        event_log.EventLog(values.name),
+    )
+
+
+ROLES = {
+    "entry": make_entry,
+    "control": make_control,
+    "agent": make_agent,
+}
+
+
+async def run(role: str, path: pathlib.Path, metrics_port: int) -> int:
+    """Run a role until it ends; return the exit code."""
+    try:
+        process = ROLES[role](path)
+    except (OSError, ValueError) as fault:
+        print(f"hemlockkeel: settings: {fault}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    return await process.run(metrics_port)
+
+
+def main() -> None:
+    """Parse the command line and run."""
+    parser = argparse.ArgumentParser(prog="hemlockkeel-platform")
+    parser.add_argument("role", choices=sorted(ROLES))
+    parser.add_argument("--metrics-port", type=int, default=0)
+    options = parser.parse_args()
+    name = os.environ.get(SETTINGS_VARIABLE, "/etc/hemlockkeel/settings.conf")
+    code = asyncio.run(
+        run(options.role, pathlib.Path(name), options.metrics_port)
+    )
+    event_process.exit_now(code)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/hemlockkeel/platform/api.py
@@ -0,0 +1,94 @@
+"""Translates calls of operators and targets to control members."""
+
+import re
+import urllib.parse
+
+from hemlockkeel._internal import exceptions
+from hemlockkeel._internal.announced import records
+from hemlockkeel._internal.coordinator import api
+from hemlockkeel.platform import configuration
+from hemlockkeel.platform import engine
+from hemlockkeel.platform import fields
+
+INSTANCE_PATH = re.compile(r"/instances/([^/]+)")
+STATES = {
+    "ready": records.TargetState.READY,
+    "draining": records.TargetState.LEAVING,
+}
+MS_PER_S = 1000.0
+BAD_REQUEST = 400
+NOT_FOUND = 404
+
+
+class PlatformApiCodec(api.ApiCodec):
+    """Reads the platform's calls."""
+
+    def __init__(self) -> None:
+        self.configurations = configuration.JsonConfigurationCodec()
+
+    def decode(self, method: str, path: str, body: bytes) -> api.Call:
+        try:
+            return self.read_call(method, path, body)
+        except (ValueError, exceptions.BadDeclarationError) as fault:
+            raise api.BadCallError(BAD_REQUEST, str(fault)) from fault
+
+    def read_call(self, method: str, path: str, body: bytes) -> api.Call:
+        """Return a call."""
+        match (method, path):
+            case ("PUT", "/config"):
+                checked = self.configurations.decode(body)
+                return api.PutConfiguration(checked.version, body)
+            case ("GET", "/config"):
+                return api.ReadConfiguration()
+            case ("POST", "/version-put"):
+                source = fields.read_table(body)
+                return api.NameVersion(
+                    fields.get_text(source, "model"),
+                    fields.get_text(source, "adapter", ""),
+                    fields.get_int(source, "version"),
+                )
+        match = INSTANCE_PATH.fullmatch(path)
+        if match is None:
+            raise api.BadCallError(NOT_FOUND, "no such call")
+        instance_id = records.InstanceId(urllib.parse.unquote(match.group(1)))
+        if method == "DELETE":
+            return api.Withdraw(instance_id)
+        if method == "PUT":
+            source = fields.read_table(body)
+            return api.Announce(read_record(instance_id, source))
+        raise api.BadCallError(NOT_FOUND, "no such call")
+
+
+def read_record(
+    instance_id: records.InstanceId, source: fields.Table
+) -> records.TargetRecord:
+    """Return what a heartbeat announces.
+
+    :raises ValueError: when it names no target to use.
+    """
+    state = STATES.get(fields.get_text(source, "state"))
+    if state is None:
+        raise ValueError("unknown state")
+    address = fields.get_text(source, "address")
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit():
+        raise ValueError("address is not host:port")
+    models = None
+    if "models" in source:
+        models = list(engine.read_models(source))
+    remaining = None
+    if "remainingMs" in source:
+        remaining = fields.get_number(source, "remainingMs") / MS_PER_S
+    return records.TargetRecord(
+        instance_id,
+        records.ServiceName(fields.get_text(source, "service")),
+        address,
+        fields.get_text(source, "zone"),
+        state,
+        fields.get_int(source, "sequence"),
+        fields.get_int(source, "born", 0),
+        fields.get_int(source, "slots", 0),
+        models,
+        fields.get_number(source, "coldLeftMs", 0.0) / MS_PER_S,
+        remaining,
+    )
--- /dev/null
+++ b/src/hemlockkeel/platform/configuration.py
@@ -0,0 +1,152 @@
+"""Translates configurations."""
+
+from hemlockkeel._internal import exceptions
+from hemlockkeel._internal.announced import records
+from hemlockkeel._internal.routes import codec
+from hemlockkeel._internal.routes import table
+from hemlockkeel.platform import fields
+
+KINDS = {
+    "safe": table.RouteKind.IDEMPOTENT,
+    "unsafe": table.RouteKind.ONCE,
+    "streaming": table.RouteKind.STREAM,
+}
+MS_PER_S = 1000.0
+
+
+class JsonConfigurationCodec(codec.ConfigurationCodec):
+    """Reads the operator's JSON configurations."""
+
+    def decode(self, body: bytes) -> table.Configuration:
+        try:
+            return read_configuration(fields.read_table(body))
+        except ValueError as fault:
+            raise exceptions.BadDeclarationError(str(fault)) from fault
+
+
+def read_configuration(source: fields.Table) -> table.Configuration:
+    """Return a checked configuration.
+
+    :raises ValueError: when it is invalid.
+    """
+    version = fields.get_int(source, "version")
+    services = [
+        read_service(item) for item in fields.get_tables(source, "services")
+    ]
+    routes = [read_route(item) for item in fields.get_tables(source, "routes")]
+    check_routes(routes, {service.name for service in services})
+    return table.Configuration(version, routes, services, read_limits(source))
+
+
+def check_routes(
+    routes: list[table.Route], services: set[records.ServiceName]
+) -> None:
+    """Require known services and distinct places."""
+    places = set()
+    for route in routes:
+        for share in route.shares:
+            if share.service not in services:
+                raise ValueError(
+                    f"route {route.name} names the unknown service "
+                    f"{share.service}"
+                )
+        place = (route.host, route.prefix)
+        if place in places:
+            raise ValueError(f"two routes have {route.host}{route.prefix}")
+        places.add(place)
+
+
+def read_route(source: fields.Table) -> table.Route:
+    """Return one route."""
+    name = fields.get_text(source, "name")
+    prefix = fields.get_text(source, "pathPrefix")
+    if not (prefix.startswith("/") and prefix.endswith("/")):
+        raise ValueError(f"route {name}: the prefix needs slashes around it")
+    timeout_ms = fields.get_number(source, "timeoutMs")
+    if timeout_ms <= 0:
+        raise ValueError(f"route {name}: the time-out must be above 0")
+    # A kind that is not known is the most cautious one.
+    kind = KINDS.get(fields.get_text(source, "kind"), table.RouteKind.ONCE)
+    return table.Route(
+        name,
+        fields.get_text(source, "host").lower(),
+        prefix,
+        kind,
+        timeout_ms / MS_PER_S,
+        fields.get_number(source, "sloMs", timeout_ms) / MS_PER_S,
+        fields.get_int(source, "priority", 0),
+        read_shares(source, name),
+        max(1, fields.get_int(source, "attempts", 1)),
+        fields.get_flag(source, "resumable"),
+    )
+
+
+def read_shares(source: fields.Table, name: str) -> tuple[table.Share, ...]:
+    """Return a route's services with their weights."""
+    if "trafficSplit" not in source:
+        service = records.ServiceName(fields.get_text(source, "service"))
+        return (table.Share(service, 1.0),)
+    shares = tuple(
+        table.Share(
+            records.ServiceName(fields.get_text(item, "service")),
+            fields.get_number(item, "weight"),
+        )
+        for item in fields.get_tables(source, "trafficSplit")
+    )
+    if any(share.weight < 0 for share in shares):
+        raise ValueError(f"route {name}: a weight is below 0")
+    if sum(share.weight for share in shares) <= 0:
+        raise ValueError(f"route {name}: the weights add up to 0")
+    return shares
+
+
+def read_service(source: fields.Table) -> table.Service:
+    """Return one service."""
+    engine = source.get("engine")
+    return table.Service(
+        records.ServiceName(fields.get_text(source, "name")),
+        fields.get_int(source, "maxConnections", 100),
+        read_engine(engine) if isinstance(engine, dict) else None,
+    )
+
+
+def read_engine(source: fields.Table) -> table.Engine:
+    """Return what a service's engines are like."""
+    models = tuple(
+        table.Model(
+            fields.get_text(item, "name"),
+            fields.get_number(item, "weightsMb", 0.0),
+            fields.get_number(item, "loadTimeS", 0.0),
+        )
+        for item in fields.get_tables(source, "models")
+    )
+    return table.Engine(
+        fields.get_int(source, "slots", 1),
+        fields.get_int(source, "kvCapacity", 0),
+        # Room for weights of models and adapters together.
+        fields.get_number(source, "weightsMb", 0.0),
+        fields.get_int(source, "adapterSlots", 0),
+        models,
+    )
+
+
+def read_limits(source: fields.Table) -> table.Limits:
+    """Return the limits on callers."""
+    limits = source.get("limits")
+    if limits is None:
+        return table.Limits()
+    if not isinstance(limits, dict):
+        raise ValueError("limits is not an object")
+    base = table.Limits()
+    return table.Limits(
+        fields.get_int(limits, "maxHeaderBytes", base.header_bytes),
+        fields.get_int(limits, "maxBodyBytes", base.body_bytes),
+        fields.get_number(
+            limits, "headerTimeoutMs", base.header_timeout_s * MS_PER_S
+        )
+        / MS_PER_S,
+        fields.get_number(
+            limits, "idleTimeoutMs", base.idle_timeout_s * MS_PER_S
+        )
+        / MS_PER_S,
+    )
