Keep an agent ordering while answers are lost and versions change

Abandoned waits still loaded adapters. Ruled out: leaked grants, refused fences.

Change: an order waits 0.15 s for its answer; an outdated adapter in use is not replaced until its runs end, and its requests go elsewhere; a caller that leaves ends its wait; waits end at 1.25 of the objective over all targets; a member with a failed disk restarts once the disk takes writes. wait_for, which can lose a cancellation, is gone.

--- a/src/hemlockkeel/_internal/coordinator/process.py
+++ b/src/hemlockkeel/_internal/coordinator/process.py
@@ -5,6 +5,7 @@
 import concurrent.futures
 import dataclasses
 import http
+import os
 import pathlib
 import zlib
 
@@ -44,6 +45,8 @@
 MEMBERS_EVERY_S = 1.0
 FORGET_TARGETS_S = 60.0
 EXIT_DISK_FAILED = 4
+DISK_RETRY_S = 0.5
+PROBE_BYTES = 4096
 # Operators send whole configurations: thousands of routes fit.
 API_LIMITS = table.Limits(body_bytes=16 * 1024 * 1024)
 
@@ -71,6 +74,18 @@
         return f"{self.host}:{self.link_port}"
 
 
+def write_probe(path: pathlib.Path) -> None:
+    """Write and sync a small file.
+
+    :raises OSError: when the disk refuses.
+    """
+    with path.open("wb") as stream:
+        stream.write(bytes(PROBE_BYTES))
+        stream.flush()
+        os.fsync(stream.fileno())
+    path.unlink()
+
+
 def pack(
     state: catalogue.CatalogueState,
 ) -> messages.ConfigurationUpdate:
@@ -170,6 +185,11 @@
         """Stop; what is acknowledged is on disk already."""
         self.api.stop_listening()
         self.api.close_idle()
+        for task in self.tasks:
+            task.cancel()
+        self.peers.set_addresses(set())
+        self.links.stop()
+        await asyncio.to_thread(self.node.stop)
 
     def reload(self) -> None:
         self.settings = self.read_settings(self.settings_path)
@@ -251,12 +271,29 @@
         while True:
             await asyncio.sleep(LEADER_STEP_S)
             if self.node.failed is not None:
-                self.log.write("disk_failed", reason=str(self.node.failed))
-                self.exit_code = EXIT_DISK_FAILED
-                self.stopped.set()
+                await self.wait_for_disk()
                 return
             self.change_membership()
 
+    async def wait_for_disk(self) -> None:
+        """After a failed write, end once the disk takes writes again.
+
+        What is on disk is unknown then, so the state must be read anew; a
+        restart before the disk works would only fail again.
+        """
+        self.log.write("disk_failed", reason=str(self.node.failed))
+        probe = self.settings.data_dir / "probe.new"
+        while True:
+            await asyncio.sleep(DISK_RETRY_S)
+            try:
+                await asyncio.to_thread(write_probe, probe)
+            except OSError as fault:
+                self.log.write("disk_still_fails", reason=str(fault))
+                continue
+            break
+        self.exit_code = EXIT_DISK_FAILED
+        self.stopped.set()
+
     def change_membership(self) -> None:
         """Propose the next change of members, if one is due."""
         now = self.clock.monotonic()
@@ -444,9 +481,8 @@
         if self.node.core.state is not core.State.LEADER:
             return messages.Outcome(done=False)
         try:
-            applied = await asyncio.wait_for(
-                asyncio.wrap_future(self.node.propose(data)), CALL_TIMEOUT_S
-            )
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                applied = await asyncio.wrap_future(self.node.propose(data))
         except (
             node.NotLeaderError,
             exceptions.ControlUnavailableError,
--- a/src/hemlockkeel/_internal/links/dialer.py
+++ b/src/hemlockkeel/_internal/links/dialer.py
@@ -84,9 +84,8 @@
     async def run_once(self) -> None:
         """Dial once and read until the link is lost."""
         host, port = self.address.rsplit(":", 1)
-        reader, writer = await asyncio.wait_for(
-            asyncio.open_connection(host, int(port)), CONNECT_TIMEOUT_S
-        )
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            reader, writer = await asyncio.open_connection(host, int(port))
         self.link = peer = link.Link(reader, writer)
         peer.send(self.hello)
         self.log.write("dependency_up", peer=self.address)
@@ -94,7 +93,8 @@
         pings = asyncio.get_running_loop().create_task(self.ping(peer))
         try:
             while True:
-                message = await asyncio.wait_for(peer.receive(), DEAD_AFTER_S)
+                async with asyncio.timeout(DEAD_AFTER_S):
+                    message = await peer.receive()
                 if isinstance(message, messages.Pong):
                     continue
                 if message.call_id and peer.resolve(message):
--- a/src/hemlockkeel/_internal/links/link.py
+++ b/src/hemlockkeel/_internal/links/link.py
@@ -88,7 +88,8 @@
         self.calls[call_id] = future
         self.send(msgspec.structs.replace(message, call_id=call_id))
         try:
-            return await asyncio.wait_for(future, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                return await future
         finally:
             self.calls.pop(call_id, None)
 
--- a/src/hemlockkeel/_internal/links/server.py
+++ b/src/hemlockkeel/_internal/links/server.py
@@ -43,23 +43,32 @@
         self.service = service
         self.log = log
         self.tasks: set[asyncio.Task[None]] = set()
+        self.peers: set[link.Link] = set()
+        self.server: asyncio.Server | None = None
 
-    async def start(self, host: str, port: int) -> asyncio.Server:
+    async def start(self, host: str, port: int) -> None:
         """Listen on an address."""
-        return await asyncio.start_server(
+        self.server = await asyncio.start_server(
             self.serve, host, port, backlog=BACKLOG
         )
 
+    def stop(self) -> None:
+        """Accept no more links and close those that are open."""
+        if self.server is not None:
+            self.server.close()
+        for peer in list(self.peers):
+            peer.close()
+
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Read one link until it is lost."""
         peer = link.Link(reader, writer)
+        self.peers.add(peer)
         try:
             while True:
-                message = await asyncio.wait_for(
-                    peer.receive(), dialer.DEAD_AFTER_S
-                )
+                async with asyncio.timeout(dialer.DEAD_AFTER_S):
+                    message = await peer.receive()
                 self.take(peer, message)
         except (TimeoutError, link.LinkClosedError) as fault:
             self.log.write(
@@ -70,6 +79,7 @@
             )
         finally:
             peer.close()
+            self.peers.discard(peer)
             self.service.on_gone(peer)
 
     def take(self, peer: link.Link, message: messages.AnyMessage) -> None:
--- a/src/hemlockkeel/_internal/orders/http_client.py
+++ b/src/hemlockkeel/_internal/orders/http_client.py
@@ -10,7 +10,8 @@
 
 # An engine beside its agent answers within milliseconds; an order that got
 # no answer in this time may still be carried out.
-CALL_TIMEOUT_S = 1.0
+CALL_TIMEOUT_S = 0.5
+ORDER_TIMEOUT_S = 0.15
 
 
 class PlainAnswers(dialect.Dialect):
@@ -41,7 +42,9 @@
 
     async def read_report(self) -> engine.Report:
         try:
-            status, body = await self.call(self.codec.encode_report_call())
+            status, body = await self.call(
+                self.codec.encode_report_call(), CALL_TIMEOUT_S
+            )
         except (
             exchange.ConnectFailedError,
             exchange.BrokenAnswerError,
@@ -53,7 +56,9 @@
 
     async def give_order(self, order: engine.SignedOrder) -> engine.Reply:
         try:
-            status, _ = await self.call(self.codec.encode_order(order))
+            status, _ = await self.call(
+                self.codec.encode_order(order), ORDER_TIMEOUT_S
+            )
         except (
             exchange.ConnectFailedError,
             exchange.BrokenAnswerError,
@@ -62,7 +67,9 @@
             return engine.Reply.UNKNOWN
         return self.codec.decode_order_reply(status)
 
-    async def call(self, call: engine.HttpCall) -> tuple[int, bytes]:
+    async def call(
+        self, call: engine.HttpCall, timeout_s: float
+    ) -> tuple[int, bytes]:
         """Return the status and body of the answer.
 
         :raises ConnectFailedError: when there is no connection.
@@ -75,7 +82,7 @@
             connection = await self.connections.connect()
         answer: exchange.Answer | None = None
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 length = str(len(call.body)).encode()
                 head = [
                     (b"Host", self.address.encode()),
--- a/src/hemlockkeel/_internal/orders/keeper.py
+++ b/src/hemlockkeel/_internal/orders/keeper.py
@@ -32,6 +32,8 @@
     """A request that waits for an adapter."""
 
     key: slots.Key
+    # Link and number of the call that waits.
+    call: tuple[link.Link, int]
     priority: int
     number: int
     future: asyncio.Future[messages.AdapterGrant]
@@ -80,17 +82,22 @@
         key = (call.model, call.adapter)
         waiter = Waiter(
             key,
+            (peer, call.call_id),
             call.priority,
             next(self.numbers),
             asyncio.get_running_loop().create_future(),
         )
-        self.grants[peer, call.call_id] = key
+        if self.is_outdated_in_use(key):
+            return messages.AdapterGrant(
+                granted=False, reason="an older version is still in use"
+            )
         self.waiters.append(waiter)
         self.serve_waiters()
         if not waiter.future.done():
             self.wake.set()
         try:
-            grant = await asyncio.wait_for(waiter.future, call.wait_s)
+            async with asyncio.timeout(call.wait_s):
+                grant = await waiter.future
         except TimeoutError:
             grant = messages.AdapterGrant(
                 granted=False, reason="no slot came free in time"
@@ -99,20 +106,35 @@
                 "adapter_not_granted",
                 adapter=f"{call.model}/{call.adapter}",
                 waiting=len(self.waiters),
+                granted=len(set(self.grants.values())),
                 report_age=round(self.now - self.reported_at, 3),
                 orders=self.fence is not None,
             )
         if waiter in self.waiters:
             self.waiters.remove(waiter)
-        if not grant.granted:
-            self.grants.pop((peer, call.call_id), None)
         return grant
 
+    def is_outdated_in_use(self, key: slots.Key) -> bool:
+        """Tell whether running requests hold a newer version up."""
+        holding = self.get_holding()
+        if holding is None or key not in self.grants.values():
+            return False
+        return key in holding.adapters and not slots.is_current(
+            key, holding, self.get_demand()
+        )
+
     def release(self, peer: link.Link, call_id: int) -> None:
         """End a request's use of an adapter."""
         key = self.grants.pop((peer, call_id), None)
         if key is not None:
             self.note_use(key)
+        for waiter in self.waiters:
+            if waiter.call == (peer, call_id) and not waiter.future.done():
+                waiter.future.set_result(
+                    messages.AdapterGrant(
+                        granted=False, reason="not needed any more"
+                    )
+                )
         if self.waiters:
             self.wake.set()
 
@@ -121,7 +143,8 @@
 
         Its requests end too: the engine ends work whose caller is gone.
         """
-        for held_by, call_id in list(self.grants):
+        calls = [waiter.call for waiter in self.waiters]
+        for held_by, call_id in [*self.grants, *calls]:
             if held_by is peer:
                 self.release(peer, call_id)
 
@@ -143,6 +166,7 @@
                 continue
             self.waiters.remove(waiter)
             if not waiter.future.done():
+                self.grants[waiter.call] = waiter.key
                 self.note_use(waiter.key)
                 waiter.future.set_result(
                     messages.AdapterGrant(
@@ -201,7 +225,9 @@
         ordered = sorted(
             self.waiters, key=lambda waiter: (waiter.priority, waiter.number)
         )
-        waiting = [waiter.key for waiter in ordered]
+        waiting = [
+            waiter.key for waiter in ordered if not waiter.future.done()
+        ]
         return slots.Demand(
             list(dict.fromkeys(waiting)),
             set(self.grants.values()),
@@ -327,4 +353,6 @@
             return False
         if reply not in (engine.Reply.ACCEPTED, engine.Reply.HOLDS_ALREADY):
             return False
+        if order.operation is engine.Operation.LOAD and order.adapter:
+            self.note_use((order.model, order.adapter))
         return await self.refresh()
--- a/src/hemlockkeel/_internal/orders/process.py
+++ b/src/hemlockkeel/_internal/orders/process.py
@@ -16,6 +16,7 @@
 from hemlockkeel._internal.links import server
 from hemlockkeel._internal.orders import engine
 from hemlockkeel._internal.orders import keeper
+from hemlockkeel._internal.orders import slots
 from hemlockkeel._internal.routes import catalogue
 from hemlockkeel._internal.routes import codec
 from hemlockkeel._internal.routes import table
@@ -234,13 +235,18 @@
         holding = self.keeper.get_holding()
         if report is None or holding is None:
             return None
+        demand = self.keeper.get_demand()
         return messages.LoadUpdate(
             running=report.running // RUNNING_GRAIN * RUNNING_GRAIN,
             queued=report.queued,
             kv_used=round_down(report.kv_used, report.kv_total),
             kv_total=report.kv_total,
             adapter_slots=holding.adapter_slots,
-            held=sorted("/".join(key) for key in holding.adapters),
+            held=sorted(
+                "/".join(key)
+                for key in holding.adapters
+                if slots.is_current(key, holding, demand)
+            ),
             coming=sorted("/".join(key) for key in holding.coming),
             granted=sorted(
                 {"/".join(key) for key in self.keeper.grants.values()}
--- a/src/hemlockkeel/_internal/orders/slots.py
+++ b/src/hemlockkeel/_internal/orders/slots.py
@@ -73,7 +73,9 @@
         # Another unload voids the unanswered one: its count is then past.
         return engine.Order(engine.Operation.UNLOAD, *key)
     if key in holding.adapters:
-        return load(key, demand)
+        # A replacement waits for the runs of the old version, and nothing
+        # else can be ordered meanwhile.
+        return None if key in demand.granted else load(key, demand)
     taken = len(holding.adapters.keys() | holding.coming)
     if taken < holding.adapter_slots:
         if len(holding.coming) >= MAX_COMING:
--- a/src/hemlockkeel/_internal/relay/adapters.py
+++ b/src/hemlockkeel/_internal/relay/adapters.py
@@ -8,10 +8,6 @@
 
 # Reply that an agent owes beyond the wait it was given.
 REPLY_SLACK_S = 0.3
-# Part of a request's time that it may wait for its adapter.
-WAIT_SHARE = 0.5
-# Longest wait at one agent, seconds: about a stream's objective.
-MAX_WAIT_S = 1.0
 
 
 @dataclasses.dataclass
@@ -43,7 +39,7 @@
         model: str,
         adapter: str,
         priority: int,
-        time_left_s: float,
+        wait_s: float,
     ) -> Grant | None:
         """Return a grant, or a refusal; None when no agent answers.
 
@@ -53,7 +49,6 @@
         peer = self.agents.get(self.get_agent_address(target_address))
         if peer is None:
             return None
-        wait_s = min(MAX_WAIT_S, max(0.0, time_left_s * WAIT_SHARE))
         call = messages.EnsureAdapter(
             model=model, adapter=adapter, priority=priority, wait_s=wait_s
         )
--- a/src/hemlockkeel/_internal/relay/exchange.py
+++ b/src/hemlockkeel/_internal/relay/exchange.py
@@ -177,10 +177,10 @@
     host, port = address.rsplit(":", 1)
     loop = asyncio.get_running_loop()
     try:
-        _, made = await asyncio.wait_for(
-            loop.create_connection(channel.Channel, host, int(port)),
-            CONNECT_TIMEOUT_S,
-        )
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _, made = await loop.create_connection(
+                channel.Channel, host, int(port)
+            )
     except (OSError, TimeoutError, ValueError) as fault:
         raise ConnectFailedError(
             f"{address}: {fault or type(fault).__name__}"
--- a/src/hemlockkeel/_internal/relay/forwarder.py
+++ b/src/hemlockkeel/_internal/relay/forwarder.py
@@ -40,6 +40,8 @@
 RETRY_AFTER_S = (0.15, 0.6)
 # The same while the entry learns its configuration after a start.
 RETRY_AFTER_START_S = (0.8, 1.6)
+# Wait for an adapter, over all targets, as a share of the objective.
+ADAPTER_WAIT_SHARE = 1.25
 PROMISING = frozenset({408, 421, 429, 503})
 
 
@@ -331,7 +333,7 @@
                 self.facts.model,
                 self.facts.adapter,
                 route.priority,
-                self.ends_at - begun,
+                self.get_adapter_wait(route),
             )
         except (link.LinkClosedError, TimeoutError) as fault:
             return self.fail_unsent(Cause.NO_ADAPTER, f"agent: {fault}")
@@ -347,6 +349,19 @@
         finally:
             grants.release(grant)
 
+    def get_adapter_wait(self, route: table.Route) -> float:
+        """Return how long the request may still wait for its adapter.
+
+        Beyond the route's objective an answer is worth less than what the
+        place gives to others; a caller is told sooner to come back.
+        """
+        arrived_at = self.request.arrived_at
+        until = min(
+            arrived_at + route.objective_s * ADAPTER_WAIT_SHARE,
+            (arrived_at + self.ends_at) / 2,
+        )
+        return max(MIN_USEFUL_S, until - self.now)
+
     def fail_unsent(self, cause: Cause, reason: str) -> Failed:
         """Return the outcome of an attempt that reached no target."""
         self.note("not_sent", cause=cause.value, reason=reason)
--- /dev/null
+++ b/tests/functional/test_coordinator.py
@@ -0,0 +1,290 @@
+"""Control members on real sockets and disks, in one process."""
+
+import asyncio
+import http.client
+import json
+import pathlib
+import socket
+import tempfile
+import unittest
+
+from hemlockkeel._internal.announced import records
+from hemlockkeel._internal.consensus import core
+from hemlockkeel._internal.coordinator import process
+from hemlockkeel._internal.links import configurations
+from hemlockkeel._internal.links import dialer
+from hemlockkeel._internal.links import link
+from hemlockkeel._internal.links import messages
+from hemlockkeel._internal.routes import table
+from hemlockkeel.platform import api
+from hemlockkeel.platform import configuration
+from tests.lib import logs
+
+# Bound of a step's wait; the test ends earlier when its condition holds.
+WAIT_S = 20.0
+HEARTBEAT = {
+    "service": "s",
+    "address": "10.0.0.9:8080",
+    "zone": "dc1",
+    "state": "ready",
+    "sequence": 1,
+    "born": 5,
+}
+
+
+def find_free_port() -> int:
+    """Return a port that is free on every loopback address used here."""
+    with socket.socket() as probe:
+        probe.bind(("0.0.0.0", 0))
+        return int(probe.getsockname()[1])
+
+
+def make_body(version: int) -> bytes:
+    """Return a configuration without routes."""
+    return json.dumps(
+        {"version": version, "routes": [], "services": []}
+    ).encode()
+
+
+class Subscriber(dialer.Listener):
+    """Collects what an entry would be told."""
+
+    def __init__(self) -> None:
+        self.records: dict[str, records.TargetRecord] = {}
+        self.versions: list[int] = []
+        self.receiver = configurations.ConfigurationReceiver(
+            configuration.JsonConfigurationCodec(),
+            logs.make_log(),
+            self.note,
+        )
+
+    def note(self, changed: table.Configuration) -> None:
+        self.versions.append(changed.version)
+
+    def on_up(self, address: str, peer: link.Link) -> None:
+        return
+
+    def on_message(
+        self, address: str, peer: link.Link, message: messages.AnyMessage
+    ) -> None:
+        self.receiver.take(peer, message)
+        if isinstance(message, messages.RecordsUpdate):
+            for record in message.records:
+                self.records[record.instance_id] = record
+
+    def on_down(self, address: str) -> None:
+        return
+
+
+class CoordinatorCase(unittest.IsolatedAsyncioTestCase):
+    """Three members, each on a loopback address of its own."""
+
+    async def asyncSetUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        self.link_port = find_free_port()
+        self.api_port = find_free_port()
+        self.seeds = frozenset(
+            f"127.0.0.{number}:{self.link_port}" for number in (1, 2, 3)
+        )
+        self.members: dict[int, process.ControlProcess] = {}
+        for number in (1, 2, 3):
+            await self.start(number, bootstrap=True)
+
+    async def asyncTearDown(self) -> None:
+        for number in list(self.members):
+            await self.stop(number)
+
+    async def start(
+        self, number: int, bootstrap: bool, disk: str = ""
+    ) -> process.ControlProcess:
+        """Start a member at 127.0.0.NUMBER."""
+        settings = process.ControlSettings(
+            f"core-{number}",
+            f"dc{number}",
+            f"127.0.0.{number}",
+            self.api_port,
+            self.link_port,
+            self.folder / (disk or str(number)),
+            self.seeds,
+            bootstrap,
+            core.Timing(0.08, 0.4, 0.8),
+        )
+        member = process.ControlProcess(
+            settings,
+            self.folder / "settings",
+            lambda path: settings,
+            api.PlatformApiCodec(),
+            logs.make_log(),
+        )
+        await member.start()
+        self.members[number] = member
+        return member
+
+    async def stop(self, number: int) -> None:
+        """Stop a member; its disk stays."""
+        await self.members.pop(number).stop()
+
+    async def call(
+        self, number: int, method: str, path: str, body: bytes = b""
+    ) -> tuple[int, bytes]:
+        """Call a member as an operator or a target does."""
+
+        def run() -> tuple[int, bytes]:
+            connection = http.client.HTTPConnection(
+                f"127.0.0.{number}", self.api_port, timeout=5.0
+            )
+            try:
+                connection.request(method, path, body)
+                answer = connection.getresponse()
+                return answer.status, answer.read()
+            finally:
+                connection.close()
+
+        return await asyncio.to_thread(run)
+
+    async def call_until(
+        self, status: int, number: int, method: str, path: str, body: bytes
+    ) -> bytes:
+        """Call again until the answer has a status."""
+        async with asyncio.timeout(WAIT_S):
+            while True:
+                got, answer = await self.call(number, method, path, body)
+                if got == status:
+                    return answer
+                await asyncio.sleep(0.05)
+
+    async def put(self, number: int, version: int) -> None:
+        """Put a configuration until it is acknowledged."""
+        await self.call_until(
+            200, number, "PUT", "/config", make_body(version)
+        )
+
+    async def read(self, number: int) -> int:
+        """Return the version that a member is sure of."""
+        body = await self.call_until(200, number, "GET", "/config", b"")
+        return int(json.loads(body)["version"])
+
+    def get_leader(self) -> int:
+        """Return the member that leads; 0 for none."""
+        for number, member in self.members.items():
+            if member.node.has_lease():
+                return number
+        return 0
+
+    async def wait_for(self, check) -> None:  # type: ignore
+        """Wait until a check holds."""
+        async with asyncio.timeout(WAIT_S):
+            while not check():
+                await asyncio.sleep(0.02)
+
+
+class TestConfiguration(CoordinatorCase):
+    """Changes and reads at any member."""
+
+    async def test_change_is_read_everywhere_and_never_goes_back(
+        self,
+    ) -> None:
+        await self.put(1, 5)
+        await self.put(2, 4)
+        await self.put(3, 5)
+        for number in (1, 2, 3):
+            self.assertEqual(await self.read(number), 5)
+
+    async def test_invalid_change_is_refused(self) -> None:
+        await self.put(1, 5)
+        status, _ = await self.call(2, "PUT", "/config", b'{"version": 9')
+        self.assertEqual(status, 400)
+        self.assertEqual(await self.read(3), 5)
+
+    async def test_lost_leader_and_lost_majority(self) -> None:
+        await self.put(1, 5)
+        await self.wait_for(self.get_leader)
+        await self.stop(self.get_leader())
+        left = list(self.members)
+        await self.put(left[0], 6)
+        self.assertEqual(await self.read(left[1]), 6)
+        await self.stop(left[0])
+        await self.wait_for(lambda: not self.get_leader())
+        for method, body in (("GET", b""), ("PUT", make_body(7))):
+            status, _ = await self.call(left[1], method, "/config", body)
+            self.assertEqual(status, 503)
+
+    async def test_acknowledged_change_survives_a_restart_of_all(
+        self,
+    ) -> None:
+        await self.put(1, 5)
+        for number in (1, 2, 3):
+            await self.stop(number)
+        for number in (1, 2, 3):
+            await self.start(number, bootstrap=False)
+        self.assertEqual(await self.read(2), 5)
+
+
+class TestMembers(CoordinatorCase):
+    """Members that are replaced without an operator."""
+
+    def is_settled(self, joined: str) -> bool:
+        """Tell whether three members vote, a new one among them."""
+        leader = self.get_leader()
+        if not leader:
+            return False
+        membership = self.members[leader].catalogue.membership
+        return joined in membership.voters and len(membership.peers) == 3
+
+    async def check_replaced(self, gone: int, number: int, disk: str) -> None:
+        await self.put(1, 5)
+        await self.stop(gone)
+        await self.start(number, bootstrap=False, disk=disk)
+        joined = self.members[number].node.member_id
+        await self.wait_for(lambda: self.is_settled(joined))
+        survivor = ({1, 2, 3} - {gone}).pop()
+        await self.stop(survivor)
+        self.assertEqual(await self.read(number), 5)
+
+    async def test_empty_member_at_another_address(self) -> None:
+        await self.check_replaced(3, 4, "new")
+
+    async def test_lost_disk_at_the_old_address(self) -> None:
+        await self.check_replaced(3, 3, "blank")
+
+
+class TestTargets(CoordinatorCase):
+    """Announcements and who hears of them."""
+
+    async def announce(self, number: int, **changes: object) -> int:
+        body = json.dumps({**HEARTBEAT, **changes}).encode()
+        status, _ = await self.call(number, "PUT", "/instances/i-1", body)
+        return status
+
+    async def test_entries_hear_of_targets_and_configurations(self) -> None:
+        await self.put(1, 5)
+        subscriber = Subscriber()
+        hello = messages.Hello(role="entry", name="e", data_centre="dc9")
+        links = dialer.DialerSet(hello, subscriber, logs.make_log())
+        links.set_addresses(set(self.seeds))
+        self.addCleanup(links.set_addresses, set())
+        await self.wait_for(lambda: len(links.links()) == 3)
+        self.assertEqual(await self.announce(2), 200)
+        await self.wait_for(lambda: "i-1" in subscriber.records)
+        self.assertEqual(
+            await self.announce(3, state="draining", sequence=2), 200
+        )
+        # Acknowledged: most members have sent it on already.
+        await self.wait_for(
+            lambda: (
+                subscriber.records["i-1"].state is records.TargetState.LEAVING
+            )
+        )
+        await self.put(2, 8)
+        await self.wait_for(lambda: subscriber.versions[-1:] == [8])
+        self.assertEqual(subscriber.versions, sorted(set(subscriber.versions)))
+
+    async def test_leaving_needs_a_majority(self) -> None:
+        await self.put(1, 5)
+        await self.announce(3)
+        await self.stop(1)
+        await self.stop(2)
+        status = await self.announce(3, state="draining", sequence=2)
+        self.assertEqual(status, 503)
--- /dev/null
+++ b/tests/unit/test_platform.py
@@ -0,0 +1,438 @@
+"""The platform's words become the project's types, whatever arrives."""
+
+import json
+import pathlib
+import tempfile
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from hemlockkeel._internal import exceptions
+from hemlockkeel._internal.announced import records
+from hemlockkeel._internal.coordinator import api as calls
+from hemlockkeel._internal.orders import engine as orders
+from hemlockkeel._internal.relay import dialect
+from hemlockkeel._internal.routes import table
+from hemlockkeel.platform import api
+from hemlockkeel.platform import configuration
+from hemlockkeel.platform import engine
+from hemlockkeel.platform import headers
+from hemlockkeel.platform import settings
+
+ROUTE = {
+    "name": "r",
+    "host": "A.example",
+    "pathPrefix": "/p/",
+    "kind": "streaming",
+    "timeoutMs": 6000,
+    "sloMs": 1000,
+    "priority": 1,
+    "trafficSplit": [
+        {"service": "s", "weight": 90},
+        {"service": "t", "weight": 10},
+    ],
+    "attempts": 2,
+    "sticky": True,
+    "resumable": True,
+    "gapAimMs": 400,
+}
+SERVICES = [
+    {
+        "name": "s",
+        "maxConnections": 360,
+        "engine": {
+            "slots": 64,
+            "kvCapacity": 232000,
+            "models": [{"name": "m", "weightsMb": 34300.0, "loadTimeS": 1.0}],
+            "weightsMb": 35300.0,
+            "adapterSlots": 8,
+        },
+    },
+    {"name": "t", "maxConnections": 100},
+]
+HEARTBEAT = {
+    "service": "s",
+    "address": "10.0.0.9:8080",
+    "zone": "dc1",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "coldLeftMs": 500,
+    "models": [{"name": "m", "version": 1, "adapters": ["a3@2"]}],
+    "sequence": 4,
+    "born": 1000,
+}
+JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(max_size=8),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(strategies.text(max_size=8), inner)
+    ),
+    max_leaves=8,
+)
+
+
+def make_configuration(**changes: object) -> bytes:
+    """Return a configuration as an operator sends it."""
+    source = {
+        "version": 7,
+        "routes": [ROUTE],
+        "services": SERVICES,
+        "limits": {
+            "maxHeaderBytes": 1000,
+            "maxBodyBytes": 2000,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+    }
+    return json.dumps({**source, **changes}).encode()
+
+
+class TestConfiguration(unittest.TestCase):
+    """Configurations."""
+
+    def setUp(self) -> None:
+        self.codec = configuration.JsonConfigurationCodec()
+
+    def test_fields(self) -> None:
+        decoded = self.codec.decode(make_configuration())
+        self.assertEqual(decoded.version, 7)
+        route = decoded.find_route("a.example", "/p/x")
+        assert route is not None
+        self.assertIs(route.kind, table.RouteKind.STREAM)
+        self.assertEqual((route.timeout_s, route.objective_s), (6.0, 1.0))
+        self.assertEqual([s.weight for s in route.shares], [90.0, 10.0])
+        self.assertTrue(route.resumable)
+        service = decoded.services[records.ServiceName("s")]
+        assert service.engine is not None
+        self.assertEqual(service.engine.adapter_slots, 8)
+        self.assertEqual(decoded.limits.idle_timeout_s, 15.0)
+
+    def test_invalid_ones_are_refused(self) -> None:
+        bad_routes = {
+            "unknown service": {
+                **ROUTE,
+                "trafficSplit": [{"service": "x", "weight": 1}],
+            },
+            "weights of 0": {
+                **ROUTE,
+                "trafficSplit": [{"service": "s", "weight": 0}],
+            },
+            "time-out of 0": {**ROUTE, "timeoutMs": 0},
+            "bare prefix": {**ROUTE, "pathPrefix": "p"},
+            "no host": {k: v for k, v in ROUTE.items() if k != "host"},
+        }
+        for name, route in bad_routes.items():
+            with self.subTest(name):
+                self.check_refused(make_configuration(routes=[route]))
+        same = {**ROUTE, "name": "other", "host": "a.example"}
+        self.check_refused(make_configuration(routes=[ROUTE, same]))
+        whole = make_configuration()
+        for end in range(0, len(whole), 7):
+            self.check_refused(whole[:end])
+
+    def check_refused(self, body: bytes) -> None:
+        with self.assertRaises(exceptions.BadDeclarationError):
+            self.codec.decode(body)
+
+    @hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
+    @hypothesis.given(
+        strategies.binary(max_size=64)
+        | JSON.map(lambda value: json.dumps(value).encode())
+    )
+    def test_only_one_error_escapes(self, body: bytes) -> None:
+        try:
+            self.codec.decode(body)
+        except exceptions.BadDeclarationError:
+            return
+
+    @hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
+    @hypothesis.given(strategies.sampled_from(sorted(ROUTE)), JSON)
+    def test_damaged_field(self, name: str, value: object) -> None:
+        body = make_configuration(routes=[{**ROUTE, name: value}])
+        try:
+            self.codec.decode(body)
+        except exceptions.BadDeclarationError:
+            return
+
+
+class TestCalls(unittest.TestCase):
+    """Calls of operators and targets."""
+
+    def setUp(self) -> None:
+        self.codec = api.PlatformApiCodec()
+
+    def announce(self, **changes: object) -> calls.Call:
+        body = json.dumps({**HEARTBEAT, **changes}).encode()
+        return self.codec.decode("PUT", "/instances/i-1", body)
+
+    def test_heartbeat(self) -> None:
+        call = self.announce()
+        assert isinstance(call, calls.Announce)
+        record = call.record
+        self.assertEqual(record.instance_id, "i-1")
+        self.assertIs(record.state, records.TargetState.READY)
+        self.assertEqual((record.born_ms, record.sequence), (1000, 4))
+        self.assertEqual(record.cold_left_s, 0.5)
+        assert record.models is not None
+        self.assertEqual(record.models[0].adapters, {"a3": 2})
+
+    def test_plain_service_has_no_models(self) -> None:
+        source = {k: v for k, v in HEARTBEAT.items() if k != "models"}
+        call = self.codec.decode(
+            "PUT", "/instances/i-1", json.dumps(source).encode()
+        )
+        assert isinstance(call, calls.Announce)
+        self.assertIsNone(call.record.models)
+
+    def test_leaving_at_short_notice(self) -> None:
+        call = self.announce(state="draining", remainingMs=2000)
+        assert isinstance(call, calls.Announce)
+        self.assertIs(call.record.state, records.TargetState.LEAVING)
+        self.assertEqual(call.record.remaining_s, 2.0)
+
+    def test_foreign_entries_name_no_target(self) -> None:
+        for changes in (
+            {"state": "odd"},
+            {"service": 5},
+            {"address": "nowhere"},
+            {"sequence": "4"},
+            {"sequence": True},
+            {"models": [{"name": 1}]},
+            {"models": [{"name": "m", "adapters": ["a@x"]}]},
+            {"born": 1.5},
+        ):
+            with (
+                self.subTest(changes),
+                self.assertRaises(calls.BadCallError) as caught,
+            ):
+                self.announce(**changes)
+            self.assertEqual(caught.exception.status, 400)
+
+    def test_other_calls(self) -> None:
+        put = self.codec.decode("PUT", "/config", make_configuration())
+        self.assertIsInstance(put, calls.PutConfiguration)
+        read = self.codec.decode("GET", "/config", b"")
+        self.assertIsInstance(read, calls.ReadConfiguration)
+        named = self.codec.decode(
+            "POST",
+            "/version-put",
+            b'{"model": "m", "adapter": "a3", "version": 9}',
+        )
+        self.assertEqual(named, calls.NameVersion("m", "a3", 9))
+        gone = self.codec.decode("DELETE", "/instances/i-1", b"")
+        self.assertEqual(gone, calls.Withdraw(records.InstanceId("i-1")))
+        for method, path in (("GET", "/x"), ("POST", "/instances/i-1")):
+            with self.assertRaises(calls.BadCallError) as caught:
+                self.codec.decode(method, path, b"{}")
+            self.assertEqual(caught.exception.status, 404)
+
+    @hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
+    @hypothesis.given(strategies.sampled_from(sorted(HEARTBEAT)), JSON)
+    def test_damaged_heartbeat(self, name: str, value: object) -> None:
+        try:
+            self.announce(**{name: value})
+        except calls.BadCallError:
+            return
+
+
+class TestEngineCalls(unittest.TestCase):
+    """Reports and orders."""
+
+    def setUp(self) -> None:
+        self.codec = engine.PlatformEngineCodec()
+
+    def test_report(self) -> None:
+        report = self.codec.decode_report(
+            b'{"stage":"unified","models":[{"name":"m","version":1,'
+            b'"adapters":["a1@3"]}],"busy":false,"sequence":2,"queued":1,'
+            b'"active":12,"kvUsed":41000,"kvTotal":90000,'
+            b'"coming":["m/a2@1"],"born":77}'
+        )
+        self.assertEqual(report.order_count, 2)
+        self.assertEqual(report.models[0].adapters, {"a1": 3})
+        self.assertEqual(report.coming, (("m", "a2"),))
+        self.assertEqual(report.born_ms, 77)
+
+    def test_order(self) -> None:
+        order = orders.Order(orders.Operation.LOAD, "m", "a3", 5)
+        call = self.codec.encode_order(
+            orders.SignedOrder(
+                order, "agent", 41, 2, records.InstanceId("i-1")
+            )
+        )
+        self.assertEqual((call.method, call.path), (b"POST", b"/order"))
+        self.assertEqual(
+            json.loads(call.body),
+            {
+                "operation": "load",
+                "model": "m",
+                "adapter": "a3",
+                "version": 5,
+                "holder": "agent",
+                "fencingToken": 41,
+                "expected": 2,
+            },
+        )
+        self.assertIn((b"X-Expect-Instance", b"i-1"), call.headers)
+
+    def test_replies(self) -> None:
+        for status, reply in (
+            (202, orders.Reply.ACCEPTED),
+            (200, orders.Reply.HOLDS_ALREADY),
+            (409, orders.Reply.CONFLICT),
+            (412, orders.Reply.STALE_FENCE),
+            (421, orders.Reply.OTHER_INSTANCE),
+            (400, orders.Reply.REFUSED),
+        ):
+            self.assertIs(self.codec.decode_order_reply(status), reply)
+
+    @hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
+    @hypothesis.given(
+        strategies.binary(max_size=64)
+        | JSON.map(lambda value: json.dumps(value).encode())
+    )
+    def test_damaged_report(self, body: bytes) -> None:
+        try:
+            self.codec.decode_report(body)
+        except ValueError:
+            return
+
+
+class TestHeaders(unittest.TestCase):
+    """Headers of requests and answers."""
+
+    def setUp(self) -> None:
+        self.dialect = headers.PlatformDialect()
+
+    def test_request(self) -> None:
+        facts = self.dialect.read_request(
+            [
+                (b"X-Request-Id", b"r"),
+                (b"X-Model-Name", b"m/a3"),
+                (b"X-Token-Usage", b"1460,80"),
+                (b"X-Prompt-Prefix", b"5c:800,91:410"),
+                (b"x-request-deadline", b"6000"),
+                (b"Last-Event-Id", b"12"),
+            ]
+        )
+        self.assertEqual(
+            facts,
+            dialect.RequestFacts(
+                "r",
+                6.0,
+                "m",
+                "a3",
+                1460,
+                80,
+                (
+                    dialect.PromptPart("5c", 800),
+                    dialect.PromptPart("91", 410),
+                ),
+                "12",
+            ),
+        )
+
+    def test_system_headers_are_the_systems(self) -> None:
+        made = self.dialect.make_request_headers(
+            [
+                (b"X-Request-Id", b"r"),
+                (b"X-Request-Deadline", b"6000"),
+                (b"X-Request-Priority", b"0"),
+                (b"Kv-From", b"1.2.3.4:5/h"),
+            ],
+            dialect.Forwarding(1.5, "i-1", 7, 2, "12"),
+        )
+        self.assertEqual(
+            made,
+            [
+                (b"X-Request-Id", b"r"),
+                (b"X-Request-Deadline", b"1500"),
+                (b"X-Expect-Instance", b"i-1"),
+                (b"X-Expect-Version", b"7"),
+                (b"X-Request-Priority", b"2"),
+                (b"Last-Event-Id", b"12"),
+            ],
+        )
+
+    def test_answer(self) -> None:
+        facts = self.dialect.read_answer(
+            503, [(b"X-Not-Executed", b"1"), (b"X-Server-Load", b"3,0,8")]
+        )
+        self.assertTrue(facts.not_run)
+        self.assertFalse(facts.sealed)
+        self.assertEqual(facts.load, dialect.TargetLoad(3, 0, 8))
+        self.assertFalse(self.dialect.read_answer(503, []).not_run)
+        self.assertTrue(self.dialect.read_answer(421, []).not_run)
+
+    @hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(
+                    [
+                        b"X-Token-Usage",
+                        b"X-Prompt-Prefix",
+                        b"X-Request-Deadline",
+                        b"X-Server-Load",
+                        b"X-Model-Name",
+                    ]
+                ),
+                strategies.binary(max_size=20),
+            ),
+            max_size=5,
+        )
+    )
+    def test_damaged_headers(self, raw: dialect.Headers) -> None:
+        self.dialect.read_request(raw)
+        self.dialect.read_answer(200, raw)
+
+
+class TestSettings(unittest.TestCase):
+    """The settings file."""
+
+    TEXT = (
+        "nodeName=edge-1\nip=10.1.0.38\nzone=dc1\n"
+        "listen.front=10.1.0.38:8149\nlisten.ready=10.1.0.38:8141\n"
+        "listen.control=10.1.0.38:8144\nportRange=7380,7395\n"
+        "seedNodes=10.1.0.40:8144,10.2.0.42:8144\nbootstrap=true\n"
+        "heartbeatMs=1200\nbounds.graceS=8\nbounds.retryBudgetRatio=0.2\n"
+        "bounds.budgetWindowS=10\nbounds.retryBudgetSlack=58\n"
+        "dataDir=/data/x\napp=10.1.0.41:8145\nservice=s\n"
+        "bounds.requireFence=true\nnew.field=1\nno equals sign\n"
+    )
+
+    def write(self, text: str) -> pathlib.Path:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = pathlib.Path(folder.name) / "settings.conf"
+        path.write_text(text)
+        return path
+
+    def test_roles(self) -> None:
+        path = self.write(self.TEXT)
+        entry = settings.read_entry(path)
+        self.assertEqual((entry.front_port, entry.ready_port), (8149, 8141))
+        self.assertEqual(
+            entry.control, frozenset({"10.1.0.40:7380", "10.2.0.42:7380"})
+        )
+        self.assertEqual(entry.agent_port, 7381)
+        self.assertEqual(entry.retry_bound.reserve, 58.0)
+        control = settings.read_control(path)
+        self.assertTrue(control.bootstrap)
+        self.assertEqual(control.link_address, "10.1.0.38:7380")
+        agent = settings.read_agent(path)
+        self.assertEqual(agent.engine_address, "10.1.0.41:8145")
+        self.assertTrue(agent.engines_check_fences)
+
+    def test_missing_and_damaged_settings_are_named(self) -> None:
+        with self.assertRaisesRegex(ValueError, "listen.front"):
+            settings.read_entry(self.write("nodeName=x\nzone=z\nip=1\n"))
+        damaged = self.TEXT.replace("heartbeatMs=1200", "heartbeatMs=soon")
+        with self.assertRaises(ValueError):
+            settings.read_entry(self.write(damaged))
