Resume cut streams from a copy; stop requests that crash targets

A request that crashes what runs it was not recognised by entries.

Change: a small stream's memory is kept at a second target as it grows; when the first one has surely ended the run, it goes on there, same version only. The forwarder's results and shared state and the control member's subscribers, registry and replica are modules of their own.

--- /dev/null
+++ b/src/hemlockkeel/_internal/coordinator/subscribers.py
@@ -0,0 +1,125 @@
+"""Tells entries and agents what has changed."""
+
+import zlib
+
+from hemlockkeel._internal.announced import records
+from hemlockkeel._internal.links import link
+from hemlockkeel._internal.links import messages
+from hemlockkeel._internal.routes import catalogue
+from hemlockkeel._internal.utils import event_log
+
+
+def pack(
+    state: catalogue.CatalogueState,
+) -> messages.ConfigurationUpdate:
+    """Return a configuration as it is sent to subscribers."""
+    return messages.ConfigurationUpdate(
+        version=state.version, packed=zlib.compress(state.body)
+    )
+
+
+class Subscribers:
+    """Links of entries and agents, and what they were told."""
+
+    def __init__(
+        self,
+        replicated: catalogue.Catalogue,
+        data_centre: str,
+        log: event_log.EventLog,
+    ) -> None:
+        self.catalogue = replicated
+        self.data_centre = data_centre
+        self.log = log
+        self.links: set[link.Link] = set()
+        self.packed = messages.ConfigurationUpdate(version=0, packed=b"")
+        self.pushed_adapters: dict[tuple[str, str], int] = {}
+
+    def add(self, peer: link.Link, known: list[records.TargetRecord]) -> None:
+        """Tell a new subscriber everything."""
+        self.links.add(peer)
+        if self.packed.version:
+            self.offer_configuration(peer)
+        peer.send(
+            messages.VersionsUpdate(versions=self.catalogue.list_versions())
+        )
+        wanted = [
+            record
+            for record in known
+            if peer.target_address in ("", record.address)
+        ]
+        peer.send(messages.RecordsUpdate(records=wanted))
+        self.tell(self.make_members())
+
+    def remove(self, peer: link.Link) -> None:
+        """Forget a link that is lost."""
+        self.links.discard(peer)
+
+    def push_changes(self) -> None:
+        """Tell what the replicated state has changed."""
+        state = self.catalogue.state
+        if state.version > self.packed.version:
+            self.packed = pack(state)
+            for peer in self.links:
+                self.offer_configuration(peer)
+            self.log.write(
+                "configuration_committed",
+                version=state.version,
+                subscribers=len(self.links),
+            )
+        self.push_versions()
+
+    def push_versions(self) -> None:
+        """Tell subscribers versions of adapters that are new."""
+        fresh = []
+        for model, adapter, version in self.catalogue.list_versions():
+            if self.pushed_adapters.get((model, adapter)) == version:
+                continue
+            self.pushed_adapters[model, adapter] = version
+            fresh.append((model, adapter, version))
+            self.log.write(
+                "version_committed",
+                model=model,
+                adapter=adapter,
+                version=version,
+            )
+        if fresh:
+            self.tell(messages.VersionsUpdate(versions=fresh))
+
+    def offer_configuration(self, peer: link.Link) -> None:
+        """Send the configuration, or to another data centre its version.
+
+        A subscriber gets it from the nearest member that way, and from any
+        other if that one is late.
+        """
+        if peer.data_centre == self.data_centre:
+            peer.send(self.packed)
+            return
+        peer.send(messages.ConfigurationNotice(version=self.packed.version))
+
+    def tell(self, message: messages.AnyMessage) -> None:
+        """Send to every subscriber."""
+        for peer in self.links:
+            peer.send(message)
+
+    def tell_entries(self, message: messages.AnyMessage) -> None:
+        """Send to every entry."""
+        for peer in self.links:
+            if peer.role == "entry":
+                peer.send(message)
+
+    def tell_record(self, record: records.TargetRecord) -> None:
+        """Send an announcement to those who want it."""
+        update = messages.RecordsUpdate(records=[record])
+        for peer in self.links:
+            if peer.target_address in ("", record.address):
+                peer.send(update)
+
+    def make_members(self) -> messages.MembersUpdate:
+        """Return the members and the number of entries."""
+        entries = {peer.name for peer in self.links if peer.role == "entry"}
+        return messages.MembersUpdate(
+            addresses=[
+                peer.address for peer in self.catalogue.membership.peers
+            ],
+            entries=len(entries),
+        )
--- /dev/null
+++ b/src/hemlockkeel/_internal/coordinator/targets.py
@@ -0,0 +1,119 @@
+"""Takes announcements of targets and spreads them."""
+
+import asyncio
+
+from hemlockkeel._internal.announced import records
+from hemlockkeel._internal.coordinator import replica
+from hemlockkeel._internal.coordinator import subscribers
+from hemlockkeel._internal.links import link
+from hemlockkeel._internal.links import messages
+from hemlockkeel._internal.utils import event_log
+
+# Age after which a silent target is forgotten.
+FORGET_TARGETS_S = 60.0
+# Contact with a majority that a heartbeat's acknowledgement needs.
+HEARTBEAT_CONTACT_S = 2.0
+# Contact that the acknowledgement of a leaving target needs.
+LEAVING_CONTACT_S = 1.5
+
+
+class TargetRegistry:
+    """The targets that one member has heard of."""
+
+    def __init__(
+        self,
+        state: replica.Replica,
+        listeners: subscribers.Subscribers,
+        log: event_log.EventLog,
+    ) -> None:
+        self.replica = state
+        self.subscribers = listeners
+        self.log = log
+        self.table = records.Table(FORGET_TARGETS_S)
+
+    @property
+    def now(self) -> float:
+        """Return the loop's time."""
+        return asyncio.get_running_loop().time()
+
+    async def announce(self, record: records.TargetRecord) -> bool:
+        """Take a heartbeat; tell whether it may be acknowledged."""
+        if not self.replica.node.is_in_contact(HEARTBEAT_CONTACT_S):
+            return False
+        self.take_record(record)
+        if record.state is records.TargetState.READY:
+            return True
+        return await self.spread_leaving(record)
+
+    async def withdraw(self, instance_id: records.InstanceId) -> bool:
+        """Take the end of a target; tell whether it may be acknowledged."""
+        gone = self.table.withdraw(instance_id, self.now)
+        if gone is None:
+            return True
+        self.subscribers.tell_record(gone)
+        self.log_record(gone)
+        return await self.spread_leaving(gone)
+
+    def take_record(self, record: records.TargetRecord) -> None:
+        """Merge an announcement and tell subscribers."""
+        known = self.table.by_id.get(record.instance_id)
+        if not self.table.merge(record, self.now):
+            return
+        self.subscribers.tell_record(record)
+        if known is None or known.state is not record.state:
+            self.log_record(record)
+
+    def log_record(self, record: records.TargetRecord) -> None:
+        """Log a target's change of state."""
+        self.log.write(
+            "target_state",
+            target=record.instance_id,
+            service=record.service,
+            address=record.address,
+            state=record.state.value,
+            sequence=record.sequence,
+            born_ms=record.born_ms,
+            subscribers=len(self.subscribers.links),
+        )
+
+    async def spread_leaving(self, record: records.TargetRecord) -> bool:
+        """Acknowledge a leaving target once a majority knows it.
+
+        Each entry that reaches a majority of the members hears of it.
+        """
+        voters = set(self.replica.catalogue.membership.voters)
+        own = self.replica.node.member_id in voters
+        needed = len(voters) // 2 + 1 - own
+        addresses = [
+            peer.address
+            for peer in self.replica.catalogue.membership.peers
+            if peer.voter and peer.member_id != self.replica.node.member_id
+        ]
+        calls = [
+            asyncio.create_task(self.share(address, record))
+            for address in addresses
+        ]
+        done = 0
+        for finished in asyncio.as_completed(calls):
+            done += await finished
+            if done >= needed:
+                break
+        if done < needed or not self.replica.node.is_in_contact(
+            LEAVING_CONTACT_S
+        ):
+            return False
+        return True
+
+    async def share(self, address: str, record: records.TargetRecord) -> bool:
+        """Tell another member; return whether it knows now."""
+        peer = self.replica.peers.get(address)
+        if peer is None:
+            return False
+        try:
+            reply = await peer.call(
+                messages.ShareRecord(record=record), replica.CALL_TIMEOUT_S
+            )
+        except (link.LinkClosedError, TimeoutError) as fault:
+            self.log.write("share_failed", peer=address, reason=str(fault))
+            return False
+        return isinstance(reply, messages.Outcome) and reply.done
--- a/src/hemlockkeel/_internal/links/messages.py
+++ b/src/hemlockkeel/_internal/links/messages.py
@@ -130,6 +130,29 @@
     granted_call: int
 
 
+class CrashReport(Message, frozen=True, tag=True, kw_only=True):
+    """A target ended while it ran these requests; passed to all entries."""
+
+    target: str
+    born_ms: int
+    digests: list[str]
+
+
+class CrashCleared(Message, frozen=True, tag=True, kw_only=True):
+    """A suspected request ran well; passed to all entries."""
+
+    digest: str
+
+
+class CheckRun(Message, frozen=True, tag=True, kw_only=True):
+    """Asks an agent whether a request's run at its engine is over.
+
+    The reply is an `Outcome` that is done when it certainly is.
+    """
+
+    request_id: str
+
+
 class LoadUpdate(Message, frozen=True, tag=True, kw_only=True):
     """What an agent knows of its target."""
 
@@ -167,6 +190,9 @@
     | EnsureAdapter
     | AdapterGrant
     | ReleaseAdapter
+    | CrashReport
+    | CrashCleared
+    | CheckRun
     | LoadUpdate
 )
 
--- a/src/hemlockkeel/_internal/orders/http_client.py
+++ b/src/hemlockkeel/_internal/orders/http_client.py
@@ -5,7 +5,6 @@
 from hemlockkeel._internal.orders import engine
 from hemlockkeel._internal.relay import dialect
 from hemlockkeel._internal.relay import exchange
-from hemlockkeel._internal.relay import forwarder
 from hemlockkeel._internal.relay import pool
 
 # An engine beside its agent answers within milliseconds; an order that got
@@ -45,10 +44,11 @@
             status, body = await self.call(
                 self.codec.encode_report_call(), CALL_TIMEOUT_S
             )
-        except (
-            exchange.ConnectFailedError,
-            exchange.BrokenAnswerError,
-        ) as fault:
+        except exchange.ConnectFailedError as fault:
+            if isinstance(fault.__cause__, ConnectionRefusedError):
+                raise engine.EngineDownError(str(fault)) from fault
+            raise OSError(str(fault)) from fault
+        except exchange.BrokenAnswerError as fault:
             raise OSError(str(fault)) from fault
         if status != 200:
             raise ValueError(f"report answered with {status}")
@@ -91,7 +91,7 @@
                 ]
                 connection.send(call.method, call.path, head, call.body)
                 answer = await connection.read_head(self.speaks, "")
-                body = await forwarder.read_whole(connection)
+                body = await exchange.read_whole(connection)
                 return answer.status, body
         except BaseException:
             answer = None
--- a/src/hemlockkeel/_internal/orders/keeper.py
+++ b/src/hemlockkeel/_internal/orders/keeper.py
@@ -174,6 +174,17 @@
                     )
                 )
 
+    async def is_over(self, request_id: str) -> bool:
+        """Tell whether a request's run at the engine has surely ended."""
+        try:
+            report = await self.client.read_report()
+        except engine.EngineDownError:
+            return True
+        except (OSError, ValueError, TimeoutError) as fault:
+            self.log.write("run_unknown", id=request_id, reason=str(fault))
+            return False
+        return request_id not in report.runs
+
     # Fences
 
     @property
--- a/src/hemlockkeel/_internal/orders/process.py
+++ b/src/hemlockkeel/_internal/orders/process.py
@@ -210,6 +210,10 @@
     async def on_call(
         self, peer: link.Link, message: messages.AnyMessage
     ) -> None:
+        if isinstance(message, messages.CheckRun):
+            over = await self.keeper.is_over(message.request_id)
+            peer.send(messages.Outcome(call_id=message.call_id, done=over))
+            return
         if not isinstance(message, messages.EnsureAdapter):
             peer.send(messages.Outcome(call_id=message.call_id, done=False))
             return
--- a/src/hemlockkeel/_internal/relay/choice.py
+++ b/src/hemlockkeel/_internal/relay/choice.py
@@ -38,6 +38,10 @@
 # Added for a share of failures among a target's last answers; a target
 # that fails everything comes after any wait that a request can stand.
 FAILURE_S = 10.0
+# A target keeps copies for others while it fails less and uses less of its
+# memory than these shares.
+BACKUP_FAILURE_SHARE = 0.1
+BACKUP_MEMORY_SHARE = 0.6
 # Orders the targets of an adapter that is held nowhere.
 SPREAD_S = 0.3
 
@@ -113,6 +117,26 @@
     )
 
 
+def choose_backup(
+    need: Need, candidates: list[Candidate], rng: random.Random
+) -> Candidate | None:
+    """Return the target for a copy of a run's memory.
+
+    It has room, is sound, and is near where there is such a one.
+    """
+    fit = [
+        candidate
+        for candidate in candidates
+        if candidate.engine is not None
+        and candidate.failure_share < BACKUP_FAILURE_SHARE
+        and candidate.engine.may_order
+        and candidate.engine.kv_used
+        < candidate.engine.kv_total * BACKUP_MEMORY_SHARE
+    ]
+    near = [c for c in fit if c.record.data_centre == need.data_centre]
+    return choose(need, near or fit, rng)
+
+
 def expect_s(need: Need, candidate: Candidate, held: bool) -> float:
     """Return the expected seconds to the first byte at a target."""
     cost = candidate.failure_share * FAILURE_S
--- a/src/hemlockkeel/_internal/relay/exchange.py
+++ b/src/hemlockkeel/_internal/relay/exchange.py
@@ -14,6 +14,10 @@
 MAX_FOREIGN_ANSWERS = 2
 
 
+# Body of an answer that is held to be retried when it is cut off.
+MAX_HELD_BYTES = 8 * 1024 * 1024
+
+
 class ConnectFailedError(Exception):
     """No connection was made, so nothing was sent."""
 
@@ -186,3 +190,18 @@
             f"{address}: {fault or type(fault).__name__}"
         ) from fault
     return TargetConnection(made)
+
+
+async def read_whole(connection: TargetConnection) -> bytes:
+    """Return the whole body of an answer.
+
+    :raises BrokenAnswerError: when it ends early or is too long.
+    """
+    body = bytearray()
+    while True:
+        data = await connection.read_data()
+        if data is None:
+            return bytes(body)
+        body += data
+        if len(body) > MAX_HELD_BYTES:
+            raise BrokenAnswerError("answer too long")
--- a/src/hemlockkeel/_internal/relay/fleet.py
+++ b/src/hemlockkeel/_internal/relay/fleet.py
@@ -5,6 +5,7 @@
 
 from hemlockkeel._internal.announced import records
 from hemlockkeel._internal.links import messages
+from hemlockkeel._internal.models import ids
 from hemlockkeel._internal.relay import choice
 from hemlockkeel._internal.relay import dialect
 from hemlockkeel._internal.relay import pool
@@ -34,6 +35,10 @@
     record: records.TargetRecord
     pool: pool.TargetPool
     own: int = 0
+    # Content digests of this entry's requests there, with their number.
+    digests: collections.Counter[ids.ContentDigest] = dataclasses.field(
+        default_factory=collections.Counter
+    )
     own_prefill_tokens: int = 0
     running: int = 0
     waiting: int = 0
@@ -234,6 +239,13 @@
             )
         return found
 
+    def is_gone(self, record: records.TargetRecord) -> bool:
+        """Tell whether a start of a target has surely ended."""
+        known = self.table.by_id.get(record.instance_id)
+        if known is None or known.state is records.TargetState.GONE:
+            return True
+        return known.born_ms > record.born_ms or self.table.is_replaced(record)
+
     def get_connection_cap(self, max_connections: int) -> int:
         """Return this entry's part of a target's connections."""
         share = max_connections * CONNECTION_SHARE / max(1, self.entries)
--- a/src/hemlockkeel/_internal/relay/forwarder.py
+++ b/src/hemlockkeel/_internal/relay/forwarder.py
@@ -6,15 +6,12 @@
 """
 
 import asyncio
-import dataclasses
-import enum
+import collections
 import http
-import random
 
 from hemlockkeel._internal.announced import records
 from hemlockkeel._internal.links import link
 from hemlockkeel._internal.models import outcomes
-from hemlockkeel._internal.relay import adapters
 from hemlockkeel._internal.relay import caller
 from hemlockkeel._internal.relay import choice
 from hemlockkeel._internal.relay import dialect
@@ -22,17 +19,15 @@
 from hemlockkeel._internal.relay import exchange
 from hemlockkeel._internal.relay import fleet as fleet_module
 from hemlockkeel._internal.relay import headers
-from hemlockkeel._internal.routes import budget
+from hemlockkeel._internal.relay import knowledge as knowledge_module
+from hemlockkeel._internal.relay import results
 from hemlockkeel._internal.routes import table
-from hemlockkeel._internal.utils import event_log
-from hemlockkeel._internal.utils import instruments
+from hemlockkeel._internal.utils import digests
 
 # A target answers at the deadline itself; this long after it the entry does.
 DEADLINE_GRACE_S = 0.1
 # Targets that could not be reached before a request is refused.
 MAX_UNREACHED = 4
-# Body of an answer that is held to be retried when it is cut off.
-MAX_HELD_BYTES = 8 * 1024 * 1024
 # Shortest time in which a target can do anything for a request.
 MIN_USEFUL_S = 0.02
 # When a refused caller may come back, seconds, spread at random so that
@@ -40,95 +35,24 @@
 RETRY_AFTER_S = (0.15, 0.6)
 # The same while the entry learns its configuration after a start.
 RETRY_AFTER_START_S = (0.8, 1.6)
+# The same for a request that is quarantined.
+RETRY_AFTER_QUARANTINE_S = (30.0, 60.0)
 # Wait for an adapter, over all targets, as a share of the objective.
 ADAPTER_WAIT_SHARE = 1.25
+# Tokens of a request up to which a copy of its memory is kept elsewhere.
+MAX_COPIED_TOKENS = 4000
+# Wait for the adapter where a run goes on; callers give a stream up after
+# a pause of two seconds.
+RESUME_WAIT_S = 1.0
 PROMISING = frozenset({408, 421, 429, 503})
 
 
-class Cause(enum.Enum):
-    """Why a request was answered by the entry itself."""
-
-    NO_CONFIGURATION = "no_configuration"
-    NO_ROUTE = "no_route"
-    NO_TARGET = "no_target"
-    TARGETS_BUSY = "targets_busy"
-    TARGET_REFUSED = "target_refused"
-    NO_ADAPTER = "no_adapter"
-    BROKEN_ANSWER = "broken_answer"
-    BAD_ANSWER = "bad_answer"
-    DEADLINE = "deadline"
-
-
-@dataclasses.dataclass
-class Failed:
-    """An attempt that gave no answer to pass on."""
-
-    verdict: outcomes.Verdict
-    cause: Cause
-    reason: str
-    # Whether the request was written to a target.
-    sent: bool = True
-
-
-@dataclasses.dataclass
-class Held:
-    """A whole answer that has not been passed on yet."""
-
-    answer: exchange.Answer
-    body: bytes
-
-
-@dataclasses.dataclass
-class Done:
-    """The answer has been passed on, or broken off."""
-
-    status: int
-    complete: bool
-
-
-@dataclasses.dataclass
-class StreamBroken:
-    """A stream ended early after some events had been passed on."""
-
-    reason: str
-
-
-Result = Failed | Held | Done | StreamBroken
-
-
-@dataclasses.dataclass
-class Knowledge:
-    """Everything that the forwarder decides from."""
-
-    fleet: fleet_module.Fleet
-    speaks: dialect.Dialect
-    grants: adapters.AdapterGrants
-    log: event_log.EventLog
-    instruments: instruments.Instruments
-    rng: random.Random
-    data_centre: str
-    bound: budget.BudgetBound
-    started_at: float
-    configuration: table.Configuration | None = None
-    budgets: dict[str, budget.RetryBudget] = dataclasses.field(
-        default_factory=dict
-    )
-
-    def get_budget(self, service: str) -> budget.RetryBudget:
-        """Return a service's retry budget."""
-        found = self.budgets.get(service)
-        if found is None:
-            found = budget.RetryBudget(self.bound, self.started_at)
-            self.budgets[service] = found
-        return found
-
-
 class Forwarder:
     """One request's way through the entry."""
 
     def __init__(
         self,
-        knowledge: Knowledge,
+        knowledge: knowledge_module.Knowledge,
         connection: caller.CallerConnection,
         request: caller.CallerRequest,
     ) -> None:
@@ -138,13 +62,24 @@
         self.facts = knowledge.speaks.read_request(request.headers)
         self.route: table.Route | None = None
         self.ends_at = 0.0
+        self.digest = digests.digest_content(
+            request.method, request.target, request.body
+        )
         self.tried: set[records.InstanceId] = set()
         self.sends = 0
         self.unreached = 0
         self.verdict = outcomes.Verdict.NOT_RUN
         self.splitter: events.EventSplitter | None = None
-        self.last: Failed | Held | StreamBroken | None = None
-        self.first_byte_at: float | None = None
+        self.last: (
+            results.Failed | results.Held | results.StreamBroken | None
+        ) = None
+        self.first_byte_s: float | None = None
+        self.adapter_wait_s = 0.0
+        # The run that was sent last, and the target with its copy.
+        self.version: int | None = None
+        self.backup: fleet_module.Target | None = None
+        # Whether the request goes on from a copy.
+        self.from_copy = False
 
     @property
     def now(self) -> float:
@@ -155,13 +90,15 @@
         """Answer the request."""
         configuration = self.knowledge.configuration
         if configuration is None:
-            self.refuse(Cause.NO_CONFIGURATION, "no configuration yet")
+            self.refuse(results.Cause.NO_CONFIGURATION, "no configuration yet")
             return
         self.route = configuration.find_route(
             self.request.host, self.request.path
         )
         if self.route is None:
-            self.reply(http.HTTPStatus.NOT_FOUND, Cause.NO_ROUTE, "no route")
+            self.reply(
+                http.HTTPStatus.NOT_FOUND, results.Cause.NO_ROUTE, "no route"
+            )
             return
         wait_s = self.route.timeout_s
         if self.facts.deadline_s is not None:
@@ -171,6 +108,11 @@
             self.route.choose_service(self.knowledge.rng)
         ]
         self.knowledge.get_budget(service.name).note_request(self.now)
+        if self.knowledge.crashes.is_quarantined(self.digest):
+            self.refuse(
+                results.Cause.QUARANTINED, "it crashed the targets that ran it"
+            )
+            return
         try:
             async with asyncio.timeout_at(self.ends_at + DEADLINE_GRACE_S):
                 await self.try_targets(self.route, service)
@@ -187,11 +129,11 @@
             self.connection.break_off()
             return
         if self.verdict is outcomes.Verdict.NOT_RUN:
-            self.refuse(Cause.DEADLINE, "not run before the deadline")
+            self.refuse(results.Cause.DEADLINE, "not run before the deadline")
             return
         self.reply(
             http.HTTPStatus.GATEWAY_TIMEOUT,
-            Cause.DEADLINE,
+            results.Cause.DEADLINE,
             "no answer in time",
         )
 
@@ -203,9 +145,9 @@
             target = self.choose(service)
             if target is None:
                 self.conclude(
-                    Failed(
+                    results.Failed(
                         outcomes.Verdict.NOT_RUN,
-                        Cause.NO_TARGET,
+                        results.Cause.NO_TARGET,
                         "no target left",
                         sent=False,
                     )
@@ -215,30 +157,106 @@
                 self.conclude(None)
                 return
             result = await self.attempt(route, service, target)
-            if isinstance(result, Done):
+            if isinstance(result, results.Done):
                 self.note_answer(result.status, "target", result.complete)
                 return
             self.last = result
+            if await self.resume_from_copy(route, service, target, result):
+                return
             if not self.wants_another(route, result):
                 self.conclude(None)
                 return
 
+    async def resume_from_copy(
+        self,
+        route: table.Route,
+        service: table.Service,
+        target: fleet_module.Target,
+        result: results.Failed | results.Held | results.StreamBroken,
+    ) -> bool:
+        """Go on at the target that has a copy of the run's memory.
+
+        It is the same run, so the first target must have ended it for
+        certain; tell whether the caller has its whole answer now.
+        """
+        backup, self.backup = self.backup, None
+        if backup is None or isinstance(result, results.Held):
+            return False
+        if isinstance(result, results.Failed) and (
+            result.verdict is outcomes.Verdict.NOT_RUN or not result.sent
+        ):
+            return False
+        fleet = self.knowledge.fleet
+        over = fleet.is_gone(target.record)
+        if not over:
+            over = await self.knowledge.grants.is_run_over(
+                target.record.address, self.facts.request_id
+            )
+        spent = over and self.knowledge.get_budget(service.name).spend(
+            self.now, fleet.entries
+        )
+        self.note(
+            "run_lost",
+            target=target.record.instance_id,
+            copy=backup.record.instance_id,
+            over=over,
+            resumes=spent,
+        )
+        if not spent:
+            return False
+        self.from_copy = True
+        resumed = await self.attempt(route, service, backup)
+        self.note("run_resumed", outcome=type(resumed).__name__)
+        if not isinstance(resumed, results.Done):
+            return False
+        self.note_answer(resumed.status, "target", resumed.complete)
+        return True
+
+    def choose_backup(
+        self,
+        route: table.Route,
+        target: fleet_module.Target,
+    ) -> fleet_module.Target | None:
+        """Return the target that keeps a copy of the run's memory.
+
+        Long streams of small requests are worth it: a copy costs room and
+        transfers by its tokens, and a stream is lost the likelier the
+        longer it lasts.
+        """
+        if self.from_copy or route.kind is not table.RouteKind.STREAM:
+            return None
+        tokens = self.facts.prompt_tokens + self.facts.max_output_tokens
+        if route.resumable or not 0 < tokens <= MAX_COPIED_TOKENS:
+            return None
+        candidates = self.knowledge.fleet.list_candidates(
+            target.record.service,
+            self.facts,
+            self.now,
+            {target.record.instance_id},
+        )
+        found = choice.choose_backup(
+            self.make_need(), candidates, self.knowledge.rng
+        )
+        if found is None:
+            return None
+        return self.knowledge.fleet.targets[found.record.instance_id]
+
+    def make_need(self) -> choice.Need:
+        """Return what the request needs of a target."""
+        return choice.Need(
+            self.knowledge.data_centre,
+            self.adapter_key if self.facts.adapter else "",
+            self.facts.prompt_tokens,
+            self.facts.max_output_tokens,
+        )
+
     def choose(self, service: table.Service) -> fleet_module.Target | None:
         """Return the best target that was not tried yet."""
         knowledge = self.knowledge
         candidates = knowledge.fleet.list_candidates(
             service.name, self.facts, self.now, self.tried
         )
-        adapter = ""
-        if self.facts.adapter:
-            adapter = f"{self.facts.model}/{self.facts.adapter}"
-        need = choice.Need(
-            knowledge.data_centre,
-            adapter,
-            self.facts.prompt_tokens,
-            self.facts.max_output_tokens,
-        )
-        chosen = choice.choose(need, candidates, knowledge.rng)
+        chosen = choice.choose(self.make_need(), candidates, knowledge.rng)
         if chosen is None:
             return None
         self.note(
@@ -268,12 +286,14 @@
         return allowed
 
     def wants_another(
-        self, route: table.Route, result: Failed | Held | StreamBroken
+        self,
+        route: table.Route,
+        result: results.Failed | results.Held | results.StreamBroken,
     ) -> bool:
         """Tell whether another target could help."""
-        if isinstance(result, StreamBroken):
+        if isinstance(result, results.StreamBroken):
             return route.resumable
-        if isinstance(result, Held):
+        if isinstance(result, results.Held):
             return route.idempotent
         if not result.sent:
             self.unreached += 1
@@ -282,18 +302,18 @@
             return True
         return route.idempotent or route.resumable
 
-    def conclude(self, fault: Failed | None) -> None:
+    def conclude(self, fault: results.Failed | None) -> None:
         """Give the caller the final answer after the last attempt."""
         last = self.last or fault
-        if isinstance(last, Held):
+        if isinstance(last, results.Held):
             self.pass_on(last)
             return
-        if isinstance(last, StreamBroken):
+        if isinstance(last, results.StreamBroken):
             self.note("stream_broken_off", reason=last.reason)
             self.connection.break_off()
             return
         if last is None:
-            self.refuse(Cause.NO_TARGET, "no target")
+            self.refuse(results.Cause.NO_TARGET, "no target")
             return
         if self.connection.begun:
             self.note("stream_broken_off", reason=last.reason)
@@ -311,7 +331,7 @@
         route: table.Route,
         service: table.Service,
         target: fleet_module.Target,
-    ) -> Result:
+    ) -> results.Result:
         """Send the request to a target and take its answer."""
         self.tried.add(target.record.instance_id)
         if self.facts.adapter and target.engine is not None:
@@ -323,7 +343,7 @@
         route: table.Route,
         service: table.Service,
         target: fleet_module.Target,
-    ) -> Result:
+    ) -> results.Result:
         """Hold the adapter at the target while the request runs there."""
         grants = self.knowledge.grants
         begun = self.now
@@ -336,15 +356,25 @@
                 self.get_adapter_wait(route),
             )
         except (link.LinkClosedError, TimeoutError) as fault:
-            return self.fail_unsent(Cause.NO_ADAPTER, f"agent: {fault}")
-        self.knowledge.instruments.adapter_wait.observe(self.now - begun)
+            return self.fail_unsent(
+                results.Cause.NO_ADAPTER, f"agent: {fault}"
+            )
+        waited_s = self.now - begun
+        self.adapter_wait_s += waited_s
+        self.knowledge.instruments.adapter_wait.observe(waited_s)
         if grant is None:
             # No agent: the target may hold the adapter all the same.
             return await self.attempt_on(route, service, target, None)
         try:
             if not grant.granted:
-                return self.fail_unsent(Cause.NO_ADAPTER, grant.reason)
+                return self.fail_unsent(results.Cause.NO_ADAPTER, grant.reason)
             version = grant.version or None
+            if self.from_copy and version != self.version:
+                return self.fail_unsent(
+                    results.Cause.NO_ADAPTER,
+                    "the copy is of another version",
+                )
+            self.version = version
             return await self.attempt_on(route, service, target, version)
         finally:
             grants.release(grant)
@@ -355,6 +385,8 @@
         Beyond the route's objective an answer is worth less than what the
         place gives to others; a caller is told sooner to come back.
         """
+        if self.from_copy:
+            return min(RESUME_WAIT_S, self.ends_at - self.now)
         arrived_at = self.request.arrived_at
         until = min(
             arrived_at + route.objective_s * ADAPTER_WAIT_SHARE,
@@ -362,11 +394,13 @@
         )
         return max(MIN_USEFUL_S, until - self.now)
 
-    def fail_unsent(self, cause: Cause, reason: str) -> Failed:
+    def fail_unsent(self, cause: results.Cause, reason: str) -> results.Failed:
         """Return the outcome of an attempt that reached no target."""
         self.note("not_sent", cause=cause.value, reason=reason)
         self.knowledge.instruments.attempts.labels("not_sent").inc()
-        return Failed(outcomes.Verdict.NOT_RUN, cause, reason, sent=False)
+        return results.Failed(
+            outcomes.Verdict.NOT_RUN, cause, reason, sent=False
+        )
 
     async def attempt_on(
         self,
@@ -374,7 +408,7 @@
         service: table.Service,
         target: fleet_module.Target,
         version: int | None,
-    ) -> Result:
+    ) -> results.Result:
         """Send on a connection, kept or new."""
         now = self.now
         cap = self.knowledge.fleet.get_connection_cap(service.max_connections)
@@ -382,17 +416,17 @@
         if connection is None:
             if target.pool.in_use >= cap:
                 return self.fail_unsent(
-                    Cause.TARGETS_BUSY, "all connections are in use"
+                    results.Cause.TARGETS_BUSY, "all connections are in use"
                 )
             try:
                 connection = await target.pool.connect()
             except exchange.ConnectFailedError as fault:
                 target.note_result(True, self.now)
-                return self.fail_unsent(Cause.NO_TARGET, str(fault))
+                return self.fail_unsent(results.Cause.NO_TARGET, str(fault))
         left = self.ends_at - self.now
         if left < MIN_USEFUL_S:
             target.pool.drop(connection)
-            return self.fail_unsent(Cause.DEADLINE, "no time left")
+            return self.fail_unsent(results.Cause.DEADLINE, "no time left")
         return await self.exchange_on(
             route,
             target,
@@ -411,12 +445,18 @@
         last_id = self.facts.last_event_id
         if self.splitter is not None and self.splitter.last_id:
             last_id = self.splitter.last_id
+        if target.engine is not None:
+            self.backup = self.choose_backup(route, target)
+        backup = self.backup.record.address if self.backup else ""
         return dialect.Forwarding(
             left,
             target.record.instance_id,
             version,
             route.priority if target.engine is not None else None,
             last_id,
+            backup,
+            self.from_copy,
+            target.record.address,
         )
 
     async def exchange_on(
@@ -425,7 +465,7 @@
         target: fleet_module.Target,
         connection: exchange.TargetConnection,
         forwarding: dialect.Forwarding,
-    ) -> Result:
+    ) -> results.Result:
         """Exchange the request for an answer; always ends the connection's
         use."""
         knowledge = self.knowledge
@@ -443,6 +483,7 @@
             length = str(len(self.request.body)).encode()
             head.append((b"Content-Length", length))
         target.own += 1
+        target.digests[self.digest] += 1
         target.own_prefill_tokens += prefill
         pending = Pending(target, prefill)
         kept: exchange.Answer | None = None
@@ -463,17 +504,20 @@
             result = await self.take_answer(
                 route, target, connection, answer, pending
             )
-            if isinstance(result, Failed) and (
+            if isinstance(result, results.Failed) and (
                 result.verdict is outcomes.Verdict.NOT_RUN
             ):
                 self.verdict = before
-            if not isinstance(result, Failed) or (
+            if not isinstance(result, results.Failed) or (
                 result.verdict is outcomes.Verdict.NOT_RUN
             ):
                 kept = answer
+            if isinstance(result, results.Done):
+                knowledge.crashes.note_good(self.digest)
             return result
         except exchange.BrokenAnswerError as fault:
             target.note_result(True, self.now)
+            knowledge.crashes.note_broken(target, list(target.digests))
             knowledge.instruments.attempts.labels("broken").inc()
             self.note(
                 "answer_broken",
@@ -481,15 +525,16 @@
                 reason=str(fault),
             )
             if self.connection.begun:
-                return StreamBroken(str(fault))
-            return Failed(
+                return results.StreamBroken(str(fault))
+            return results.Failed(
                 outcomes.Verdict.MAY_HAVE_RUN,
-                Cause.BROKEN_ANSWER,
+                results.Cause.BROKEN_ANSWER,
                 str(fault),
             )
         finally:
             pending.note_first_byte()
             target.own -= 1
+            target.digests -= collections.Counter([self.digest])
             if kept is not None:
                 target.pool.give_back(connection, kept.headers, self.now)
             else:
@@ -507,35 +552,35 @@
         connection: exchange.TargetConnection,
         answer: exchange.Answer,
         pending: "Pending",
-    ) -> Result:
+    ) -> results.Result:
         """Judge an answer's head and read its body."""
         if answer.facts.not_run or answer.status == 421:
-            await read_whole(connection)
+            await exchange.read_whole(connection)
             self.knowledge.instruments.attempts.labels("refused").inc()
             self.note(
                 "target_refused",
                 target=target.record.instance_id,
                 status=answer.status,
             )
-            return Failed(
+            return results.Failed(
                 outcomes.Verdict.NOT_RUN,
-                Cause.TARGET_REFUSED,
+                results.Cause.TARGET_REFUSED,
                 f"target refused with {answer.status}",
             )
         success = 200 <= answer.status < 300
         if success and answer.facts.sealed and answer.is_event_stream:
             return await self.take_stream(target, connection, answer, pending)
-        body = await read_whole(connection)
+        body = await exchange.read_whole(connection)
         pending.note_first_byte()
         target.note_result(answer.status >= 500, self.now)
         if success and not answer.facts.sealed:
             return self.fail_bad(target, "success without a seal")
         if answer.status in PROMISING:
             return self.fail_bad(target, f"unproved {answer.status}")
-        held = Held(answer, body)
+        held = results.Held(answer, body)
         if answer.status < 500 or not route.idempotent:
             self.pass_on(held)
-            return Done(answer.status, True)
+            return results.Done(answer.status, True)
         self.knowledge.instruments.attempts.labels("failed").inc()
         self.note(
             "target_failed",
@@ -544,14 +589,18 @@
         )
         return held
 
-    def fail_bad(self, target: fleet_module.Target, reason: str) -> Failed:
+    def fail_bad(
+        self, target: fleet_module.Target, reason: str
+    ) -> results.Failed:
         """Return the outcome of an answer that must not be passed on."""
         target.note_result(True, self.now)
         self.knowledge.instruments.attempts.labels("bad").inc()
         self.note(
             "answer_bad", target=target.record.instance_id, reason=reason
         )
-        return Failed(outcomes.Verdict.MAY_HAVE_RUN, Cause.BAD_ANSWER, reason)
+        return results.Failed(
+            outcomes.Verdict.MAY_HAVE_RUN, results.Cause.BAD_ANSWER, reason
+        )
 
     async def take_stream(
         self,
@@ -559,7 +608,7 @@
         connection: exchange.TargetConnection,
         answer: exchange.Answer,
         pending: "Pending",
-    ) -> Result:
+    ) -> results.Result:
         """Pass whole events on as they arrive."""
         last_id = self.splitter.last_id if self.splitter else ""
         splitter = self.splitter = events.EventSplitter()
@@ -585,7 +634,7 @@
             self.begin(answer)
         self.connection.end_stream()
         target.note_result(False, self.now)
-        return Done(answer.status, True)
+        return results.Done(answer.status, True)
 
     # Answers to the caller
 
@@ -596,7 +645,7 @@
             answer.status, headers.drop_hop_by_hop(answer.headers)
         )
 
-    def pass_on(self, held: Held) -> None:
+    def pass_on(self, held: results.Held) -> None:
         """Send a target's whole answer."""
         self.note_first_byte()
         self.connection.send_answer(
@@ -610,14 +659,17 @@
     def note_first_byte(self) -> None:
         """Measure the time to the first byte."""
         kind = self.route.kind.value if self.route else "none"
+        self.first_byte_s = round(self.now - self.request.arrived_at, 4)
         self.knowledge.instruments.first_byte.labels(kind).observe(
-            self.now - self.request.arrived_at
+            self.first_byte_s
         )
 
-    def refuse(self, cause: Cause, reason: str) -> None:
+    def refuse(self, cause: results.Cause, reason: str) -> None:
         """Refuse a request that has certainly not run."""
         bounds = RETRY_AFTER_S
-        if cause is Cause.NO_CONFIGURATION:
+        if cause is results.Cause.QUARANTINED:
+            bounds = RETRY_AFTER_QUARANTINE_S
+        if cause is results.Cause.NO_CONFIGURATION:
             bounds = RETRY_AFTER_START_S
         wait = self.knowledge.rng.uniform(*bounds)
         self.reply(
@@ -630,7 +682,7 @@
     def reply(
         self,
         status: int,
-        cause: Cause,
+        cause: results.Cause,
         reason: str,
         extra: dialect.Headers | None = None,
     ) -> None:
@@ -657,6 +709,8 @@
             reason=reason,
             verdict=self.verdict.label,
             sends=self.sends,
+            first_byte=self.first_byte_s,
+            adapter_wait=round(self.adapter_wait_s, 4),
             seconds=round(self.now - self.request.arrived_at, 4),
         )
 
@@ -685,21 +739,6 @@
         self.tokens = 0
 
 
-async def read_whole(connection: exchange.TargetConnection) -> bytes:
-    """Return the whole body of an answer.
-
-    :raises BrokenAnswerError: when it ends early or is too long.
-    """
-    body = bytearray()
-    while True:
-        data = await connection.read_data()
-        if data is None:
-            return bytes(body)
-        body += data
-        if len(body) > MAX_HELD_BYTES:
-            raise exchange.BrokenAnswerError("answer too long")
-
-
 def has_framing(head: dialect.Headers) -> bool:
     """Tell whether a request came with a body, be it empty."""
     return any(key.lower() in headers.FRAMING for key, _ in head)
--- /dev/null
+++ b/src/hemlockkeel/_internal/relay/knowledge.py
@@ -0,0 +1,41 @@
+"""Everything that the forwarder decides from."""
+
+import dataclasses
+import random
+
+from hemlockkeel._internal.relay import adapters
+from hemlockkeel._internal.relay import crashes
+from hemlockkeel._internal.relay import dialect
+from hemlockkeel._internal.relay import fleet as fleet_module
+from hemlockkeel._internal.routes import budget
+from hemlockkeel._internal.routes import table
+from hemlockkeel._internal.utils import event_log
+from hemlockkeel._internal.utils import instruments
+
+
+@dataclasses.dataclass
+class Knowledge:
+    """State of an entry that all its requests share."""
+
+    fleet: fleet_module.Fleet
+    speaks: dialect.Dialect
+    grants: adapters.AdapterGrants
+    crashes: crashes.CrashWatch
+    log: event_log.EventLog
+    instruments: instruments.Instruments
+    rng: random.Random
+    data_centre: str
+    bound: budget.BudgetBound
+    started_at: float
+    configuration: table.Configuration | None = None
+    budgets: dict[str, budget.RetryBudget] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def get_budget(self, service: str) -> budget.RetryBudget:
+        """Return a service's retry budget."""
+        found = self.budgets.get(service)
+        if found is None:
+            found = budget.RetryBudget(self.bound, self.started_at)
+            self.budgets[service] = found
+        return found
--- a/src/hemlockkeel/_internal/relay/process.py
+++ b/src/hemlockkeel/_internal/relay/process.py
@@ -12,9 +12,11 @@
 from hemlockkeel._internal.links import messages
 from hemlockkeel._internal.relay import adapters
 from hemlockkeel._internal.relay import caller
+from hemlockkeel._internal.relay import crashes
 from hemlockkeel._internal.relay import dialect
 from hemlockkeel._internal.relay import fleet as fleet_module
 from hemlockkeel._internal.relay import forwarder
+from hemlockkeel._internal.relay import knowledge
 from hemlockkeel._internal.routes import budget
 from hemlockkeel._internal.routes import codec
 from hemlockkeel._internal.routes import table
@@ -69,6 +71,10 @@
                 self.entry.configurations.take(peer, message)
             case messages.MembersUpdate():
                 self.entry.take_members(address, message)
+            case messages.CrashReport():
+                self.entry.crashes.take_report(message)
+            case messages.CrashCleared():
+                self.entry.crashes.take_cleared(message)
 
     def on_down(self, address: str) -> None:
         self.entry.entry_counts.pop(address, None)
@@ -125,13 +131,15 @@
             data_centre=settings.data_centre,
         )
         self.control = dialer.DialerSet(hello, ControlListener(self), log)
+        self.crashes = crashes.CrashWatch(self.control, log)
         self.agent_listener = AgentListener(self)
         self.agents = dialer.DialerSet(hello, self.agent_listener, log)
         self.grants = adapters.AdapterGrants(self.agents, settings.agent_port)
-        self.knowledge = forwarder.Knowledge(
+        self.knowledge = knowledge.Knowledge(
             self.fleet,
             speaks,
             self.grants,
+            self.crashes,
             log,
             self.instruments,
             random.Random(),
@@ -178,6 +186,7 @@
             now = asyncio.get_running_loop().time()
             self.fleet.advance(now, self.is_in_contact())
             self.fleet.expire(now)
+            self.crashes.expire()
             self.dial_agents()
 
     # What control members tell
--- a/src/hemlockkeel/_internal/state/suspects.py
+++ b/src/hemlockkeel/_internal/state/suspects.py
@@ -26,9 +26,14 @@
 
 
 class SuspectTable:
-    """Suspects by content digest."""
+    """Suspects by content digest.
 
-    def __init__(self) -> None:
+    ``quarantine_crashes`` targets must have crashed before a request is
+    refused.
+    """
+
+    def __init__(self, quarantine_crashes: int = QUARANTINE_CRASHES) -> None:
+        self.quarantine_crashes = quarantine_crashes
         self.suspects: dict[str, Suspect] = {}
 
     def report(
@@ -56,7 +61,7 @@
         """Add a crash to a suspect and quarantine it if that suffices."""
         crashes = [*(old.crashes if old else []), crash]
         alone_crashes = (old.alone_crashes if old else 0) + int(alone)
-        guilty = len(crashes) >= QUARANTINE_CRASHES and alone_crashes > 0
+        guilty = len(crashes) >= self.quarantine_crashes and alone_crashes > 0
         suspect = Suspect(
             digest,
             crashes,
--- a/tests/functional/test_coordinator.py
+++ b/tests/functional/test_coordinator.py
@@ -11,6 +11,7 @@
 from hemlockkeel._internal.announced import records
 from hemlockkeel._internal.consensus import core
 from hemlockkeel._internal.coordinator import process
+from hemlockkeel._internal.coordinator import settings as settings_module
 from hemlockkeel._internal.links import configurations
 from hemlockkeel._internal.links import dialer
 from hemlockkeel._internal.links import link
@@ -100,7 +101,7 @@
         self, number: int, bootstrap: bool, disk: str = ""
     ) -> process.ControlProcess:
         """Start a member at 127.0.0.NUMBER."""
-        settings = process.ControlSettings(
+        settings = settings_module.ControlSettings(
             f"core-{number}",
             f"dc{number}",
             f"127.0.0.{number}",
--- a/tests/lib/fake_target.py
+++ b/tests/lib/fake_target.py
@@ -53,7 +53,7 @@
                 self.seen.append(seen)
                 if not await self.script(self, seen, writer):
                     return
-        except ConnectionError:
+        except (ConnectionError, asyncio.CancelledError):
             return
         finally:
             self.open_connections -= 1
--- a/tests/unit/test_adapter_orders.py
+++ b/tests/unit/test_adapter_orders.py
@@ -213,6 +213,33 @@
             for task, _ in running.values():
                 task.cancel()
 
+    async def test_outdated_adapter_in_use_is_not_replaced(self) -> None:
+        client = FakeEngine(random.Random(1))
+        client.held["a"] = 1
+        kept = make_keeper(client)
+        await kept.refresh()
+        self.assertTrue((await self.ensure(kept, "e", 1, "a")).granted)
+        kept.newest["m", "a"] = 2
+        refused = await self.ensure(kept, "e", 2, "a")
+        self.assertFalse(refused.granted)
+        await self.run_steps(kept, 3)
+        self.assertEqual(client.count, 0)
+        kept.release("e", 1)
+        task = asyncio.create_task(self.ensure(kept, "e", 3, "a"))
+        await asyncio.sleep(0)
+        await self.run_steps(kept, 4)
+        self.assertEqual((await task).version, 2)
+
+    async def test_caller_that_leaves_costs_no_load(self) -> None:
+        client = FakeEngine(random.Random(1))
+        kept = make_keeper(client)
+        task = asyncio.create_task(self.ensure(kept, "e", 1, "a"))
+        await asyncio.sleep(0)
+        kept.release("e", 1)
+        await self.run_steps(kept, 3)
+        self.assertFalse((await task).granted)
+        self.assertEqual(client.count, 0)
+
     async def test_lost_entry_releases_its_grants(self) -> None:
         kept = make_keeper(FakeEngine(random.Random(1)))
         task = asyncio.create_task(self.ensure(kept, "e", 1, "a"))
