Refuse at once when no slot comes free in time; take copies out again

Resuming a run before its first event ran a crashing request twice (TWICE).

Change: agents tell the expected wait for a slot from how long requests hold theirs; an entry refuses at once when it is too long, with a time to come back from it. Prompts that other entries sent count in the choice.

Ruled out: leaked grants (granted falls to 0 between bursts).

--- a/src/hemlockkeel/_internal/links/messages.py
+++ b/src/hemlockkeel/_internal/links/messages.py
@@ -114,6 +114,8 @@
     adapter: str
     priority: int
     wait_s: float
+    # Prompt tokens that the engine has to read for the request.
+    prompt_tokens: int = 0
 
 
 class AdapterGrant(Message, frozen=True, tag=True, kw_only=True):
@@ -144,15 +146,6 @@
     digest: str
 
 
-class CheckRun(Message, frozen=True, tag=True, kw_only=True):
-    """Asks an agent whether a request's run at its engine is over.
-
-    The reply is an `Outcome` that is done when it certainly is.
-    """
-
-    request_id: str
-
-
 class LoadUpdate(Message, frozen=True, tag=True, kw_only=True):
     """What an agent knows of its target."""
 
@@ -165,10 +158,12 @@
     held: list[str]
     coming: list[str]
     granted: list[str]
-    # Requests that wait for an adapter at the agent.
-    waiting: int
+    # Expected wait for an adapter slot, seconds; 0 with a free one.
+    slot_wait_s: float
     # Whether the agent may give orders now.
     may_order: bool
+    # Prompt tokens that the engine has probably not read yet.
+    prefill_tokens: int = 0
 
 
 AnyMessage = (
@@ -192,7 +187,6 @@
     | ReleaseAdapter
     | CrashReport
     | CrashCleared
-    | CheckRun
     | LoadUpdate
 )
 
--- a/src/hemlockkeel/_internal/orders/engine.py
+++ b/src/hemlockkeel/_internal/orders/engine.py
@@ -67,16 +67,10 @@
     kv_total: int
     # Adapters on their way, as (model, adapter).
     coming: tuple[tuple[str, str], ...]
-    # Ids of the requests that run.
-    runs: frozenset[str] = frozenset()
     # Start of the process, milliseconds since the epoch; None if unsaid.
     born_ms: int | None = None
 
 
-class EngineDownError(OSError):
-    """Nothing listens at the engine's address: its runs are over."""
-
-
 class EngineClient(abc.ABC):
     """Calls one engine."""
 
@@ -84,7 +78,6 @@
     async def read_report(self) -> Report:
         """Return the engine's state.
 
-        :raises EngineDownError: when nothing listens there.
         :raises OSError: when it does not answer.
         :raises ValueError: when it answers what cannot be read.
         """
--- a/src/hemlockkeel/_internal/orders/http_client.py
+++ b/src/hemlockkeel/_internal/orders/http_client.py
@@ -44,11 +44,10 @@
             status, body = await self.call(
                 self.codec.encode_report_call(), CALL_TIMEOUT_S
             )
-        except exchange.ConnectFailedError as fault:
-            if isinstance(fault.__cause__, ConnectionRefusedError):
-                raise engine.EngineDownError(str(fault)) from fault
-            raise OSError(str(fault)) from fault
-        except exchange.BrokenAnswerError as fault:
+        except (
+            exchange.ConnectFailedError,
+            exchange.BrokenAnswerError,
+        ) as fault:
             raise OSError(str(fault)) from fault
         if status != 200:
             raise ValueError(f"report answered with {status}")
--- a/src/hemlockkeel/_internal/orders/keeper.py
+++ b/src/hemlockkeel/_internal/orders/keeper.py
@@ -7,6 +7,7 @@
 from hemlockkeel._internal.announced import records
 from hemlockkeel._internal.links import link
 from hemlockkeel._internal.links import messages
+from hemlockkeel._internal.orders import backlog
 from hemlockkeel._internal.orders import engine
 from hemlockkeel._internal.orders import slots
 from hemlockkeel._internal.routes import table
@@ -23,6 +24,11 @@
 # A restarted agent gives no order for this long: requests that its
 # predecessor granted adapters to are unknown to it.
 QUIET_START_S = 0.3
+# How long a request holds its adapter before any was measured, seconds, and
+# the weight of each measurement in the average.
+FIRST_HELD_S = 1.0
+HELD_WEIGHT = 0.05
+SLOT_WAIT_GRAIN_S = 0.1
 # Raise of a refused fence, milliseconds: clocks step by seconds.
 FENCE_STEP_MS = 30_000
 
@@ -35,6 +41,7 @@
     # Link and number of the call that waits.
     call: tuple[link.Link, int]
     priority: int
+    prompt_tokens: int
     number: int
     future: asyncio.Future[messages.AdapterGrant]
 
@@ -60,7 +67,11 @@
         self.waiters: list[Waiter] = []
         self.numbers = itertools.count()
         self.grants: dict[tuple[link.Link, int], slots.Key] = {}
+        self.granted_at: dict[tuple[link.Link, int], float] = {}
+        # How long requests hold their adapters, seconds, on average.
+        self.held_s = FIRST_HELD_S
         self.used_at: dict[slots.Key, float] = {}
+        self.backlog = backlog.PrefillBacklog()
         self.wake = asyncio.Event()
         self.model_loaded_at = float("-inf")
         self.reported_at = float("-inf")
@@ -84,6 +95,7 @@
             key,
             (peer, call.call_id),
             call.priority,
+            call.prompt_tokens,
             next(self.numbers),
             asyncio.get_running_loop().create_future(),
         )
@@ -128,6 +140,8 @@
         key = self.grants.pop((peer, call_id), None)
         if key is not None:
             self.note_use(key)
+            held_s = self.now - self.granted_at.pop((peer, call_id))
+            self.held_s += HELD_WEIGHT * (held_s - self.held_s)
         for waiter in self.waiters:
             if waiter.call == (peer, call_id) and not waiter.future.done():
                 waiter.future.set_result(
@@ -148,6 +162,19 @@
             if held_by is peer:
                 self.release(peer, call_id)
 
+    def expect_slot_s(self) -> float:
+        """Return the expected wait for a slot, in coarse steps."""
+        holding = self.get_holding()
+        if holding is None or not holding.adapter_slots:
+            return 0.0
+        used = set(self.grants.values()) | holding.coming
+        used |= {waiter.key for waiter in self.waiters}
+        beyond = len(used) + 1 - holding.adapter_slots
+        if beyond <= 0:
+            return 0.0
+        wait_s = beyond * self.held_s / holding.adapter_slots
+        return round(wait_s / SLOT_WAIT_GRAIN_S) * SLOT_WAIT_GRAIN_S
+
     def note_use(self, key: slots.Key) -> None:
         """Remember when an adapter was used last."""
         self.used_at.pop(key, None)
@@ -167,6 +194,8 @@
             self.waiters.remove(waiter)
             if not waiter.future.done():
                 self.grants[waiter.call] = waiter.key
+                self.granted_at[waiter.call] = self.now
+                self.backlog.add(waiter.prompt_tokens, self.now)
                 self.note_use(waiter.key)
                 waiter.future.set_result(
                     messages.AdapterGrant(
@@ -174,17 +203,6 @@
                     )
                 )
 
-    async def is_over(self, request_id: str) -> bool:
-        """Tell whether a request's run at the engine has surely ended."""
-        try:
-            report = await self.client.read_report()
-        except engine.EngineDownError:
-            return True
-        except (OSError, ValueError, TimeoutError) as fault:
-            self.log.write("run_unknown", id=request_id, reason=str(fault))
-            return False
-        return request_id not in report.runs
-
     # Fences
 
     @property
--- a/src/hemlockkeel/_internal/orders/process.py
+++ b/src/hemlockkeel/_internal/orders/process.py
@@ -29,6 +29,7 @@
 # engine's memory.
 RUNNING_GRAIN = 2
 MEMORY_GRAIN = 1 / 16
+PREFILL_GRAIN_TOKENS = 2000
 FENCE_RETRY_S = 0.3
 FENCE_TIMEOUT_S = 1.0
 
@@ -210,10 +211,6 @@
     async def on_call(
         self, peer: link.Link, message: messages.AnyMessage
     ) -> None:
-        if isinstance(message, messages.CheckRun):
-            over = await self.keeper.is_over(message.request_id)
-            peer.send(messages.Outcome(call_id=message.call_id, done=over))
-            return
         if not isinstance(message, messages.EnsureAdapter):
             peer.send(messages.Outcome(call_id=message.call_id, done=False))
             return
@@ -255,8 +252,13 @@
             granted=sorted(
                 {"/".join(key) for key in self.keeper.grants.values()}
             ),
-            waiting=len(self.keeper.waiters),
+            slot_wait_s=self.keeper.expect_slot_s(),
             may_order=self.keeper.may_order,
+            prefill_tokens=int(
+                self.keeper.backlog.get(self.keeper.now)
+                // PREFILL_GRAIN_TOKENS
+                * PREFILL_GRAIN_TOKENS
+            ),
         )
 
 
--- a/src/hemlockkeel/_internal/relay/adapters.py
+++ b/src/hemlockkeel/_internal/relay/adapters.py
@@ -8,8 +8,6 @@
 
 # Reply that an agent owes beyond the wait it was given.
 REPLY_SLACK_S = 0.3
-# Wait for an agent's word on a run; a caller's stream pauses meanwhile.
-CHECK_TIMEOUT_S = 0.3
 
 
 @dataclasses.dataclass
@@ -42,6 +40,7 @@
         adapter: str,
         priority: int,
         wait_s: float,
+        prompt_tokens: int,
     ) -> Grant | None:
         """Return a grant, or a refusal; None when no agent answers.
 
@@ -52,7 +51,11 @@
         if peer is None:
             return None
         call = messages.EnsureAdapter(
-            model=model, adapter=adapter, priority=priority, wait_s=wait_s
+            model=model,
+            adapter=adapter,
+            priority=priority,
+            wait_s=wait_s,
+            prompt_tokens=prompt_tokens,
         )
         call_id = peer.last_call + 1
         try:
@@ -65,19 +68,6 @@
             raise link.LinkClosedError("not a grant")
         return Grant(reply.granted, reply.version, reply.reason, call_id, peer)
 
-    async def is_run_over(self, target_address: str, request_id: str) -> bool:
-        """Tell whether a run at a target has surely ended."""
-        peer = self.agents.get(self.get_agent_address(target_address))
-        if peer is None:
-            return False
-        try:
-            reply = await peer.call(
-                messages.CheckRun(request_id=request_id), CHECK_TIMEOUT_S
-            )
-        except (link.LinkClosedError, TimeoutError):
-            return False
-        return isinstance(reply, messages.Outcome) and reply.done
-
     def release(self, grant: Grant) -> None:
         """Let the agent unload the adapter again."""
         if grant.granted:
--- a/src/hemlockkeel/_internal/relay/choice.py
+++ b/src/hemlockkeel/_internal/relay/choice.py
@@ -9,10 +9,9 @@
 import random
 
 from hemlockkeel._internal.announced import records
+from hemlockkeel._internal.orders import backlog
 from hemlockkeel._internal.policy import routing
 
-# Prompt tokens that an engine reads in a second, from the engines' sheet.
-PREFILL_TOKENS_PER_S = 38_700.0
 # Slowest step of an engine's batch, seconds, from the engines' sheet.
 STEP_S = 0.0055
 # Time of a load from the store, and of one of an adapter that the target
@@ -25,25 +24,21 @@
 # Share of the allowed silence that means nothing, and what the rest costs.
 QUIET_SHARE = 0.4
 SILENCE_S = 0.5
-# Extra time that a request takes between data centres, there and back.
-DISTANCE_S = 0.02
+# Cost of another data centre, for an engine and a plain service: links
+# between them are few and priced, and prompts are larger than plain bodies.
+ENGINE_DISTANCE_S = 0.1
+PLAIN_DISTANCE_S = 0.01
 # Expected work of one request at a plain service, seconds.
 PLAIN_WORK_S = 0.06
 # What evicting a held adapter costs its next request, on average, seconds.
 EVICTION_S = 0.1
-# Expected wait for an adapter slot when all are in use, seconds.
-SLOT_WAIT_S = 0.8
 # Expected wait for memory, for each multiple of it that is asked for.
 MEMORY_WAIT_S = 1.5
 # Added for a share of failures among a target's last answers; a target
 # that fails everything comes after any wait that a request can stand.
 FAILURE_S = 10.0
-# A target keeps copies for others while it fails less and uses less of its
-# memory than these shares.
-BACKUP_FAILURE_SHARE = 0.1
-BACKUP_MEMORY_SHARE = 0.6
 # Orders the targets of an adapter that is held nowhere.
-SPREAD_S = 0.3
+SPREAD_S = 0.1
 
 
 @dataclasses.dataclass(slots=True)
@@ -56,9 +51,12 @@
     adapter_slots: int = 0
     kv_used: int = 0
     kv_total: int = 0
-    # Requests waiting for an adapter at the agent.
-    waiting: int = 0
+    # Expected wait for an adapter slot, seconds, as its agent reckons.
+    slot_wait_s: float = 0.0
     queued: int = 0
+    # Prompt tokens that it has probably not read yet, and how old that is.
+    prefill_tokens: int = 0
+    reported_at: float = 0.0
     # Whether an agent can order loads there now.
     may_order: bool = False
 
@@ -81,6 +79,8 @@
     # Tokens of the prompt that it probably keeps.
     kept_tokens: int = 0
     engine: EngineView | None = None
+    # Prompt tokens of all entries that it has probably not read yet.
+    prefill_ahead: float = 0.0
     # Whether it held the adapter a short while ago.
     held_lately: bool = False
     # Time since its last heartbeat, as a share of what it may be silent.
@@ -117,32 +117,14 @@
     )
 
 
-def choose_backup(
-    need: Need, candidates: list[Candidate], rng: random.Random
-) -> Candidate | None:
-    """Return the target for a copy of a run's memory.
-
-    It has room, is sound, and is near where there is such a one.
-    """
-    fit = [
-        candidate
-        for candidate in candidates
-        if candidate.engine is not None
-        and candidate.failure_share < BACKUP_FAILURE_SHARE
-        and candidate.engine.may_order
-        and candidate.engine.kv_used
-        < candidate.engine.kv_total * BACKUP_MEMORY_SHARE
-    ]
-    near = [c for c in fit if c.record.data_centre == need.data_centre]
-    return choose(need, near or fit, rng)
-
-
 def expect_s(need: Need, candidate: Candidate, held: bool) -> float:
     """Return the expected seconds to the first byte at a target."""
     cost = candidate.failure_share * FAILURE_S
     cost += max(0.0, candidate.silence - QUIET_SHARE) * SILENCE_S
     if candidate.record.data_centre != need.data_centre:
-        cost += DISTANCE_S
+        cost += (
+            PLAIN_DISTANCE_S if candidate.engine is None else ENGINE_DISTANCE_S
+        )
     cost += candidate.record.cold_left_s * 0.1
     if candidate.engine is None:
         return cost + expect_plain_s(candidate)
@@ -164,9 +146,9 @@
 def expect_prefill_s(need: Need, candidate: Candidate) -> float:
     """Return the expected time until an engine has read the prompt."""
     own = max(0, need.prompt_tokens - candidate.kept_tokens)
-    ahead = candidate.own_prefill_tokens
+    ahead = max(candidate.own_prefill_tokens, candidate.prefill_ahead)
     batch = candidate.running / max(1, candidate.slots)
-    return (own + ahead) / PREFILL_TOKENS_PER_S * (1.0 + batch)
+    return (own + ahead) / backlog.PREFILL_TOKENS_PER_S * (1.0 + batch)
 
 
 def expect_memory_s(
@@ -196,14 +178,19 @@
     if need.adapter in engine.coming:
         return ADAPTER_LOAD_S / 2
     cost = ADAPTER_RELOAD_S if candidate.held_lately else STORE_LOAD_S
-    cost += engine.waiting * 0.1
+    cost += expect_slot_s(need, engine)
     taken = len(engine.held) + len(engine.coming)
-    if len(engine.granted | engine.coming) >= engine.adapter_slots:
-        cost += SLOT_WAIT_S
-    elif taken >= engine.adapter_slots:
+    if taken >= engine.adapter_slots:
         cost += EVICTION_S
     if held and not candidate.held_lately:
         cost += EVICTION_S
     name = need.adapter
     spread = routing.get_spread(name, candidate.record.instance_id)
     return cost + SPREAD_S * spread
+
+
+def expect_slot_s(need: Need, engine: EngineView) -> float:
+    """Return the expected wait for an adapter slot."""
+    if not need.adapter or need.adapter in engine.held | engine.coming:
+        return 0.0
+    return engine.slot_wait_s
--- a/src/hemlockkeel/_internal/relay/dialect.py
+++ b/src/hemlockkeel/_internal/relay/dialect.py
@@ -48,12 +48,6 @@
     priority: int | None = None
     # Last event that the caller has, when a stream is resumed.
     last_event_id: str = ""
-    # Address of a target that keeps a copy of the run's memory.
-    backup_address: str = ""
-    # Whether the target goes on from its own copy of the run's memory.
-    from_copy: bool = False
-    # Address of the target that gets the request.
-    target_address: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/hemlockkeel/_internal/relay/fleet.py
+++ b/src/hemlockkeel/_internal/relay/fleet.py
@@ -6,6 +6,7 @@
 from hemlockkeel._internal.announced import records
 from hemlockkeel._internal.links import messages
 from hemlockkeel._internal.models import ids
+from hemlockkeel._internal.orders import backlog
 from hemlockkeel._internal.relay import choice
 from hemlockkeel._internal.relay import dialect
 from hemlockkeel._internal.relay import pool
@@ -100,6 +101,14 @@
             kept = self.chains[chain]
         return kept
 
+    def get_prefill_ahead(self, now: float) -> float:
+        """Return the prompt tokens of all entries that it has to read."""
+        if self.engine is None:
+            return 0.0
+        age_s = now - self.engine.reported_at
+        read = age_s * backlog.PREFILL_TOKENS_PER_S
+        return max(0.0, self.engine.prefill_tokens - read)
+
     def note_held(self, held: frozenset[str]) -> None:
         """Remember the adapters that the target holds."""
         for name in held:
@@ -191,9 +200,11 @@
             load.adapter_slots,
             load.kv_used,
             load.kv_total,
-            load.waiting,
+            load.slot_wait_s,
             load.queued,
             may_order=load.may_order,
+            prefill_tokens=load.prefill_tokens,
+            reported_at=now,
         )
         target.running, target.waiting = load.running, load.queued
         target.load_at = now
@@ -233,19 +244,13 @@
                     target.get_failure_share(now),
                     target.get_kept_tokens(adapter, facts.prompt_parts),
                     target.engine,
+                    target.get_prefill_ahead(now),
                     adapter in target.recent,
                     silent_s / self.silent_after_s,
                 )
             )
         return found
 
-    def is_gone(self, record: records.TargetRecord) -> bool:
-        """Tell whether a start of a target has surely ended."""
-        known = self.table.by_id.get(record.instance_id)
-        if known is None or known.state is records.TargetState.GONE:
-            return True
-        return known.born_ms > record.born_ms or self.table.is_replaced(record)
-
     def get_connection_cap(self, max_connections: int) -> int:
         """Return this entry's part of a target's connections."""
         share = max_connections * CONNECTION_SHARE / max(1, self.entries)
--- a/src/hemlockkeel/_internal/relay/forwarder.py
+++ b/src/hemlockkeel/_internal/relay/forwarder.py
@@ -39,11 +39,6 @@
 RETRY_AFTER_QUARANTINE_S = (30.0, 60.0)
 # Wait for an adapter, over all targets, as a share of the objective.
 ADAPTER_WAIT_SHARE = 1.25
-# Tokens of a request up to which a copy of its memory is kept elsewhere.
-MAX_COPIED_TOKENS = 4000
-# Wait for the adapter where a run goes on; callers give a stream up after
-# a pause of two seconds.
-RESUME_WAIT_S = 1.0
 PROMISING = frozenset({408, 421, 429, 503})
 
 
@@ -75,11 +70,8 @@
         ) = None
         self.first_byte_s: float | None = None
         self.adapter_wait_s = 0.0
-        # The run that was sent last, and the target with its copy.
-        self.version: int | None = None
-        self.backup: fleet_module.Target | None = None
-        # Whether the request goes on from a copy.
-        self.from_copy = False
+        # Expected wait for a slot at the chosen target.
+        self.slot_wait_s = 0.0
 
     @property
     def now(self) -> float:
@@ -161,86 +153,10 @@
                 self.note_answer(result.status, "target", result.complete)
                 return
             self.last = result
-            if await self.resume_from_copy(route, service, target, result):
-                return
             if not self.wants_another(route, result):
                 self.conclude(None)
                 return
 
-    async def resume_from_copy(
-        self,
-        route: table.Route,
-        service: table.Service,
-        target: fleet_module.Target,
-        result: results.Failed | results.Held | results.StreamBroken,
-    ) -> bool:
-        """Go on at the target that has a copy of the run's memory.
-
-        It is the same run, so the first target must have ended it for
-        certain; tell whether the caller has its whole answer now.
-        """
-        backup, self.backup = self.backup, None
-        if backup is None or isinstance(result, results.Held):
-            return False
-        if isinstance(result, results.Failed) and (
-            result.verdict is outcomes.Verdict.NOT_RUN or not result.sent
-        ):
-            return False
-        fleet = self.knowledge.fleet
-        over = fleet.is_gone(target.record)
-        if not over:
-            over = await self.knowledge.grants.is_run_over(
-                target.record.address, self.facts.request_id
-            )
-        spent = over and self.knowledge.get_budget(service.name).spend(
-            self.now, fleet.entries
-        )
-        self.note(
-            "run_lost",
-            target=target.record.instance_id,
-            copy=backup.record.instance_id,
-            over=over,
-            resumes=spent,
-        )
-        if not spent:
-            return False
-        self.from_copy = True
-        resumed = await self.attempt(route, service, backup)
-        self.note("run_resumed", outcome=type(resumed).__name__)
-        if not isinstance(resumed, results.Done):
-            return False
-        self.note_answer(resumed.status, "target", resumed.complete)
-        return True
-
-    def choose_backup(
-        self,
-        route: table.Route,
-        target: fleet_module.Target,
-    ) -> fleet_module.Target | None:
-        """Return the target that keeps a copy of the run's memory.
-
-        Long streams of small requests are worth it: a copy costs room and
-        transfers by its tokens, and a stream is lost the likelier the
-        longer it lasts.
-        """
-        if self.from_copy or route.kind is not table.RouteKind.STREAM:
-            return None
-        tokens = self.facts.prompt_tokens + self.facts.max_output_tokens
-        if route.resumable or not 0 < tokens <= MAX_COPIED_TOKENS:
-            return None
-        candidates = self.knowledge.fleet.list_candidates(
-            target.record.service,
-            self.facts,
-            self.now,
-            {target.record.instance_id},
-        )
-        found = choice.choose_backup(
-            self.make_need(), candidates, self.knowledge.rng
-        )
-        if found is None:
-            return None
-        return self.knowledge.fleet.targets[found.record.instance_id]
-
     def make_need(self) -> choice.Need:
         """Return what the request needs of a target."""
         return choice.Need(
@@ -256,9 +172,13 @@
         candidates = knowledge.fleet.list_candidates(
             service.name, self.facts, self.now, self.tried
         )
-        chosen = choice.choose(self.make_need(), candidates, knowledge.rng)
+        need = self.make_need()
+        chosen = choice.choose(need, candidates, knowledge.rng)
         if chosen is None:
             return None
+        self.slot_wait_s = 0.0
+        if chosen.engine is not None:
+            self.slot_wait_s = choice.expect_slot_s(need, chosen.engine)
         self.note(
             "target_chosen",
             target=chosen.record.instance_id,
@@ -267,6 +187,7 @@
             own=chosen.own,
             running=chosen.running,
             kept=chosen.kept_tokens,
+            slot_wait=round(self.slot_wait_s, 2),
         )
         return knowledge.fleet.targets[chosen.record.instance_id]
 
@@ -347,13 +268,20 @@
         """Hold the adapter at the target while the request runs there."""
         grants = self.knowledge.grants
         begun = self.now
+        wait_s = self.get_adapter_wait(route)
+        if self.slot_wait_s > wait_s:
+            # The best target would not have a slot in time.
+            return self.fail_unsent(
+                results.Cause.NO_ADAPTER, "every slot is taken for too long"
+            )
         try:
             grant = await grants.acquire(
                 target.record.address,
                 self.facts.model,
                 self.facts.adapter,
                 route.priority,
-                self.get_adapter_wait(route),
+                wait_s,
+                self.get_unread_tokens(target),
             )
         except (link.LinkClosedError, TimeoutError) as fault:
             return self.fail_unsent(
@@ -369,12 +297,6 @@
             if not grant.granted:
                 return self.fail_unsent(results.Cause.NO_ADAPTER, grant.reason)
             version = grant.version or None
-            if self.from_copy and version != self.version:
-                return self.fail_unsent(
-                    results.Cause.NO_ADAPTER,
-                    "the copy is of another version",
-                )
-            self.version = version
             return await self.attempt_on(route, service, target, version)
         finally:
             grants.release(grant)
@@ -385,8 +307,6 @@
         Beyond the route's objective an answer is worth less than what the
         place gives to others; a caller is told sooner to come back.
         """
-        if self.from_copy:
-            return min(RESUME_WAIT_S, self.ends_at - self.now)
         arrived_at = self.request.arrived_at
         until = min(
             arrived_at + route.objective_s * ADAPTER_WAIT_SHARE,
@@ -445,18 +365,12 @@
         last_id = self.facts.last_event_id
         if self.splitter is not None and self.splitter.last_id:
             last_id = self.splitter.last_id
-        if target.engine is not None:
-            self.backup = self.choose_backup(route, target)
-        backup = self.backup.record.address if self.backup else ""
         return dialect.Forwarding(
             left,
             target.record.instance_id,
             version,
             route.priority if target.engine is not None else None,
             last_id,
-            backup,
-            self.from_copy,
-            target.record.address,
         )
 
     async def exchange_on(
@@ -469,13 +383,7 @@
         """Exchange the request for an answer; always ends the connection's
         use."""
         knowledge = self.knowledge
-        prefill = max(
-            0,
-            self.facts.prompt_tokens
-            - target.get_kept_tokens(
-                self.adapter_key, self.facts.prompt_parts
-            ),
-        )
+        prefill = self.get_unread_tokens(target)
         head = knowledge.speaks.make_request_headers(
             headers.drop_hop_by_hop(self.request.headers), forwarding
         )
@@ -540,6 +448,13 @@
             else:
                 target.pool.drop(connection)
 
+    def get_unread_tokens(self, target: fleet_module.Target) -> int:
+        """Return the prompt tokens that a target has to read."""
+        kept = target.get_kept_tokens(
+            self.adapter_key, self.facts.prompt_parts
+        )
+        return max(0, self.facts.prompt_tokens - kept)
+
     @property
     def adapter_key(self) -> str:
         """Return model and adapter as one name."""
@@ -667,6 +582,8 @@
     def refuse(self, cause: results.Cause, reason: str) -> None:
         """Refuse a request that has certainly not run."""
         bounds = RETRY_AFTER_S
+        if self.slot_wait_s:
+            bounds = (self.slot_wait_s / 2, self.slot_wait_s * 3 / 2)
         if cause is results.Cause.QUARANTINED:
             bounds = RETRY_AFTER_QUARANTINE_S
         if cause is results.Cause.NO_CONFIGURATION:
--- a/src/hemlockkeel/platform/engine.py
+++ b/src/hemlockkeel/platform/engine.py
@@ -35,7 +35,6 @@
             fields.get_int(source, "kvUsed", 0),
             fields.get_int(source, "kvTotal", 0),
             tuple(read_coming(source)),
-            frozenset(read_runs(source)),
             born,
         )
 
@@ -85,19 +84,6 @@
     return name, int(version) if version else 0
 
 
-def read_runs(
-    source: fields.Table,
-) -> collections.abc.Iterator[str]:
-    """Return the ids of runs, each given as [id, tokens, events, rank]."""
-    runs = source.get("runs", [])
-    if not isinstance(runs, list):
-        raise ValueError("runs is not a list")
-    for run in runs:
-        if not isinstance(run, list) or not run:
-            raise ValueError("a run is not a list")
-        yield str(run[0])
-
-
 def read_coming(
     source: fields.Table,
 ) -> collections.abc.Iterator[tuple[str, str]]:
--- a/src/hemlockkeel/platform/headers.py
+++ b/src/hemlockkeel/platform/headers.py
@@ -58,13 +58,6 @@
         if forwarding.last_event_id:
             last_id = forwarding.last_event_id.encode("latin-1")
             made.append((b"Last-Event-Id", last_id))
-        if forwarding.backup_address:
-            backup = forwarding.backup_address.encode()
-            made.append((b"X-Kv-Backup", backup))
-        if forwarding.from_copy:
-            request_id = index(headers).get(b"x-request-id", "")
-            copy = f"{forwarding.target_address}/{request_id}"
-            made.append((b"Kv-From", copy.encode("latin-1")))
         return made
 
     def read_answer(
--- a/tests/functional/test_relay.py
+++ b/tests/functional/test_relay.py
@@ -6,8 +6,6 @@
 import unittest
 
 from hemlockkeel._internal.announced import records
-from hemlockkeel._internal.relay import adapters
-from hemlockkeel._internal.relay import choice
 from hemlockkeel._internal.relay import process
 from hemlockkeel._internal.routes import budget
 from hemlockkeel._internal.routes import table
@@ -513,95 +511,6 @@
         del target
 
 
-class FakeGrants:
-    """Grants every adapter; says of runs what a test wants."""
-
-    def __init__(self, over: bool) -> None:
-        self.over = over
-        self.version = 3
-
-    async def acquire(self, *arguments: object) -> adapters.Grant:
-        return adapters.Grant(True, self.version, "", 1, None)
-
-    def release(self, grant: adapters.Grant) -> None:
-        return
-
-    async def is_run_over(self, address: str, request_id: str) -> bool:
-        return self.over
-
-
-class TestCopies(RelayCase):
-    """Streams that go on from a copy of their memory."""
-
-    USAGE = b"X-Model-Name: m/a1\r\nX-Token-Usage: 600,200\r\n"
-
-    async def set_up(self, over: bool) -> None:
-        self.configure(attempts=1)
-        self.grants = FakeGrants(over)
-        self.entry.knowledge.grants = self.grants
-        self.first = await self.add_target(
-            TestStreams.make_script(1, 3, False, b"id: 4\nda"), "t1"
-        )
-        self.second = await self.add_target(
-            TestStreams.make_script(4, 6, True), "t2"
-        )
-        for name in ("t1", "t2"):
-            target = self.entry.fleet.targets[records.InstanceId(name)]
-            target.engine = choice.EngineView(
-                held=frozenset({"m/a1"}),
-                adapter_slots=4,
-                kv_total=100_000,
-                may_order=True,
-            )
-        # The second target looks busy, so the first is chosen.
-        target.own_prefill_tokens = 50_000
-
-    async def ask_cut(self) -> bytes:
-        """Ask for a stream that may be cut off."""
-        try:
-            return await self.ask("stream", b"", self.USAGE)
-        except ConnectionResetError:
-            return b""
-
-    async def test_run_goes_on_at_its_copy(self) -> None:
-        await self.set_up(over=True)
-        answer = await self.ask_cut()
-        sent = self.first.seen[0].headers
-        self.assertEqual(sent[b"x-kv-backup"], self.second.address.encode())
-        self.assertNotIn(b"kv-from", sent)
-        resumed = self.second.seen[0].headers
-        copy = f"{self.second.address}/r1".encode()
-        self.assertEqual(resumed[b"kv-from"], copy)
-        self.assertEqual(resumed[b"last-event-id"], b"3")
-        self.assertEqual(resumed[b"x-expect-version"], b"3")
-        self.assertTrue(answer.endswith(b"0\r\n\r\n"), answer)
-        self.assertEqual(answer.count(b"data:"), 6)
-
-    async def test_run_that_may_go_on_is_not_resumed(self) -> None:
-        await self.set_up(over=False)
-        answer = await self.ask_cut()
-        self.assertFalse(answer.endswith(b"0\r\n\r\n"), answer)
-        self.assertEqual(self.second.seen, [])
-
-    async def test_copy_of_another_version_is_not_used(self) -> None:
-        await self.set_up(over=True)
-        original = self.first.script
-
-        async def bump(target, seen, writer) -> bool:  # type: ignore
-            self.grants.version = 4
-            return await original(target, seen, writer)
-
-        self.first.script = bump
-        await self.ask_cut()
-        self.assertEqual(self.second.seen, [])
-
-    async def test_large_request_has_no_copy(self) -> None:
-        await self.set_up(over=True)
-        self.USAGE = b"X-Model-Name: m/a1\r\nX-Token-Usage: 9000,50\r\n"
-        await self.ask_cut()
-        self.assertNotIn(b"x-kv-backup", self.first.seen[0].headers)
-
-
 class TestLimits(RelayCase):
     """What callers may send."""
 
--- a/tests/unit/test_adapter_orders.py
+++ b/tests/unit/test_adapter_orders.py
@@ -240,6 +240,23 @@
         self.assertFalse((await task).granted)
         self.assertEqual(client.count, 0)
 
+    async def test_expected_wait_for_a_slot(self) -> None:
+        client = FakeEngine(random.Random(1))
+        client.held = {"a": 1, "b": 1}
+        kept = make_keeper(client)
+        await kept.refresh()
+        self.assertEqual(kept.expect_slot_s(), 0.0)
+        await self.ensure(kept, "e", 1, "a")
+        await self.ensure(kept, "e", 2, "b")
+        self.assertAlmostEqual(kept.expect_slot_s(), 0.5)
+        task = asyncio.create_task(self.ensure(kept, "e", 3, "c"))
+        await asyncio.sleep(0)
+        self.assertAlmostEqual(kept.expect_slot_s(), 1.0)
+        kept.release("e", 1)
+        kept.release("e", 3)
+        await task
+        self.assertEqual(kept.expect_slot_s(), 0.0)
+
     async def test_lost_entry_releases_its_grants(self) -> None:
         kept = make_keeper(FakeEngine(random.Random(1)))
         task = asyncio.create_task(self.ensure(kept, "e", 1, "a"))
--- /dev/null
+++ b/tests/unit/test_choice.py
@@ -0,0 +1,250 @@
+"""Which target gets a request."""
+
+import dataclasses
+import random
+import unittest
+
+from hemlockkeel._internal.announced import records
+from hemlockkeel._internal.links import messages
+from hemlockkeel._internal.orders import backlog
+from hemlockkeel._internal.relay import choice
+from hemlockkeel._internal.relay import dialect
+from hemlockkeel._internal.relay import fleet
+
+SERVICE = records.ServiceName("s")
+
+
+def make_record(name: str, **changes: object) -> records.TargetRecord:
+    """Return a ready target in dc1."""
+    fields: dict[str, object] = {
+        "instance_id": records.InstanceId(name),
+        "service": SERVICE,
+        "address": f"{name}:80",
+        "data_centre": "dc1",
+        "state": records.TargetState.READY,
+        "sequence": 1,
+        "born_ms": 1,
+        "slots": 6,
+    }
+    fields.update(changes)
+    return records.TargetRecord(**fields)
+
+
+def make_candidate(name: str, **changes: object) -> choice.Candidate:
+    """Return an idle target."""
+    fields: dict[str, object] = {
+        "record": make_record(name),
+        "own": 0,
+        "own_prefill_tokens": 0,
+        "running": 0,
+        "waiting": 0,
+        "slots": 6,
+        "failure_share": 0.0,
+    }
+    fields.update(changes)
+    return choice.Candidate(**fields)
+
+
+def make_engine(**changes: object) -> choice.EngineView:
+    """Return an engine with free slots that may be ordered to load."""
+    view = choice.EngineView(adapter_slots=2, kv_total=100_000, may_order=True)
+    return dataclasses.replace(view, **changes)
+
+
+class ChoiceCase(unittest.TestCase):
+    """Chooses among candidates with a fixed seed."""
+
+    def choose(self, need: choice.Need, *candidates: choice.Candidate) -> str:
+        chosen = choice.choose(need, list(candidates), random.Random(1))
+        assert chosen is not None
+        return chosen.record.instance_id
+
+
+class TestPlain(ChoiceCase):
+    """Plain services."""
+
+    NEED = choice.Need("dc1")
+
+    def test_none(self) -> None:
+        self.assertIsNone(choice.choose(self.NEED, [], random.Random(1)))
+
+    def test_free_place_before_a_full_target(self) -> None:
+        full = make_candidate("a", running=6, waiting=3)
+        free = make_candidate("b", running=2)
+        self.assertEqual(self.choose(self.NEED, full, free), "b")
+
+    def test_own_requests_count_before_they_are_reported(self) -> None:
+        self.assertEqual(
+            self.choose(
+                self.NEED, make_candidate("a", own=5), make_candidate("b")
+            ),
+            "b",
+        )
+
+    def test_failing_target_comes_last(self) -> None:
+        failing = make_candidate("a", failure_share=0.5)
+        busy = make_candidate("b", running=6, waiting=6)
+        self.assertEqual(self.choose(self.NEED, failing, busy), "b")
+
+    def test_silent_target_comes_after_a_heard_one(self) -> None:
+        silent = make_candidate("a", silence=0.9)
+        heard = make_candidate("b", running=3)
+        self.assertEqual(self.choose(self.NEED, silent, heard), "b")
+
+
+class TestEngines(ChoiceCase):
+    """Engines with adapters, memory and prompts."""
+
+    NEED = choice.Need("dc1", "m/a1", 9000, 50)
+
+    def test_held_adapter_before_a_load(self) -> None:
+        held = make_candidate(
+            "a", engine=make_engine(held=frozenset({"m/a1"})), running=5
+        )
+        empty = make_candidate("b", engine=make_engine())
+        self.assertEqual(self.choose(self.NEED, held, empty), "a")
+
+    def test_adapter_held_lately_before_the_store(self) -> None:
+        lately = make_candidate(
+            "a", engine=make_engine(), held_lately=True, running=3
+        )
+        never = make_candidate("b", engine=make_engine())
+        self.assertEqual(self.choose(self.NEED, lately, never), "a")
+
+    def test_free_slot_before_slots_in_use(self) -> None:
+        used = frozenset({"m/x", "m/y"})
+        full = make_candidate(
+            "a",
+            engine=make_engine(held=used, granted=used, slot_wait_s=0.6),
+        )
+        free = make_candidate("b", engine=make_engine(), running=4)
+        self.assertEqual(self.choose(self.NEED, full, free), "b")
+
+    def test_unread_prompts_of_other_entries_count(self) -> None:
+        held = frozenset({"m/a1"})
+        busy = make_candidate(
+            "a", engine=make_engine(held=held), prefill_ahead=40_000
+        )
+        calm = make_candidate("b", engine=make_engine(held=held))
+        self.assertEqual(self.choose(self.NEED, busy, calm), "b")
+
+    def test_full_memory_is_avoided(self) -> None:
+        held = frozenset({"m/a1"})
+        full = make_candidate(
+            "a", engine=make_engine(held=held, kv_used=98_000)
+        )
+        calm = make_candidate(
+            "b", engine=make_engine(held=held), prefill_ahead=5000
+        )
+        self.assertEqual(self.choose(self.NEED, full, calm), "b")
+
+    def test_agent_that_cannot_order_only_serves_what_is_held(self) -> None:
+        stuck = make_candidate("a", engine=make_engine(may_order=False))
+        busy = make_candidate(
+            "b", engine=make_engine(slot_wait_s=0.5), running=6
+        )
+        self.assertEqual(self.choose(self.NEED, stuck, busy), "b")
+
+    def test_same_new_adapter_goes_to_the_same_target(self) -> None:
+        names = [f"t{number}" for number in range(5)]
+        chosen = set()
+        for seed in range(10):
+            candidates = [
+                make_candidate(name, engine=make_engine()) for name in names
+            ]
+            random.Random(seed).shuffle(candidates)
+            found = choice.choose(self.NEED, candidates, random.Random(seed))
+            assert found is not None
+            chosen.add(found.record.instance_id)
+        self.assertEqual(len(chosen), 1)
+
+
+class TestBacklog(unittest.TestCase):
+    """Prompt tokens left to read."""
+
+    def test_tokens_are_read_at_the_engines_rate(self) -> None:
+        left = backlog.PrefillBacklog()
+        left.add(38_700, 10.0)
+        self.assertAlmostEqual(left.get(10.5), 19_350)
+        left.add(1000, 10.5)
+        self.assertAlmostEqual(left.get(10.5), 20_350)
+        self.assertEqual(left.get(20.0), 0.0)
+
+
+class TestFleet(unittest.TestCase):
+    """What an entry knows of targets."""
+
+    FACTS = dialect.RequestFacts("r")
+
+    def setUp(self) -> None:
+        self.fleet = fleet.Fleet(heartbeat_s=1.0)
+        self.fleet.advance(0.0, True)
+
+    def list(self, now: float) -> list[str]:
+        return [
+            candidate.record.instance_id
+            for candidate in self.fleet.list_candidates(
+                SERVICE, self.FACTS, now, set()
+            )
+        ]
+
+    def test_silence_counts_only_in_contact(self) -> None:
+        self.fleet.merge(make_record("a"))
+        self.fleet.advance(100.0, False)
+        self.assertEqual(self.list(100.0), ["a"])
+        self.fleet.advance(107.0, True)
+        self.assertEqual(self.list(107.0), [])
+
+    def test_new_start_knows_nothing_of_before(self) -> None:
+        self.fleet.merge(make_record("a"))
+        target = self.fleet.targets[records.InstanceId("a")]
+        target.own = 3
+        self.fleet.merge(make_record("a", born_ms=2))
+        self.assertEqual(self.fleet.targets[records.InstanceId("a")].own, 0)
+
+    def test_agents_word_and_its_end(self) -> None:
+        self.fleet.merge(make_record("a", models=[]))
+        load = messages.LoadUpdate(
+            running=4,
+            queued=1,
+            kv_used=10,
+            kv_total=100,
+            adapter_slots=2,
+            held=["m/a1"],
+            coming=[],
+            granted=[],
+            slot_wait_s=0.0,
+            may_order=True,
+            prefill_tokens=38_700,
+        )
+        self.fleet.note_agent_load("a:80", load, 5.0)
+        target = self.fleet.targets[records.InstanceId("a")]
+        assert target.engine is not None
+        self.assertTrue(target.engine.may_order)
+        self.assertAlmostEqual(target.get_prefill_ahead(5.5), 19_350)
+        self.fleet.note_agent_down("a:80")
+        self.assertFalse(target.engine.may_order)
+        self.assertIn("m/a1", target.recent)
+
+    def test_kept_prompt_parts_need_all_parts_before(self) -> None:
+        self.fleet.merge(make_record("a"))
+        target = self.fleet.targets[records.InstanceId("a")]
+        parts = tuple(dialect.PromptPart(name, 100) for name in "xyz")
+        target.note_prompt("m/a1", parts)
+        self.assertEqual(target.get_kept_tokens("m/a1", parts), 300)
+        self.assertEqual(target.get_kept_tokens("m/a1", parts[1:]), 0)
+        self.assertEqual(target.get_kept_tokens("m/a2", parts), 0)
+
+    def test_failures_fade(self) -> None:
+        self.fleet.merge(make_record("a"))
+        target = self.fleet.targets[records.InstanceId("a")]
+        for _ in range(20):
+            target.note_result(True, 0.0)
+        self.assertGreater(target.get_failure_share(0.0), 0.9)
+        self.assertLess(target.get_failure_share(12.0), 0.1)
+
+    def test_connections_are_shared_among_entries(self) -> None:
+        self.fleet.entries = 5
+        self.assertEqual(self.fleet.get_connection_cap(100), 18)
+        self.fleet.entries = 500
+        self.assertEqual(self.fleet.get_connection_cap(100), 1)
