Listen until the end of a stop; expect slot waits by priority

Change: a stopping entry listens until it ends, serves what can end in time and refuses the rest as not run; expected waits for a slot are told by priority, lengthened by the share that higher ones take; a request that may not repeat takes a kept connection only when it is fresh.

--- a/src/hemlockkeel/_internal/links/messages.py
+++ b/src/hemlockkeel/_internal/links/messages.py
@@ -158,8 +158,9 @@
     held: list[str]
     coming: list[str]
     granted: list[str]
-    # Expected wait for an adapter slot, seconds; 0 with a free one.
-    slot_wait_s: float
+    # Expected wait for an adapter slot by priority, the most urgent first,
+    # seconds; 0 with a free one.
+    slot_waits_s: list[float]
     # Whether the agent may give orders now.
     may_order: bool
     # Prompt tokens that the engine has probably not read yet.
--- a/src/hemlockkeel/_internal/orders/http_client.py
+++ b/src/hemlockkeel/_internal/orders/http_client.py
@@ -76,7 +76,7 @@
         :raises TimeoutError: when none comes.
         """
         loop = asyncio.get_running_loop()
-        connection = self.connections.take_idle(loop.time())
+        connection = self.connections.take_idle(loop.time(), True)
         if connection is None:
             connection = await self.connections.connect()
         answer: exchange.Answer | None = None
--- a/src/hemlockkeel/_internal/orders/keeper.py
+++ b/src/hemlockkeel/_internal/orders/keeper.py
@@ -29,6 +29,10 @@
 FIRST_HELD_S = 1.0
 HELD_WEIGHT = 0.05
 SLOT_WAIT_GRAIN_S = 0.1
+# Priorities that are told apart, and the largest share of slots that higher
+# ones are reckoned to take.
+PRIORITY_RANKS = 3
+MAX_OVERTAKEN = 0.75
 # Raise of a refused fence, milliseconds: clocks step by seconds.
 FENCE_STEP_MS = 30_000
 
@@ -70,6 +74,8 @@
         self.granted_at: dict[tuple[link.Link, int], float] = {}
         # How long requests hold their adapters, seconds, on average.
         self.held_s = FIRST_HELD_S
+        # Share of grants by priority.
+        self.grant_shares = [0.0] * PRIORITY_RANKS
         self.used_at: dict[slots.Key, float] = {}
         self.backlog = backlog.PrefillBacklog()
         self.wake = asyncio.Event()
@@ -162,19 +168,34 @@
             if held_by is peer:
                 self.release(peer, call_id)
 
-    def expect_slot_s(self) -> float:
-        """Return the expected wait for a slot, in coarse steps."""
+    def expect_slot_s(self, rank: int) -> float:
+        """Return the expected wait of a priority for a slot, coarsely.
+
+        Requests of a higher priority that come later overtake; the share of
+        slots that they take lengthens the wait as in a priority queue.
+        """
         holding = self.get_holding()
         if holding is None or not holding.adapter_slots:
             return 0.0
         used = set(self.grants.values()) | holding.coming
-        used |= {waiter.key for waiter in self.waiters}
+        used |= {w.key for w in self.waiters if w.priority <= rank}
         beyond = len(used) + 1 - holding.adapter_slots
         if beyond <= 0:
             return 0.0
         wait_s = beyond * self.held_s / holding.adapter_slots
+        overtaken = min(MAX_OVERTAKEN, sum(self.grant_shares[:rank]))
+        wait_s /= 1.0 - overtaken
         return round(wait_s / SLOT_WAIT_GRAIN_S) * SLOT_WAIT_GRAIN_S
 
+    def note_grant(self, waiter: Waiter) -> None:
+        """Measure which priorities get the slots."""
+        granted = min(waiter.priority, PRIORITY_RANKS - 1)
+        for rank in range(PRIORITY_RANKS):
+            hit = float(rank == granted)
+            self.grant_shares[rank] += HELD_WEIGHT * (
+                hit - self.grant_shares[rank]
+            )
+
     def note_use(self, key: slots.Key) -> None:
         """Remember when an adapter was used last."""
         self.used_at.pop(key, None)
@@ -195,6 +216,7 @@
             if not waiter.future.done():
                 self.grants[waiter.call] = waiter.key
                 self.granted_at[waiter.call] = self.now
+                self.note_grant(waiter)
                 self.backlog.add(waiter.prompt_tokens, self.now)
                 self.note_use(waiter.key)
                 waiter.future.set_result(
--- a/src/hemlockkeel/_internal/orders/process.py
+++ b/src/hemlockkeel/_internal/orders/process.py
@@ -252,7 +252,10 @@
             granted=sorted(
                 {"/".join(key) for key in self.keeper.grants.values()}
             ),
-            slot_wait_s=self.keeper.expect_slot_s(),
+            slot_waits_s=[
+                self.keeper.expect_slot_s(rank)
+                for rank in range(keeper.PRIORITY_RANKS)
+            ],
             may_order=self.keeper.may_order,
             prefill_tokens=int(
                 self.keeper.backlog.get(self.keeper.now)
--- a/src/hemlockkeel/_internal/relay/choice.py
+++ b/src/hemlockkeel/_internal/relay/choice.py
@@ -51,8 +51,9 @@
     adapter_slots: int = 0
     kv_used: int = 0
     kv_total: int = 0
-    # Expected wait for an adapter slot, seconds, as its agent reckons.
-    slot_wait_s: float = 0.0
+    # Expected wait for an adapter slot by priority, seconds, as its agent
+    # reckons.
+    slot_waits_s: tuple[float, ...] = ()
     queued: int = 0
     # Prompt tokens that it has probably not read yet, and how old that is.
     prefill_tokens: int = 0
@@ -95,6 +96,8 @@
     adapter: str = ""
     prompt_tokens: int = 0
     output_tokens: int = 0
+    # Rank; 0 is the most urgent.
+    priority: int = 0
 
 
 def choose(
@@ -193,4 +196,7 @@
     """Return the expected wait for an adapter slot."""
     if not need.adapter or need.adapter in engine.held | engine.coming:
         return 0.0
-    return engine.slot_wait_s
+    if not engine.slot_waits_s:
+        return 0.0
+    rank = min(need.priority, len(engine.slot_waits_s) - 1)
+    return engine.slot_waits_s[rank]
--- a/src/hemlockkeel/_internal/relay/fleet.py
+++ b/src/hemlockkeel/_internal/relay/fleet.py
@@ -200,7 +200,7 @@
             load.adapter_slots,
             load.kv_used,
             load.kv_total,
-            load.slot_wait_s,
+            tuple(load.slot_waits_s),
             load.queued,
             may_order=load.may_order,
             prefill_tokens=load.prefill_tokens,
--- a/src/hemlockkeel/_internal/relay/forwarder.py
+++ b/src/hemlockkeel/_internal/relay/forwarder.py
@@ -39,6 +39,8 @@
 RETRY_AFTER_QUARANTINE_S = (30.0, 60.0)
 # Wait for an adapter, over all targets, as a share of the objective.
 ADAPTER_WAIT_SHARE = 1.25
+# Statuses that promise callers that a request has not run: callers then repeat
+# even what must not run twice.
 PROMISING = frozenset({408, 421, 429, 503})
 
 
@@ -96,6 +98,10 @@
         if self.facts.deadline_s is not None:
             wait_s = min(wait_s, self.facts.deadline_s)
         self.ends_at = self.request.arrived_at + wait_s
+        stops_at = self.knowledge.stops_at
+        if stops_at is not None and self.ends_at > stops_at:
+            self.refuse(results.Cause.STOPPING, "this entry is stopping")
+            return
         service = configuration.services[
             self.route.choose_service(self.knowledge.rng)
         ]
@@ -164,6 +170,7 @@
             self.adapter_key if self.facts.adapter else "",
             self.facts.prompt_tokens,
             self.facts.max_output_tokens,
+            self.route.priority if self.route else 0,
         )
 
     def choose(self, service: table.Service) -> fleet_module.Target | None:
@@ -332,7 +339,7 @@
         """Send on a connection, kept or new."""
         now = self.now
         cap = self.knowledge.fleet.get_connection_cap(service.max_connections)
-        connection = target.pool.take_idle(now)
+        connection = target.pool.take_idle(now, route.idempotent)
         if connection is None:
             if target.pool.in_use >= cap:
                 return self.fail_unsent(
--- a/src/hemlockkeel/_internal/relay/knowledge.py
+++ b/src/hemlockkeel/_internal/relay/knowledge.py
@@ -28,6 +28,8 @@
     bound: budget.BudgetBound
     started_at: float
     configuration: table.Configuration | None = None
+    # When this process ends, if it is stopping and callers had time to move.
+    stops_at: float | None = None
     budgets: dict[str, budget.RetryBudget] = dataclasses.field(
         default_factory=dict
     )
--- a/src/hemlockkeel/_internal/relay/pool.py
+++ b/src/hemlockkeel/_internal/relay/pool.py
@@ -12,6 +12,8 @@
 # this many seconds at most, and well before an announced time-out.
 DEFAULT_IDLE_S = 4.0
 IDLE_SHARE = 0.6
+# Idle time below which targets do not drop connections.
+FRESH_IDLE_S = 1.0
 TIMEOUT_VALUE = re.compile(rb"timeout=(\d+)")
 
 
@@ -25,11 +27,19 @@
         )
         self.in_use = 0
 
-    def take_idle(self, now: float) -> exchange.TargetConnection | None:
-        """Return the kept connection that was used last, if it is sound."""
+    def take_idle(
+        self, now: float, may_repeat: bool
+    ) -> exchange.TargetConnection | None:
+        """Return the kept connection that was used last, if it is sound.
+
+        A target may have dropped it unnoticed; a request that may not be
+        repeated would be lost with it, so it takes a fresh one only.
+        """
         while self.idle:
             kept = self.idle.pop()
             limit = kept.idle_limit_s or DEFAULT_IDLE_S
+            if not may_repeat:
+                limit = min(limit, FRESH_IDLE_S)
             if kept.sound and now - kept.idle_since < limit:
                 self.in_use += 1
                 return kept
--- a/src/hemlockkeel/_internal/relay/process.py
+++ b/src/hemlockkeel/_internal/relay/process.py
@@ -161,15 +161,21 @@
         self.keeper = asyncio.get_running_loop().create_task(self.keep())
 
     async def stop(self) -> None:
-        """Serve on until callers have moved, then finish what is left."""
+        """Serve on until callers have moved, then finish what is left.
+
+        Callers come for as long as the balancer knows of no other entry; what
+        cannot end in time is refused then, so that it can go elsewhere.
+        """
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + self.settings.grace_s - STOP_MARGIN_S
         self.leaving = True
         await asyncio.sleep(min(BALANCER_NOTICE_S, self.settings.grace_s / 2))
-        self.front.stop_listening()
-        while (busy := self.front.close_idle()) and loop.time() < ends_at:
+        self.knowledge.stops_at = ends_at
+        self.front.close_idle()
+        while self.front.count_busy() and loop.time() < ends_at:
             await asyncio.sleep(0.02)
-        self.log.write("drained", unfinished=busy)
+        self.front.stop_listening()
+        self.log.write("drained", unfinished=self.front.count_busy())
 
     def reload(self) -> None:
         self.settings = self.read_settings(self.settings_path)
--- a/src/hemlockkeel/_internal/relay/results.py
+++ b/src/hemlockkeel/_internal/relay/results.py
@@ -20,6 +20,7 @@
     BAD_ANSWER = "bad_answer"
     DEADLINE = "deadline"
     QUARANTINED = "quarantined"
+    STOPPING = "stopping"
 
 
 @dataclasses.dataclass
--- a/src/hemlockkeel/_internal/utils/http_service.py
+++ b/src/hemlockkeel/_internal/utils/http_service.py
@@ -44,15 +44,15 @@
         if self.server is not None:
             self.server.close()
 
-    def close_idle(self) -> int:
-        """Close connections without a request; return the others."""
-        busy = 0
+    def close_idle(self) -> None:
+        """Close connections without a request."""
         for connection, task in list(self.connections.items()):
             if connection.idle:
                 task.cancel()
-            else:
-                busy += 1
-        return busy
+
+    def count_busy(self) -> int:
+        """Return the connections with a request."""
+        return sum(not connection.idle for connection in self.connections)
 
 
 class PlainService(caller.Service):
--- a/tests/functional/test_relay.py
+++ b/tests/functional/test_relay.py
@@ -392,6 +392,26 @@
         self.assertFalse(self.entry.crashes.table.suspects)
 
 
+class TestKeptConnections(RelayCase):
+    """Connections that a target may have dropped."""
+
+    async def test_request_that_may_not_repeat_takes_a_fresh_one(
+        self,
+    ) -> None:
+        self.configure()
+        await self.add_target(answer_ok)
+        await self.ask("once")
+        (target,) = self.entry.fleet.targets.values()
+        (kept,) = target.pool.idle
+        now = asyncio.get_running_loop().time()
+        kept.idle_since = now - 1.5
+        self.assertIsNone(target.pool.take_idle(now, may_repeat=False))
+        await self.ask("idempotent")
+        (kept,) = target.pool.idle
+        kept.idle_since = now - 1.5
+        self.assertIs(target.pool.take_idle(now, may_repeat=True), kept)
+
+
 class TestForeignAnswers(RelayCase):
     """Answers that belong to another request."""
 
@@ -557,6 +577,19 @@
 class TestStop(RelayCase):
     """A graceful stop."""
 
+    async def test_stopping_entry_takes_only_what_ends_in_time(self) -> None:
+        self.configure()
+        target = await self.add_target(answer_ok)
+        now = asyncio.get_running_loop().time()
+        self.entry.knowledge.stops_at = now + 5.0
+        answer = await self.ask("once")
+        self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+        self.entry.knowledge.stops_at = now + 1.0
+        answer = await self.ask("once")
+        self.assertTrue(answer.startswith(b"HTTP/1.1 503"), answer)
+        self.assertIn(b"Retry-After:", answer)
+        self.assertEqual(len(target.seen), 1)
+
     async def test_leaving_entry_closes_after_each_answer(self) -> None:
         self.configure()
         await self.add_target(answer_ok)
--- a/tests/unit/test_adapter_orders.py
+++ b/tests/unit/test_adapter_orders.py
@@ -245,17 +245,29 @@
         client.held = {"a": 1, "b": 1}
         kept = make_keeper(client)
         await kept.refresh()
-        self.assertEqual(kept.expect_slot_s(), 0.0)
+        self.assertEqual(kept.expect_slot_s(0), 0.0)
         await self.ensure(kept, "e", 1, "a")
         await self.ensure(kept, "e", 2, "b")
-        self.assertAlmostEqual(kept.expect_slot_s(), 0.5)
+        self.assertAlmostEqual(kept.expect_slot_s(0), 0.5)
         task = asyncio.create_task(self.ensure(kept, "e", 3, "c"))
         await asyncio.sleep(0)
-        self.assertAlmostEqual(kept.expect_slot_s(), 1.0)
+        self.assertAlmostEqual(kept.expect_slot_s(0), 1.0)
         kept.release("e", 1)
         kept.release("e", 3)
         await task
-        self.assertEqual(kept.expect_slot_s(), 0.0)
+        self.assertEqual(kept.expect_slot_s(0), 0.0)
+
+    async def test_less_urgent_requests_expect_to_be_overtaken(self) -> None:
+        client = FakeEngine(random.Random(1))
+        client.held = {"a": 1, "b": 1}
+        kept = make_keeper(client)
+        await kept.refresh()
+        await self.ensure(kept, "e", 1, "a")
+        await self.ensure(kept, "e", 2, "b")
+        kept.grant_shares = [0.5, 0.25, 0.25]
+        self.assertAlmostEqual(kept.expect_slot_s(0), 0.5)
+        self.assertAlmostEqual(kept.expect_slot_s(1), 1.0)
+        self.assertAlmostEqual(kept.expect_slot_s(2), 2.0)
 
     async def test_lost_entry_releases_its_grants(self) -> None:
         kept = make_keeper(FakeEngine(random.Random(1)))
--- a/tests/unit/test_choice.py
+++ b/tests/unit/test_choice.py
@@ -115,7 +115,7 @@
         used = frozenset({"m/x", "m/y"})
         full = make_candidate(
             "a",
-            engine=make_engine(held=used, granted=used, slot_wait_s=0.6),
+            engine=make_engine(held=used, granted=used, slot_waits_s=(0.6,)),
         )
         free = make_candidate("b", engine=make_engine(), running=4)
         self.assertEqual(self.choose(self.NEED, full, free), "b")
@@ -141,7 +141,7 @@
     def test_agent_that_cannot_order_only_serves_what_is_held(self) -> None:
         stuck = make_candidate("a", engine=make_engine(may_order=False))
         busy = make_candidate(
-            "b", engine=make_engine(slot_wait_s=0.5), running=6
+            "b", engine=make_engine(slot_waits_s=(0.5,)), running=6
         )
         self.assertEqual(self.choose(self.NEED, stuck, busy), "b")
 
@@ -213,7 +213,7 @@
             held=["m/a1"],
             coming=[],
             granted=[],
-            slot_wait_s=0.0,
+            slot_waits_s=[0.0],
             may_order=True,
             prefill_tokens=38_700,
         )
