--- a/Makefile
+++ b/Makefile
@@ -18,9 +18,9 @@
 	$(BIN)/python -m tests.run
 
 lint: $(VENV)/.installed
-	$(BIN)/ruff check src tests examples tools
-	$(BIN)/ruff format --check src tests examples tools
-	$(BIN)/flake8 src tests examples tools
+	$(BIN)/ruff check src tests examples tools deploy
+	$(BIN)/ruff format --check src tests examples tools deploy
+	$(BIN)/flake8 src tests examples tools deploy
 	$(BIN)/mypy
 
 format: $(VENV)/.installed
--- a/src/hemlockkeel/_internal/announced/records.py
+++ b/src/hemlockkeel/_internal/announced/records.py
@@ -62,6 +62,18 @@
         return self.sequence > other.sequence
 
 
+def describe(record: TargetRecord) -> dict[str, object]:
+    """Return the fields of a log line on a target's state."""
+    return {
+        "target": record.instance_id,
+        "service": record.service,
+        "address": record.address,
+        "state": record.state.value,
+        "sequence": record.sequence,
+        "born_ms": record.born_ms,
+    }
+
+
 class Table:
     """All targets that a process has heard of."""
 
--- a/src/hemlockkeel/_internal/control/process.py
+++ b/src/hemlockkeel/_internal/control/process.py
@@ -13,6 +13,7 @@
 from hemlockkeel._internal.control import peers
 from hemlockkeel._internal.control import permits
 from hemlockkeel._internal.control import service
+from hemlockkeel._internal.coordinator import membership
 from hemlockkeel._internal.policy import load_queue
 from hemlockkeel._internal.rpc import server
 from hemlockkeel._internal.rpc.gen.hk import Control
@@ -24,7 +25,6 @@
 
 LOOP_S = 0.05
 ADMIN_THREADS = 8
-CAUGHT_UP_ENTRIES = 50
 
 
 @dataclasses.dataclass(frozen=True)
@@ -142,17 +142,14 @@
                 return
             if raft.has_pending_membership():
                 return
-            learner = find_caught_up(raft)
+            learner = membership.find_caught_up(
+                raft.membership,
+                raft.member_id,
+                membership.describe_peers(raft),
+            )
             if learner is None:
                 return
-            promoted = messages.Membership(
-                [
-                    messages.Peer(peer.member_id, peer.address, True)
-                    if peer.member_id == learner
-                    else peer
-                    for peer in raft.membership.peers
-                ]
-            )
+            promoted = membership.with_vote(raft.membership, learner)
         self.node.propose(
             core.make_membership_entry(promoted),
             messages.EntryKind.MEMBERSHIP,
@@ -175,16 +172,3 @@
         self.sender.stop()
         if self.thread.is_alive():
             self.thread.join(2.0)
-
-
-def find_caught_up(raft: core.RaftCore) -> str | None:
-    """Return a learner whose log is nearly as long as the leader's."""
-    for peer in raft.membership.peers:
-        if peer.voter or peer.member_id == raft.member_id:
-            continue
-        progress = raft.progress.get(peer.member_id)
-        if progress is None or progress.match == 0:
-            continue
-        if raft.log.last_index - progress.match <= CAUGHT_UP_ENTRIES:
-            return peer.member_id
-    return None
--- a/src/hemlockkeel/_internal/coordinator/membership.py
+++ b/src/hemlockkeel/_internal/coordinator/membership.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 
+from hemlockkeel._internal.consensus import core
 from hemlockkeel._internal.consensus import messages
 
 # Silence after which a voter may be removed in favour of another. Longer
@@ -36,6 +37,17 @@
     lag: int | None
 
 
+def describe_peers(raft: core.RaftCore) -> dict[str, PeerState]:
+    """Return what a leader knows of its peers."""
+    return {
+        member_id: PeerState(
+            progress.acked_at,
+            raft.log.last_index - progress.match if progress.match else None,
+        )
+        for member_id, progress in raft.progress.items()
+    }
+
+
 def plan(
     membership: messages.Membership,
     own_id: str,
--- a/src/hemlockkeel/_internal/coordinator/process.py
+++ b/src/hemlockkeel/_internal/coordinator/process.py
@@ -191,15 +191,7 @@
                 self.leading_since = now
             if raft.has_pending_membership():
                 return
-            states = {
-                member_id: membership.PeerState(
-                    progress.acked_at,
-                    raft.log.last_index - progress.match
-                    if progress.match
-                    else None,
-                )
-                for member_id, progress in raft.progress.items()
-            }
+            states = membership.describe_peers(raft)
             current = raft.membership
         changed = membership.plan(
             current,
--- a/src/hemlockkeel/_internal/coordinator/targets.py
+++ b/src/hemlockkeel/_internal/coordinator/targets.py
@@ -67,13 +67,8 @@
         """Log a target's change of state."""
         self.log.write(
             "target_state",
-            target=record.instance_id,
-            service=record.service,
-            address=record.address,
-            state=record.state.value,
-            sequence=record.sequence,
-            born_ms=record.born_ms,
             subscribers=len(self.subscribers.links),
+            **records.describe(record),
         )
 
     async def spread_leaving(self, record: records.TargetRecord) -> bool:
--- a/src/hemlockkeel/_internal/relay/process.py
+++ b/src/hemlockkeel/_internal/relay/process.py
@@ -6,6 +6,7 @@
 import pathlib
 import random
 
+from hemlockkeel._internal.announced import records
 from hemlockkeel._internal.links import configurations as links_configurations
 from hemlockkeel._internal.links import dialer
 from hemlockkeel._internal.links import link
@@ -231,15 +232,7 @@
             if not self.fleet.merge(record):
                 continue
             changed = True
-            self.log.write(
-                "target_state",
-                target=record.instance_id,
-                service=record.service,
-                address=record.address,
-                state=record.state.value,
-                sequence=record.sequence,
-                born_ms=record.born_ms,
-            )
+            self.log.write("target_state", **records.describe(record))
         if changed:
             self.dial_agents()
 
--- a/src/hemlockkeel/_internal/relay/results.py
+++ b/src/hemlockkeel/_internal/relay/results.py
@@ -44,10 +44,7 @@
 
 @dataclasses.dataclass
 class Done:
-    """The answer has been passed on, or broken off."""
-
-    status: int
-    complete: bool
+    """The caller has its whole answer."""
 
 
 @dataclasses.dataclass
--- /dev/null
+++ b/src/hemlockkeel/_internal/relay/run.py
@@ -0,0 +1,151 @@
+"""State of one request, and its answers to the caller."""
+
+import asyncio
+import http
+
+from hemlockkeel._internal.models import outcomes
+from hemlockkeel._internal.relay import caller
+from hemlockkeel._internal.relay import dialect
+from hemlockkeel._internal.relay import events
+from hemlockkeel._internal.relay import exchange
+from hemlockkeel._internal.relay import headers
+from hemlockkeel._internal.relay import knowledge as knowledge_module
+from hemlockkeel._internal.relay import results
+from hemlockkeel._internal.routes import table
+from hemlockkeel._internal.utils import digests
+
+# When a refused caller may come back, seconds, spread at random so that
+# callers that were refused together do not return together.
+RETRY_AFTER_S = (0.15, 0.6)
+# The same while the entry learns its configuration after a start.
+RETRY_AFTER_START_S = (0.8, 1.6)
+# The same for a request that is quarantined.
+RETRY_AFTER_QUARANTINE_S = (30.0, 60.0)
+
+
+class Run:
+    """One request at an entry."""
+
+    def __init__(
+        self,
+        knowledge: knowledge_module.Knowledge,
+        connection: caller.CallerConnection,
+        request: caller.CallerRequest,
+    ) -> None:
+        self.knowledge = knowledge
+        self.connection = connection
+        self.request = request
+        self.facts = knowledge.speaks.read_request(request.headers)
+        self.digest = digests.digest_content(
+            request.method, request.target, request.body
+        )
+        self.route: table.Route | None = None
+        # When the caller or the route stops waiting, loop time.
+        self.ends_at = 0.0
+        self.verdict = outcomes.Verdict.NOT_RUN
+        # Sends that reached a target.
+        self.sends = 0
+        # Events that were passed on, if any were.
+        self.splitter: events.EventSplitter | None = None
+        self.first_byte_s: float | None = None
+        self.adapter_wait_s = 0.0
+        # Expected wait for a slot at the chosen target.
+        self.slot_wait_s = 0.0
+
+    @property
+    def now(self) -> float:
+        """Return the loop's time."""
+        return asyncio.get_running_loop().time()
+
+    @property
+    def adapter_key(self) -> str:
+        """Return model and adapter as one name."""
+        return f"{self.facts.model}/{self.facts.adapter}"
+
+    def begin(self, answer: exchange.Answer) -> None:
+        """Send the head of a stream."""
+        self.note_first_byte()
+        self.connection.begin_stream(
+            answer.status, headers.drop_hop_by_hop(answer.headers)
+        )
+
+    def pass_on(self, held: results.Held) -> None:
+        """Send a target's whole answer."""
+        self.note_first_byte()
+        self.connection.send_answer(
+            held.answer.status,
+            headers.drop_hop_by_hop(held.answer.headers),
+            held.body,
+        )
+        self.note_answer(held.answer.status, "target", True)
+
+    def note_first_byte(self) -> None:
+        """Measure the time to the first byte."""
+        kind = self.route.kind.value if self.route else "none"
+        self.first_byte_s = round(self.now - self.request.arrived_at, 4)
+        self.knowledge.instruments.first_byte.labels(kind).observe(
+            self.first_byte_s
+        )
+
+    def refuse(self, cause: results.Cause, reason: str) -> None:
+        """Refuse a request that has certainly not run."""
+        bounds = RETRY_AFTER_S
+        if self.slot_wait_s:
+            bounds = (self.slot_wait_s / 2, self.slot_wait_s * 3 / 2)
+        if cause is results.Cause.QUARANTINED:
+            bounds = RETRY_AFTER_QUARANTINE_S
+        if cause is results.Cause.NO_CONFIGURATION:
+            bounds = RETRY_AFTER_START_S
+        wait = self.knowledge.rng.uniform(*bounds)
+        self.reply(
+            http.HTTPStatus.SERVICE_UNAVAILABLE,
+            cause,
+            reason,
+            [(b"Retry-After", f"{wait:.2f}".encode())],
+        )
+
+    def reply(
+        self,
+        status: int,
+        cause: results.Cause,
+        reason: str,
+        extra: dialect.Headers | None = None,
+    ) -> None:
+        """Send an answer of the entry's own."""
+        body = f"{reason}\n".encode()
+        self.connection.send_answer(
+            status, [(b"Content-Type", b"text/plain"), *(extra or [])], body
+        )
+        self.note_answer(status, cause.value, True, reason)
+
+    def note_answer(
+        self, status: int, cause: str, complete: bool, reason: str = ""
+    ) -> None:
+        """Count and log the final answer."""
+        kind = self.route.kind.value if self.route else "none"
+        self.knowledge.instruments.answers.labels(
+            kind, str(int(status)), cause
+        ).inc()
+        self.note(
+            "answered",
+            status=int(status),
+            cause=cause,
+            complete=complete,
+            reason=reason,
+            verdict=self.verdict.label,
+            sends=self.sends,
+            first_byte=self.first_byte_s,
+            adapter_wait=round(self.adapter_wait_s, 4),
+            seconds=round(self.now - self.request.arrived_at, 4),
+        )
+
+    def note(self, event: str, **fields: object) -> None:
+        """Log a decision on this request."""
+        configuration = self.knowledge.configuration
+        self.knowledge.log.write(
+            event,
+            id=self.facts.request_id,
+            route=self.route.name if self.route else "",
+            configuration=configuration.version if configuration else 0,
+            **fields,
+        )
--- a/src/hemlockkeel_bench/raft_world.py
+++ b/src/hemlockkeel_bench/raft_world.py
@@ -16,7 +16,7 @@
 from hemlockkeel._internal.consensus import core
 from hemlockkeel._internal.consensus import log as log_module
 from hemlockkeel._internal.consensus import messages
-from hemlockkeel._internal.control import process
+from hemlockkeel._internal.coordinator import membership
 
 MAX_IN_FLIGHT = 400
 TRAILING = 5
@@ -314,17 +314,14 @@
             return
         peers = leader.raft.membership.peers
         self.add_missing(leader)
-        learner = process.find_caught_up(leader.raft)
+        learner = membership.find_caught_up(
+            leader.raft.membership,
+            leader.raft.member_id,
+            membership.describe_peers(leader.raft),
+        )
         if learner is not None:
-            self.propose_membership(
-                leader,
-                [
-                    messages.Peer(p.member_id, p.address, True)
-                    if p.member_id == learner
-                    else p
-                    for p in peers
-                ],
-            )
+            promoted = membership.with_vote(leader.raft.membership, learner)
+            self.propose_membership(leader, promoted.peers)
             return
         lost = {m.member_id for m in self.members.values() if m.disk_lost}
         all_vote = all(p.voter for p in peers)
