Do not keep a slot for a wait that ended as it was granted

Cause: read once more, the agent's wait for an adapter could end in the turn in which it was granted; the grant then stayed until its entry's link was lost, and the adapter could not be unloaded. A new test showed it.

Change: the end of a wait takes its grant back.

--- a/src/hemlockkeel/_internal/orders/keeper.py
+++ b/src/hemlockkeel/_internal/orders/keeper.py
@@ -117,6 +117,9 @@
             async with asyncio.timeout(call.wait_s):
                 grant = await waiter.future
         except TimeoutError:
+            # It may have been granted in the turn in which the wait ended.
+            self.grants.pop(waiter.call, None)
+            self.granted_at.pop(waiter.call, None)
             grant = messages.AdapterGrant(
                 granted=False, reason="no slot came free in time"
             )
@@ -295,7 +298,8 @@
             busy = await self.step()
             pause = BUSY_REPORT_S if busy else CALM_REPORT_S
             try:
-                await asyncio.wait_for(self.wake.wait(), pause)
+                async with asyncio.timeout(pause):
+                    await self.wake.wait()
             except TimeoutError:
                 continue
             finally:
--- a/tests/unit/test_adapter_orders.py
+++ b/tests/unit/test_adapter_orders.py
@@ -269,6 +269,22 @@
         self.assertAlmostEqual(kept.expect_slot_s(1), 1.0)
         self.assertAlmostEqual(kept.expect_slot_s(2), 2.0)
 
+    async def test_grant_at_the_end_of_the_wait_is_not_lost(self) -> None:
+        client = FakeEngine(random.Random(1))
+        kept = make_keeper(client)
+        await kept.refresh()
+        call = messages.EnsureAdapter(
+            call_id=1, model="m", adapter="a", priority=0, wait_s=0.0
+        )
+        task = asyncio.create_task(kept.ensure("e", call))
+        await asyncio.sleep(0)
+        # The adapter arrives in the same turn in which the wait ends.
+        client.held["a"] = 1
+        await kept.refresh()
+        kept.serve_waiters()
+        granted = (await task).granted
+        self.assertEqual(bool(kept.grants), granted)
+
     async def test_lost_entry_releases_its_grants(self) -> None:
         kept = make_keeper(FakeEngine(random.Random(1)))
         task = asyncio.create_task(self.ensure(kept, "e", 1, "a"))
