Test the platform's roles as processes with signals

Change: a control member and an entry run as processes; a request is served, both reload, a damaged file changes nothing, what is in flight at SIGTERM is answered, and both end with code 0.

--- /dev/null
+++ b/tests/functional/test_platform_processes.py
@@ -0,0 +1,221 @@
+"""The platform's roles as separate processes with real signals."""
+
+import asyncio
+import http.client
+import json
+import os
+import pathlib
+import signal
+import socket
+import sys
+import tempfile
+import unittest
+
+from tests.lib import fake_target
+
+# Bound of a step's wait; the test ends earlier when its condition holds.
+WAIT_S = 30.0
+SETTINGS = """\
+nodeName={name}
+ip={ip}
+zone=dc1
+listen.front={ip}:{front}
+listen.ready={ip}:{ready}
+listen.control={ip}:{api}
+portRange={links},{links}
+seedNodes=127.0.0.1:{api}
+bootstrap=true
+heartbeatMs=1200
+bounds.graceS={grace}
+bounds.retryBudgetRatio=0.2
+bounds.budgetWindowS=10
+bounds.retryBudgetSlack=58
+bounds.requireFence=true
+dataDir={data}
+"""
+CONFIGURATION = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "r",
+            "host": "a.example",
+            "pathPrefix": "/p/",
+            "kind": "unsafe",
+            "timeoutMs": 5000,
+            "service": "s",
+            "attempts": 1,
+        }
+    ],
+    "services": [{"name": "s", "maxConnections": 50}],
+}
+
+
+def find_free_port() -> int:
+    """Return a port that is free on every loopback address."""
+    with socket.socket() as probe:
+        probe.bind(("0.0.0.0", 0))
+        return int(probe.getsockname()[1])
+
+
+class TestPlatformProcesses(unittest.IsolatedAsyncioTestCase):
+    """A control member, an entry and a fake target."""
+
+    async def asyncSetUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        self.ports = {
+            name: find_free_port()
+            for name in ("front", "ready", "api", "links")
+        }
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+        # Answers wait until this is set.
+        self.released = asyncio.Event()
+        self.released.set()
+        self.target = fake_target.FakeTarget(self.answer)
+        await self.target.start()
+
+    async def answer(
+        self,
+        target: fake_target.FakeTarget,
+        seen: fake_target.Seen,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Answer every request once answers are released."""
+        await self.released.wait()
+        writer.write(fake_target.make_answer(seen, b"done"))
+        return True
+
+    async def asyncTearDown(self) -> None:
+        await self.target.stop()
+        for process in self.processes.values():
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+
+    def write_settings(self, role: str, ip: str) -> pathlib.Path:
+        path = self.folder / f"{role}.conf"
+        path.write_text(
+            SETTINGS.format(
+                name=f"{role}-1",
+                ip=ip,
+                grace=8,
+                data=self.folder / "data",
+                **self.ports,
+            )
+        )
+        return path
+
+    async def start(self, role: str, ip: str) -> None:
+        """Start a role; its log goes to a file."""
+        path = self.write_settings(role, ip)
+        with (self.folder / f"{role}.log").open("wb") as log:
+            self.processes[role] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "hemlockkeel.platform",
+                role,
+                env={**os.environ, "HEMLOCKKEEL_NODE_FILE": str(path)},
+                stdout=log,
+            )
+
+    def read_events(self, role: str) -> list[str]:
+        """Return the events that a role has logged."""
+        text = (self.folder / f"{role}.log").read_text()
+        return [json.loads(line)["event"] for line in text.splitlines()]
+
+    async def wait_for_event(self, role: str, event: str) -> None:
+        async with asyncio.timeout(WAIT_S):
+            while event not in self.read_events(role):
+                await asyncio.sleep(0.05)
+
+    async def call(
+        self, address: tuple[str, int], method: str, path: str, body: bytes
+    ) -> int:
+        """Return the status of a call; 0 when there is no answer."""
+
+        def run() -> int:
+            connection = http.client.HTTPConnection(*address, timeout=5.0)
+            try:
+                connection.request(
+                    method,
+                    path,
+                    body,
+                    {"Host": "a.example", "X-Request-Id": "r1"},
+                )
+                return connection.getresponse().status
+            except OSError:
+                return 0
+            finally:
+                connection.close()
+
+        return await asyncio.to_thread(run)
+
+    async def call_until(self, status: int, *call: object) -> None:
+        async with asyncio.timeout(WAIT_S):
+            while await self.call(*call) != status:  # type: ignore
+                await asyncio.sleep(0.05)
+
+    async def test_serves_reloads_and_stops(self) -> None:
+        await self.start("control", "127.0.0.1")
+        await self.start("entry", "127.0.0.2")
+        api = ("127.0.0.1", self.ports["api"])
+        front = ("127.0.0.2", self.ports["front"])
+        ready = ("127.0.0.2", self.ports["ready"])
+        body = json.dumps(CONFIGURATION).encode()
+        await self.call_until(200, api, "PUT", "/config", body)
+        heartbeat = json.dumps(
+            {
+                "service": "s",
+                "address": self.target.address,
+                "zone": "dc1",
+                "state": "ready",
+                "sequence": 1,
+                "born": 1,
+                "slots": 4,
+            }
+        ).encode()
+        await self.call_until(200, api, "PUT", "/instances/i-1", heartbeat)
+        await self.call_until(200, ready, "GET", "/ready", b"")
+        await self.call_until(200, front, "POST", "/p/x", b"body")
+        self.assertEqual(self.target.seen[-1].body, b"body")
+        for role in ("control", "entry"):
+            self.processes[role].send_signal(signal.SIGHUP)
+            await self.wait_for_event(role, "reloaded")
+        # A damaged file changes nothing.
+        (self.folder / "entry.conf").write_text("nodeName=x\n")
+        await self.wait_for_event("entry", "reload_failed")
+        self.assertEqual(await self.call(front, "POST", "/p/x", b"again"), 200)
+        # What is in flight at the signal is answered.
+        self.released.clear()
+        late = asyncio.create_task(self.call(front, "POST", "/p/x", b"late"))
+        async with asyncio.timeout(WAIT_S):
+            while self.target.seen[-1].body != b"late":
+                await asyncio.sleep(0.01)
+        self.processes["entry"].send_signal(signal.SIGTERM)
+        await self.wait_for_event("entry", "stopping")
+        self.released.set()
+        self.assertEqual(await late, 200)
+        for role in ("entry", "control"):
+            process = self.processes[role]
+            if role == "control":
+                process.send_signal(signal.SIGTERM)
+            async with asyncio.timeout(WAIT_S):
+                self.assertEqual(await process.wait(), 0, role)
+            self.assertEqual(self.read_events(role)[-1], "stopped")
+
+    async def test_missing_setting_is_named(self) -> None:
+        path = self.folder / "bad.conf"
+        path.write_text("nodeName=x\n")
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "hemlockkeel.platform",
+            "entry",
+            env={**os.environ, "HEMLOCKKEEL_NODE_FILE": str(path)},
+            stderr=asyncio.subprocess.PIPE,
+        )
+        assert process.stderr is not None
+        message = await process.stderr.read()
+        self.assertEqual(await process.wait(), 2)
+        self.assertIn(b"the settings file has no zone", message)
