--- a/tests/functional/test_relay.py
+++ b/tests/functional/test_relay.py
@@ -490,6 +490,15 @@
         self.assertNotIn(b"id: 4", answer)
         self.assertEqual(sum(len(t.seen) for t in targets), 1)
 
+    async def test_stream_lost_before_its_first_event_is_not_sent_again(
+        self,
+    ) -> None:
+        self.configure()
+        targets = [await self.add_target(reset) for _ in range(2)]
+        answer = await self.ask("stream")
+        self.assertTrue(answer.startswith(b"HTTP/1.1 502"), answer)
+        self.assertEqual(sum(len(t.seen) for t in targets), 1)
+
     async def test_resumable_stream_goes_on_elsewhere(self) -> None:
         self.configure(resumable=True)
         first = await self.add_target(
@@ -577,6 +586,36 @@
 class TestStop(RelayCase):
     """A graceful stop."""
 
+    async def test_connection_of_a_stream_begun_before_ends_with_it(
+        self,
+    ) -> None:
+        released = asyncio.Event()
+
+        async def slow(target, seen, writer) -> bool:  # type: ignore
+            writer.write(fake_target.make_stream_head(seen))
+            writer.write(fake_target.make_chunk(b"id: 1\ndata: 1\n\n"))
+            await released.wait()
+            writer.write(b"0\r\n\r\n")
+            return True
+
+        self.configure()
+        target = await self.add_target(slow)
+        request = (
+            b"POST /stream/x HTTP/1.1\r\nHost: a.example\r\n"
+            b"X-Request-Id: r1\r\nContent-Length: 0\r\n\r\n"
+        )
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        self.addCleanup(writer.transport.abort)
+        writer.write(request)
+        await reader.readuntil(b"data: 1\n\n")
+        # The answer's head went out before the stop, without a close.
+        self.entry.leaving = True
+        released.set()
+        async with asyncio.timeout(5.0):
+            rest = await reader.read()
+        self.assertTrue(rest.endswith(b"0\r\n\r\n"), rest)
+        self.assertEqual(len(target.seen), 1)
+
     async def test_stopping_entry_takes_only_what_ends_in_time(self) -> None:
         self.configure()
         target = await self.add_target(answer_ok)
