--- a/src/hemlockkeel/_internal/relay/exchange.py
+++ b/src/hemlockkeel/_internal/relay/exchange.py
@@ -142,10 +142,6 @@
             return None
         raise BrokenAnswerError("the body ended early")
 
-    def take_available(self) -> bool:
-        """Tell whether more of the body has arrived already."""
-        return bool(self.channel.received)
-
     def finish(self) -> bool:
         """End the exchange; tell whether the connection may be kept."""
         self.used = True
