Refuse at once what no adapter slot can serve in time

Three faults: - Loads were given for the oldest waiter, which left before its load had ended; the next load went to the next such waiter. A crashed engine's agent did so for three seconds and granted nothing. - An agent whose engine was down, or had no model yet, told entries nothing, so they kept choosing it and waited in vain. - Without a birth on the wire, the dead start at an address counted as the newest: it got the agent's reports, and the start that ran got none. An entry that started anew took announcements of any age for fresh ones. Ruled out: the engines' queue (median 0.06 s for short prompts), and the store (four loads at a time at most).

Change: a request whose expected wait is too long is refused at once with that wait as its Retry-After; no load is given for who leaves before it ends; agents report an engine that is down or without a model; the start that is still heard at an address replaces the silent one; announcements carry their age. The requests of an agent are a module of their own.

--- a/src/hemlockkeel/_internal/announced/records.py
+++ b/src/hemlockkeel/_internal/announced/records.py
@@ -3,10 +3,12 @@
 Announcements arrive late, out of order, twice, and from processes that are
 gone. A record is ordered by its start (`born_ms`), then by its sequence
 number, so every process that has seen the same announcements believes the
-same, whatever their order.
+same, whatever their order. Where targets do not tell their start, the one
+at an address that is still heard is taken for the newest.
 """
 
 import enum
+import math
 import typing
 
 import msgspec
@@ -77,20 +79,29 @@
 class Table:
     """All targets that a process has heard of."""
 
-    def __init__(self, forget_after_s: float) -> None:
+    def __init__(
+        self, forget_after_s: float, replaced_after_s: float = math.inf
+    ) -> None:
         self.forget_after_s = forget_after_s
+        # Silence of a start after which another one that is heard at its
+        # address has taken over.
+        self.replaced_after_s = replaced_after_s
         self.by_id: dict[InstanceId, TargetRecord] = {}
         self.heard_at: dict[InstanceId, float] = {}
 
-    def merge(self, record: TargetRecord, now: float) -> bool:
+    def merge(self, record: TargetRecord, heard_at: float) -> bool:
         """Take an announcement; tell whether it changed anything."""
         known = self.by_id.get(record.instance_id)
         if known is not None and not record.is_newer_than(known):
             return False
         self.by_id[record.instance_id] = record
-        self.heard_at[record.instance_id] = now
+        self.heard_at[record.instance_id] = heard_at
         return True
 
+    def get_ages(self, wanted: list[TargetRecord], now: float) -> list[float]:
+        """Return how long ago each target was heard, seconds."""
+        return [now - self.heard_at[record.instance_id] for record in wanted]
+
     def withdraw(
         self, instance_id: InstanceId, now: float
     ) -> TargetRecord | None:
@@ -133,7 +144,20 @@
     def is_replaced(self, record: TargetRecord) -> bool:
         """Tell whether a later start has taken over the address."""
         return any(
-            other.address == record.address and other.born_ms > record.born_ms
+            self.has_replaced(other, record)
             for other in self.by_id.values()
-            if other.instance_id != record.instance_id
+            if other.address == record.address
+            and other.instance_id != record.instance_id
+        )
+
+    def has_replaced(self, other: TargetRecord, record: TargetRecord) -> bool:
+        """Tell whether one start at an address came after another."""
+        if other.born_ms != record.born_ms:
+            return other.born_ms > record.born_ms
+        if other.state is TargetState.GONE:
+            return False
+        apart_s = (
+            self.heard_at[other.instance_id]
+            - self.heard_at[record.instance_id]
         )
+        return apart_s > self.replaced_after_s
--- a/src/hemlockkeel/_internal/coordinator/process.py
+++ b/src/hemlockkeel/_internal/coordinator/process.py
@@ -258,8 +258,7 @@
     def on_hello(self, peer: link.Link) -> None:
         self.log.write("link_up", role=peer.role, name=peer.name)
         if peer.role != "control":
-            known = list(self.registry.table.by_id.values())
-            self.subscribers.add(peer, known)
+            self.subscribers.add(peer, self.registry.table, self.loop.time())
 
     def on_gone(self, peer: link.Link) -> None:
         self.subscribers.remove(peer)
--- a/src/hemlockkeel/_internal/coordinator/subscribers.py
+++ b/src/hemlockkeel/_internal/coordinator/subscribers.py
@@ -34,7 +34,7 @@
         self.packed = messages.ConfigurationUpdate(version=0, packed=b"")
         self.pushed_adapters: dict[tuple[str, str], int] = {}
 
-    def add(self, peer: link.Link, known: list[records.TargetRecord]) -> None:
+    def add(self, peer: link.Link, known: records.Table, now: float) -> None:
         """Tell a new subscriber everything."""
         self.links.add(peer)
         if self.packed.version:
@@ -44,10 +44,11 @@
         )
         wanted = [
             record
-            for record in known
+            for record in known.by_id.values()
             if peer.target_address in ("", record.address)
         ]
-        peer.send(messages.RecordsUpdate(records=wanted))
+        ages_s = known.get_ages(wanted, now)
+        peer.send(messages.RecordsUpdate(records=wanted, ages_s=ages_s))
         self.tell(self.make_members())
 
     def remove(self, peer: link.Link) -> None:
@@ -109,7 +110,7 @@
 
     def tell_record(self, record: records.TargetRecord) -> None:
         """Send an announcement to those who want it."""
-        update = messages.RecordsUpdate(records=[record])
+        update = messages.RecordsUpdate(records=[record], ages_s=[0.0])
         for peer in self.links:
             if peer.target_address in ("", record.address):
                 peer.send(update)
--- a/src/hemlockkeel/_internal/links/messages.py
+++ b/src/hemlockkeel/_internal/links/messages.py
@@ -75,6 +75,8 @@
     """Announcements that a control member has taken."""
 
     records: list[records.TargetRecord]
+    # How long ago it took each, seconds.
+    ages_s: list[float]
 
 
 class ConfigurationNotice(Message, frozen=True, tag=True, kw_only=True):
@@ -124,6 +126,8 @@
     granted: bool
     version: int = 0
     reason: str = ""
+    # Expected wait that was too long; 0 if that is not why.
+    expected_wait_s: float = 0.0
 
 
 class ReleaseAdapter(Message, frozen=True, tag=True, kw_only=True):
--- a/src/hemlockkeel/_internal/orders/keeper.py
+++ b/src/hemlockkeel/_internal/orders/keeper.py
@@ -1,14 +1,13 @@
 """Keeps an engine's adapters in step with the requests that need them."""
 
 import asyncio
-import dataclasses
-import itertools
 
 from hemlockkeel._internal.announced import records
 from hemlockkeel._internal.links import link
 from hemlockkeel._internal.links import messages
 from hemlockkeel._internal.orders import backlog
 from hemlockkeel._internal.orders import engine
+from hemlockkeel._internal.orders import requests
 from hemlockkeel._internal.orders import slots
 from hemlockkeel._internal.routes import table
 from hemlockkeel._internal.utils import event_log
@@ -19,37 +18,13 @@
 # Two model loads at one engine are at least this far apart, so that
 # engines that restart together stay below the store's rate.
 MODEL_LOAD_GAP_S = 2.5
-# Adapters whose last use is remembered.
-MAX_REMEMBERED = 4096
 # A restarted agent gives no order for this long: requests that its
 # predecessor granted adapters to are unknown to it.
 QUIET_START_S = 0.3
-# How long a request holds its adapter before any was measured, seconds, and
-# the weight of each measurement in the average.
-FIRST_HELD_S = 1.0
-HELD_WEIGHT = 0.05
-SLOT_WAIT_GRAIN_S = 0.1
-# Priorities that are told apart, and the largest share of slots that higher
-# ones are reckoned to take.
-PRIORITY_RANKS = 3
-MAX_OVERTAKEN = 0.75
 # Raise of a refused fence, milliseconds: clocks step by seconds.
 FENCE_STEP_MS = 30_000
 
 
-@dataclasses.dataclass
-class Waiter:
-    """A request that waits for an adapter."""
-
-    key: slots.Key
-    # Link and number of the call that waits.
-    call: tuple[link.Link, int]
-    priority: int
-    prompt_tokens: int
-    number: int
-    future: asyncio.Future[messages.AdapterGrant]
-
-
 class Keeper:
     """Orders loads and unloads for one engine."""
 
@@ -63,20 +38,16 @@
         self.holder = holder
         self.log = log
         self.report: engine.Report | None = None
+        # Whether the engine has stopped answering since it last did.
+        self.engine_lost = False
+        self.born_ms: int | None = None
         self.fence: int | None = None
         self.fence_refused = False
         self.service: table.Service | None = None
         self.instance_id = records.InstanceId("")
-        self.newest: dict[slots.Key, int] = {}
-        self.waiters: list[Waiter] = []
-        self.numbers = itertools.count()
-        self.grants: dict[tuple[link.Link, int], slots.Key] = {}
-        self.granted_at: dict[tuple[link.Link, int], float] = {}
-        # How long requests hold their adapters, seconds, on average.
-        self.held_s = FIRST_HELD_S
-        # Share of grants by priority.
-        self.grant_shares = [0.0] * PRIORITY_RANKS
-        self.used_at: dict[slots.Key, float] = {}
+        self.requests = requests.AdapterRequests()
+        # Model that the newest request named.
+        self.wanted_model = ""
         self.backlog = backlog.PrefillBacklog()
         self.wake = asyncio.Event()
         self.model_loaded_at = float("-inf")
@@ -96,69 +67,82 @@
         self, peer: link.Link, call: messages.EnsureAdapter
     ) -> messages.AdapterGrant:
         """Hold an adapter for a request, or say why not."""
-        key = (call.model, call.adapter)
-        waiter = Waiter(
-            key,
-            (peer, call.call_id),
-            call.priority,
-            call.prompt_tokens,
-            next(self.numbers),
-            asyncio.get_running_loop().create_future(),
-        )
-        if self.is_outdated_in_use(key):
-            return messages.AdapterGrant(
-                granted=False, reason="an older version is still in use"
-            )
-        self.waiters.append(waiter)
+        self.wanted_model = call.model
+        refusal = self.find_refusal((call.model, call.adapter))
+        if refusal is not None:
+            return refusal
+        waiter = self.requests.add((peer, call.call_id), call, self.now)
         self.serve_waiters()
+        self.refuse_hopeless(waiter)
         if not waiter.future.done():
             self.wake.set()
         try:
-            async with asyncio.timeout(call.wait_s):
+            async with asyncio.timeout_at(waiter.until):
                 grant = await waiter.future
         except TimeoutError:
             # It may have been granted in the turn in which the wait ended.
-            self.grants.pop(waiter.call, None)
-            self.granted_at.pop(waiter.call, None)
+            self.requests.forget(waiter)
             grant = messages.AdapterGrant(
                 granted=False, reason="no slot came free in time"
             )
-            self.log.write(
-                "adapter_not_granted",
-                adapter=f"{call.model}/{call.adapter}",
-                waiting=len(self.waiters),
-                granted=len(set(self.grants.values())),
-                report_age=round(self.now - self.reported_at, 3),
-                orders=self.fence is not None,
-            )
-        if waiter in self.waiters:
-            self.waiters.remove(waiter)
+        if not grant.granted:
+            self.log_refusal(waiter, grant)
         return grant
 
-    def is_outdated_in_use(self, key: slots.Key) -> bool:
-        """Tell whether running requests hold a newer version up."""
+    def find_refusal(self, key: slots.Key) -> messages.AdapterGrant | None:
+        """Return why an adapter cannot come for now, if that is known."""
+        if self.engine_lost:
+            return refuse("the engine does not answer")
+        holding = self.get_holding()
+        if holding is None:
+            return None
+        if not holding.models:
+            return refuse("the engine loads its model", self.expect_model_s())
+        if self.is_outdated_in_use(key, holding):
+            return refuse("an older version is still in use")
+        return None
+
+    def refuse_hopeless(self, waiter: requests.Waiter) -> None:
+        """Refuse a request at once that would wait in vain."""
         holding = self.get_holding()
-        if holding is None or key not in self.grants.values():
+        if holding is None or waiter.future.done():
+            return
+        wait_s = self.requests.expect_s(waiter, holding, self.now)
+        if self.now + wait_s > waiter.until:
+            self.requests.refuse(
+                waiter, "every slot is taken for too long", wait_s
+            )
+
+    def log_refusal(
+        self, waiter: requests.Waiter, grant: messages.AdapterGrant
+    ) -> None:
+        """Log a refusal with what decided it."""
+        model, adapter = waiter.key
+        self.log.write(
+            "adapter_not_granted",
+            adapter=f"{model}/{adapter}",
+            reason=grant.reason,
+            expected_wait=round(grant.expected_wait_s, 3),
+            waiting=len(self.requests.waiters),
+            granted=len(self.requests.get_used()),
+            report_age=round(self.now - self.reported_at, 3),
+            orders=self.fence is not None,
+        )
+
+    def is_outdated_in_use(
+        self, key: slots.Key, holding: slots.Holding
+    ) -> bool:
+        """Tell whether running requests hold a newer version up."""
+        if key not in self.requests.get_used():
             return False
         return key in holding.adapters and not slots.is_current(
-            key, holding, self.get_demand()
+            key, holding, self.requests.get_demand()
         )
 
     def release(self, peer: link.Link, call_id: int) -> None:
         """End a request's use of an adapter."""
-        key = self.grants.pop((peer, call_id), None)
-        if key is not None:
-            self.note_use(key)
-            held_s = self.now - self.granted_at.pop((peer, call_id))
-            self.held_s += HELD_WEIGHT * (held_s - self.held_s)
-        for waiter in self.waiters:
-            if waiter.call == (peer, call_id) and not waiter.future.done():
-                waiter.future.set_result(
-                    messages.AdapterGrant(
-                        granted=False, reason="not needed any more"
-                    )
-                )
-        if self.waiters:
+        self.requests.release((peer, call_id), self.now)
+        if self.requests.waiters:
             self.wake.set()
 
     def release_all(self, peer: link.Link) -> None:
@@ -166,67 +150,24 @@
 
         Its requests end too: the engine ends work whose caller is gone.
         """
-        calls = [waiter.call for waiter in self.waiters]
-        for held_by, call_id in [*self.grants, *calls]:
-            if held_by is peer:
-                self.release(peer, call_id)
+        for call in self.requests.list_calls(peer):
+            self.release(*call)
 
     def expect_slot_s(self, rank: int) -> float:
-        """Return the expected wait of a priority for a slot, coarsely.
-
-        Requests of a higher priority that come later overtake; the share of
-        slots that they take lengthens the wait as in a priority queue.
-        """
+        """Return the expected wait of a priority for a slot, coarsely."""
         holding = self.get_holding()
-        if holding is None or not holding.adapter_slots:
-            return 0.0
-        used = set(self.grants.values()) | holding.coming
-        used |= {w.key for w in self.waiters if w.priority <= rank}
-        beyond = len(used) + 1 - holding.adapter_slots
-        if beyond <= 0:
+        if holding is None:
             return 0.0
-        wait_s = beyond * self.held_s / holding.adapter_slots
-        overtaken = min(MAX_OVERTAKEN, sum(self.grant_shares[:rank]))
-        wait_s /= 1.0 - overtaken
-        return round(wait_s / SLOT_WAIT_GRAIN_S) * SLOT_WAIT_GRAIN_S
-
-    def note_grant(self, waiter: Waiter) -> None:
-        """Measure which priorities get the slots."""
-        granted = min(waiter.priority, PRIORITY_RANKS - 1)
-        for rank in range(PRIORITY_RANKS):
-            hit = float(rank == granted)
-            self.grant_shares[rank] += HELD_WEIGHT * (
-                hit - self.grant_shares[rank]
-            )
-
-    def note_use(self, key: slots.Key) -> None:
-        """Remember when an adapter was used last."""
-        self.used_at.pop(key, None)
-        self.used_at[key] = self.now
-        while len(self.used_at) > MAX_REMEMBERED:
-            del self.used_at[next(iter(self.used_at))]
+        return self.requests.expect_slot_s(rank, holding)
 
     def serve_waiters(self) -> None:
-        """Grant what is held already."""
+        """Grant what is held already, refuse who cannot be served."""
         holding = self.get_holding()
         if holding is None:
             return
-        demand = self.get_demand()
-        for waiter in list(self.waiters):
-            if not slots.is_current(waiter.key, holding, demand):
-                continue
-            self.waiters.remove(waiter)
-            if not waiter.future.done():
-                self.grants[waiter.call] = waiter.key
-                self.granted_at[waiter.call] = self.now
-                self.note_grant(waiter)
-                self.backlog.add(waiter.prompt_tokens, self.now)
-                self.note_use(waiter.key)
-                waiter.future.set_result(
-                    messages.AdapterGrant(
-                        granted=True, version=holding.adapters[waiter.key]
-                    )
-                )
+        for waiter in self.requests.grant_held(holding, self.now):
+            self.backlog.add(waiter.prompt_tokens, self.now)
+        self.requests.refuse_late(holding, self.now)
 
     # Fences
 
@@ -274,21 +215,6 @@
             set(self.unanswered),
         )
 
-    def get_demand(self) -> slots.Demand:
-        """Return what requests need."""
-        ordered = sorted(
-            self.waiters, key=lambda waiter: (waiter.priority, waiter.number)
-        )
-        waiting = [
-            waiter.key for waiter in ordered if not waiter.future.done()
-        ]
-        return slots.Demand(
-            list(dict.fromkeys(waiting)),
-            set(self.grants.values()),
-            self.used_at,
-            self.newest,
-        )
-
     # The loop
 
     async def run(self) -> None:
@@ -317,7 +243,9 @@
             if order is None or not await self.give(order):
                 break
         assert self.report is not None
-        return bool(self.waiters or self.report.coming or self.report.busy)
+        return bool(
+            self.requests.waiters or self.report.coming or self.report.busy
+        )
 
     async def refresh(self) -> bool:
         """Read the engine's report; tell whether that went well."""
@@ -326,7 +254,7 @@
         except (OSError, ValueError, TimeoutError) as fault:
             if self.report is not None:
                 self.log.write("engine_lost", reason=str(fault))
-            self.report = None
+                self.lose_engine()
             return False
         if self.report is None:
             self.log.write(
@@ -334,8 +262,11 @@
                 models=[model.name for model in report.models],
                 orders=report.order_count,
             )
-        elif report.born_ms != self.report.born_ms:
+        if self.born_ms not in (None, report.born_ms):
             self.log.write("engine_restarted", born_ms=report.born_ms)
+            self.requests.note_restart()
+        self.born_ms = report.born_ms
+        self.engine_lost = False
         self.report = report
         self.reported_at = self.now
         self.unanswered = {
@@ -343,8 +274,18 @@
             for key, count in self.unanswered.items()
             if count == report.order_count
         }
+        holding = self.get_holding()
+        if holding is not None:
+            self.requests.note_holding(holding, self.now)
         return True
 
+    def lose_engine(self) -> None:
+        """Refuse who waits for an engine that does not answer."""
+        self.report = None
+        self.engine_lost = True
+        for waiter in list(self.requests.waiters):
+            self.requests.refuse(waiter, "the engine does not answer")
+
     def choose_order(self) -> engine.Order | None:
         """Return the next order, if one may be given."""
         holding = self.get_holding()
@@ -353,7 +294,7 @@
         assert self.report is not None
         if not holding.models:
             return self.choose_model()
-        return slots.choose_order(holding, self.get_demand())
+        return slots.choose_order(holding, self.requests.get_demand())
 
     def choose_model(self) -> engine.Order | None:
         """Return the order that gives an empty engine its model."""
@@ -370,11 +311,19 @@
         ]
         if not fitting:
             return None
-        wanted = {waiter.key[0] for waiter in self.waiters}
-        chosen = next((m for m in fitting if m.name in wanted), fitting[0])
+        chosen = next(
+            (m for m in fitting if m.name == self.wanted_model), fitting[0]
+        )
         self.model_loaded_at = self.now
         return engine.Order(engine.Operation.LOAD, chosen.name)
 
+    def expect_model_s(self) -> float:
+        """Return the time until the model that is on its way is there."""
+        if self.service is None or self.service.engine is None:
+            return 0.0
+        load_s = max((m.load_s for m in self.service.engine.models), default=0)
+        return max(0.0, self.model_loaded_at + load_s - self.now)
+
     async def give(self, order: engine.Order) -> bool:
         """Give an order; tell whether another may follow at once."""
         assert self.report is not None
@@ -409,5 +358,12 @@
         if reply not in (engine.Reply.ACCEPTED, engine.Reply.HOLDS_ALREADY):
             return False
         if order.operation is engine.Operation.LOAD and order.adapter:
-            self.note_use((order.model, order.adapter))
+            self.requests.note_load((order.model, order.adapter), self.now)
         return await self.refresh()
+
+
+def refuse(reason: str, expected_s: float = 0.0) -> messages.AdapterGrant:
+    """Return a refusal."""
+    return messages.AdapterGrant(
+        granted=False, reason=reason, expected_wait_s=expected_s
+    )
--- a/src/hemlockkeel/_internal/orders/process.py
+++ b/src/hemlockkeel/_internal/orders/process.py
@@ -16,6 +16,7 @@
 from hemlockkeel._internal.links import server
 from hemlockkeel._internal.orders import engine
 from hemlockkeel._internal.orders import keeper
+from hemlockkeel._internal.orders import requests as orders_requests
 from hemlockkeel._internal.orders import slots
 from hemlockkeel._internal.routes import catalogue
 from hemlockkeel._internal.routes import codec
@@ -125,11 +126,15 @@
             case messages.VersionsUpdate():
                 for model, adapter, version in message.versions:
                     key = (model, adapter)
-                    known = self.keeper.newest.get(key, 0)
-                    self.keeper.newest[key] = max(known, version)
+                    known = self.keeper.requests.newest.get(key, 0)
+                    self.keeper.requests.newest[key] = max(known, version)
                 self.keeper.wake.set()
             case messages.RecordsUpdate():
-                for record in message.records:
+                # The start that was heard last is the one that runs.
+                for record, _ in sorted(
+                    zip(message.records, message.ages_s, strict=True),
+                    key=lambda pair: -pair[1],
+                ):
                     self.take_record(record)
             case messages.MembersUpdate():
                 self.known_control = frozenset(message.addresses)
@@ -232,11 +237,14 @@
 
     def make_update(self) -> messages.LoadUpdate | None:
         """Return the engine's load and adapters, if known."""
+        if self.keeper.engine_lost:
+            return make_lost_update()
         report = self.keeper.report
         holding = self.keeper.get_holding()
         if report is None or holding is None:
             return None
-        demand = self.keeper.get_demand()
+        requests = self.keeper.requests
+        demand = requests.get_demand()
         return messages.LoadUpdate(
             running=report.running // RUNNING_GRAIN * RUNNING_GRAIN,
             queued=report.queued,
@@ -249,14 +257,13 @@
                 if slots.is_current(key, holding, demand)
             ),
             coming=sorted("/".join(key) for key in holding.coming),
-            granted=sorted(
-                {"/".join(key) for key in self.keeper.grants.values()}
-            ),
+            granted=sorted({"/".join(key) for key in requests.get_used()}),
             slot_waits_s=[
                 self.keeper.expect_slot_s(rank)
-                for rank in range(keeper.PRIORITY_RANKS)
+                for rank in range(orders_requests.PRIORITY_RANKS)
             ],
-            may_order=self.keeper.may_order,
+            # Adapters cannot be loaded before their model.
+            may_order=self.keeper.may_order and bool(holding.models),
             prefill_tokens=int(
                 self.keeper.backlog.get(self.keeper.now)
                 // PREFILL_GRAIN_TOKENS
@@ -265,6 +272,22 @@
         )
 
 
+def make_lost_update() -> messages.LoadUpdate:
+    """Return what entries are told of an engine that does not answer."""
+    return messages.LoadUpdate(
+        running=0,
+        queued=0,
+        kv_used=0,
+        kv_total=0,
+        adapter_slots=0,
+        held=[],
+        coming=[],
+        granted=[],
+        slot_waits_s=[],
+        may_order=False,
+    )
+
+
 def round_down(used: int, total: int) -> int:
     """Return the use of an engine's memory in coarse steps."""
     step = max(1, int(total * MEMORY_GRAIN))
--- /dev/null
+++ b/src/hemlockkeel/_internal/orders/requests.py
@@ -0,0 +1,262 @@
+"""Requests that use an engine's adapters, and those that wait for one.
+
+Answers a load of more adapters than an engine has slots: who gets the next
+slot, and who is told at once that none comes free in time. Time is passed in.
+"""
+
+import asyncio
+import dataclasses
+import itertools
+
+from hemlockkeel._internal.links import link
+from hemlockkeel._internal.links import messages
+from hemlockkeel._internal.orders import slots
+
+# Link and number of a call.
+Call = tuple[link.Link, int]
+
+# Adapters whose last use is remembered.
+MAX_REMEMBERED = 4096
+# Adapters that an engine held lately and loads again fast, from the
+# engines' sheet, and the time that takes, seconds.
+RECENT_ADAPTERS = 48
+RELOAD_S = 0.025
+# How long a request holds its adapter, and a load from the store takes,
+# before any was measured, seconds, and the weight of a measurement.
+FIRST_HELD_S = 1.0
+FIRST_LOAD_S = 0.25
+MEASURE_WEIGHT = 0.05
+SLOT_WAIT_GRAIN_S = 0.1
+# Priorities that are told apart, and the largest share of slots that higher
+# ones are reckoned to take.
+PRIORITY_RANKS = 3
+MAX_OVERTAKEN = 0.75
+
+
+@dataclasses.dataclass
+class Waiter:
+    """A request that waits for an adapter."""
+
+    key: slots.Key
+    call: Call
+    priority: int
+    prompt_tokens: int
+    # Loop time at which it stops waiting.
+    until: float
+    number: int
+    future: asyncio.Future[messages.AdapterGrant]
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Return what sorts waiters: the most urgent, then the oldest."""
+        return self.priority, self.number
+
+
+@dataclasses.dataclass
+class Use:
+    """A granted adapter."""
+
+    key: slots.Key
+    since: float
+
+
+class AdapterRequests:
+    """All requests that an agent knows of."""
+
+    def __init__(self) -> None:
+        self.waiters: list[Waiter] = []
+        self.numbers = itertools.count()
+        self.grants: dict[Call, Use] = {}
+        # Time of the last use by (model, adapter), the oldest first.
+        self.used_at: dict[slots.Key, float] = {}
+        self.newest: dict[slots.Key, int] = {}
+        self.held_s = FIRST_HELD_S
+        self.load_s = FIRST_LOAD_S
+        # When loads from the store began that have not ended.
+        self.loading: dict[slots.Key, float] = {}
+        # Share of grants by priority.
+        self.grant_shares = [0.0] * PRIORITY_RANKS
+
+    def add(
+        self, call: Call, wanted: messages.EnsureAdapter, now: float
+    ) -> Waiter:
+        """Let a request wait."""
+        waiter = Waiter(
+            (wanted.model, wanted.adapter),
+            call,
+            wanted.priority,
+            wanted.prompt_tokens,
+            now + wanted.wait_s,
+            next(self.numbers),
+            asyncio.get_running_loop().create_future(),
+        )
+        self.waiters.append(waiter)
+        return waiter
+
+    def refuse(
+        self, waiter: Waiter, reason: str, expected_s: float = 0.0
+    ) -> None:
+        """End a wait without a grant."""
+        if waiter in self.waiters:
+            self.waiters.remove(waiter)
+        if not waiter.future.done():
+            waiter.future.set_result(
+                messages.AdapterGrant(
+                    granted=False, reason=reason, expected_wait_s=expected_s
+                )
+            )
+
+    def forget(self, waiter: Waiter) -> None:
+        """Take back what a waiter may have, as nobody listens any more."""
+        if waiter in self.waiters:
+            self.waiters.remove(waiter)
+        self.grants.pop(waiter.call, None)
+
+    def release(self, call: Call, now: float) -> None:
+        """End a request's wait or its use of an adapter."""
+        use = self.grants.pop(call, None)
+        if use is not None:
+            self.note_use(use.key, now)
+            self.held_s += MEASURE_WEIGHT * (now - use.since - self.held_s)
+        for waiter in list(self.waiters):
+            if waiter.call == call:
+                self.refuse(waiter, "not needed any more")
+
+    def list_calls(self, peer: link.Link) -> list[Call]:
+        """Return the calls that came over a link."""
+        calls = [*self.grants, *(waiter.call for waiter in self.waiters)]
+        return [call for call in calls if call[0] is peer]
+
+    def get_used(self) -> set[slots.Key]:
+        """Return the adapters that granted requests use."""
+        return {use.key for use in self.grants.values()}
+
+    def get_demand(self) -> slots.Demand:
+        """Return what requests need."""
+        ordered = sorted(self.waiters, key=lambda waiter: waiter.order)
+        waiting = [w.key for w in ordered if not w.future.done()]
+        return slots.Demand(
+            list(dict.fromkeys(waiting)),
+            self.get_used(),
+            self.used_at,
+            self.newest,
+        )
+
+    def grant_held(self, holding: slots.Holding, now: float) -> list[Waiter]:
+        """Grant what is held already; return who got it."""
+        demand = self.get_demand()
+        granted = []
+        for waiter in list(self.waiters):
+            if not slots.is_current(waiter.key, holding, demand):
+                continue
+            self.waiters.remove(waiter)
+            if waiter.future.done():
+                continue
+            self.grants[waiter.call] = Use(waiter.key, now)
+            self.note_grant(waiter.priority)
+            self.note_use(waiter.key, now)
+            waiter.future.set_result(
+                messages.AdapterGrant(
+                    granted=True, version=holding.adapters[waiter.key]
+                )
+            )
+            granted.append(waiter)
+        return granted
+
+    def refuse_late(self, holding: slots.Holding, now: float) -> list[Waiter]:
+        """Refuse who would have left before a load ends; return them.
+
+        A load for them would only take the slot from others.
+        """
+        late = [
+            waiter
+            for waiter in self.waiters
+            if waiter.key not in holding.coming
+            and now + self.expect_load_s(waiter.key) > waiter.until
+        ]
+        for waiter in late:
+            wait_s = self.expect_slot_s(waiter.priority, holding, waiter.key)
+            self.refuse(waiter, "no slot came free in time", wait_s)
+        return late
+
+    # Expectations
+
+    def expect_s(
+        self, waiter: Waiter, holding: slots.Holding, now: float
+    ) -> float:
+        """Return the expected wait of a request for its adapter."""
+        if slots.is_current(waiter.key, holding, self.get_demand()):
+            return 0.0
+        if waiter.key in holding.coming:
+            since = self.loading.get(waiter.key, now)
+            return max(0.0, since + self.load_s - now)
+        return self.expect_load_s(waiter.key) + self.expect_slot_s(
+            waiter.priority, holding, waiter.key
+        )
+
+    def expect_load_s(self, key: slots.Key) -> float:
+        """Return how long a load takes."""
+        return RELOAD_S if self.is_recent(key) else self.load_s
+
+    def is_recent(self, key: slots.Key) -> bool:
+        """Tell whether the engine held an adapter a short while ago."""
+        recent = itertools.islice(reversed(self.used_at), RECENT_ADAPTERS)
+        return key in recent
+
+    def expect_slot_s(
+        self, rank: int, holding: slots.Holding, key: slots.Key | None = None
+    ) -> float:
+        """Return the expected wait of a priority for a slot, coarsely.
+
+        Requests of a higher priority that come later overtake; the share of
+        slots that they take lengthens the wait as in a priority queue.
+        """
+        if not holding.adapter_slots:
+            return 0.0
+        used = self.get_used() | holding.coming
+        used |= {w.key for w in self.waiters if w.priority <= rank}
+        beyond = len(used - {key}) + 1 - holding.adapter_slots
+        if beyond <= 0:
+            return 0.0
+        wait_s = beyond * self.held_s / holding.adapter_slots
+        overtaken = min(MAX_OVERTAKEN, sum(self.grant_shares[:rank]))
+        wait_s /= 1.0 - overtaken
+        return round(wait_s / SLOT_WAIT_GRAIN_S) * SLOT_WAIT_GRAIN_S
+
+    # Measurements
+
+    def note_grant(self, priority: int) -> None:
+        """Measure which priorities get the slots."""
+        granted = min(priority, PRIORITY_RANKS - 1)
+        for rank in range(PRIORITY_RANKS):
+            hit = float(rank == granted)
+            self.grant_shares[rank] += MEASURE_WEIGHT * (
+                hit - self.grant_shares[rank]
+            )
+
+    def note_load(self, key: slots.Key, now: float) -> None:
+        """A load has begun."""
+        if not self.is_recent(key):
+            self.loading[key] = now
+        self.note_use(key, now)
+
+    def note_holding(self, holding: slots.Holding, now: float) -> None:
+        """Measure the loads that have ended."""
+        for key in list(self.loading):
+            if key in holding.coming:
+                continue
+            took_s = now - self.loading.pop(key)
+            if key in holding.adapters:
+                self.load_s += MEASURE_WEIGHT * (took_s - self.load_s)
+
+    def note_use(self, key: slots.Key, now: float) -> None:
+        """Remember when an adapter was used last."""
+        self.used_at.pop(key, None)
+        self.used_at[key] = now
+        while len(self.used_at) > MAX_REMEMBERED:
+            del self.used_at[next(iter(self.used_at))]
+
+    def note_restart(self) -> None:
+        """The engine has started anew, and holds nothing of before."""
+        self.used_at.clear()
+        self.loading.clear()
--- a/src/hemlockkeel/_internal/relay/adapters.py
+++ b/src/hemlockkeel/_internal/relay/adapters.py
@@ -17,6 +17,8 @@
     granted: bool
     version: int
     reason: str
+    # Expected wait that was too long, seconds; 0 if that is not why.
+    expected_wait_s: float
     call_id: int
     peer: link.Link
 
@@ -66,7 +68,14 @@
             raise
         if not isinstance(reply, messages.AdapterGrant):
             raise link.LinkClosedError("not a grant")
-        return Grant(reply.granted, reply.version, reply.reason, call_id, peer)
+        return Grant(
+            reply.granted,
+            reply.version,
+            reply.reason,
+            reply.expected_wait_s,
+            call_id,
+            peer,
+        )
 
     def release(self, grant: Grant) -> None:
         """Let the agent unload the adapter again."""
--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -50,6 +50,7 @@
         wait_s = self.get_adapter_wait()
         if self.run.slot_wait_s > wait_s:
             # The best target would not have a slot in time.
+            self.run.note_expected_wait(self.run.slot_wait_s)
             return self.fail_unsent(
                 results.Cause.NO_ADAPTER, "every slot is taken for too long"
             )
@@ -74,6 +75,7 @@
             return await self.send(None)
         try:
             if not grant.granted:
+                self.run.note_expected_wait(grant.expected_wait_s)
                 return self.fail_unsent(results.Cause.NO_ADAPTER, grant.reason)
             return await self.send(grant.version or None)
         finally:
--- a/src/hemlockkeel/_internal/relay/channel.py
+++ b/src/hemlockkeel/_internal/relay/channel.py
@@ -6,9 +6,9 @@
 
 # Bytes received and not yet read, after which reading pauses.
 HIGH_WATER_BYTES = 128 * 1024
-# Time in ms after which the kernel gives up on unacknowledged bytes; also
-# finds connections that went silent without a reset.
-TCP_USER_TIMEOUT_MS = 5000
+# Time in ms after which the kernel gives up on a caller's unacknowledged
+# bytes.
+CALLER_TIMEOUT_MS = 5000
 
 
 class Channel(asyncio.Protocol):
@@ -39,9 +39,7 @@
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.setsockopt(
-                socket.IPPROTO_TCP,
-                socket.TCP_USER_TIMEOUT,
-                TCP_USER_TIMEOUT_MS,
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, CALLER_TIMEOUT_MS
             )
         if self.on_connected is not None:
             self.on_connected(self)
--- a/src/hemlockkeel/_internal/relay/exchange.py
+++ b/src/hemlockkeel/_internal/relay/exchange.py
@@ -1,6 +1,7 @@
 """One request and its answer on a connection to a target."""
 
 import asyncio
+import socket
 
 import h11
 
@@ -9,6 +10,12 @@
 from hemlockkeel._internal.relay import headers
 
 CONNECT_TIMEOUT_S = 1.0
+# A connection to a target that acknowledges nothing for this long is given
+# up, milliseconds: before callers of streams leave, which wait for an event
+# for three seconds or more. Probes are sent on a connection that has been
+# silent for the time below, seconds.
+SILENT_TIMEOUT_MS = 2500
+PROBE_AFTER_S = 1
 MAX_HEAD_BYTES = 64 * 1024
 # Answers of other requests that are skipped before a connection is given up.
 MAX_FOREIGN_ANSWERS = 2
@@ -169,6 +176,15 @@
         self.channel.abort()
 
 
+def watch_silence(sock: socket.socket) -> None:
+    """Let the kernel find a connection that went silent without a reset."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    tcp = socket.IPPROTO_TCP
+    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, PROBE_AFTER_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, PROBE_AFTER_S)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, SILENT_TIMEOUT_MS)
+
+
 async def connect(address: str) -> TargetConnection:
     """Connect to a target.
 
@@ -178,13 +194,14 @@
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            _, made = await loop.create_connection(
+            transport, made = await loop.create_connection(
                 channel.Channel, host, int(port)
             )
     except (OSError, TimeoutError, ValueError) as fault:
         raise ConnectFailedError(
             f"{address}: {fault or type(fault).__name__}"
         ) from fault
+    watch_silence(transport.get_extra_info("socket"))
     return TargetConnection(made)
 
 
--- a/src/hemlockkeel/_internal/relay/fleet.py
+++ b/src/hemlockkeel/_internal/relay/fleet.py
@@ -14,6 +14,9 @@
 # Heartbeats that a target may miss before it gets no new work. A target
 # that is down is found sooner by its failures.
 MISSED_HEARTBEATS = 6
+# Silence of a target, in heartbeats, after which another start that is heard
+# at its address has taken over: one heartbeat may be late.
+REPLACED_HEARTBEATS = 1.5
 # Weight of the newest answer in a target's share of failures.
 FAILURE_WEIGHT = 0.2
 # A target that failed is tried again as its share decays, half every 3 s.
@@ -127,7 +130,10 @@
 
     def __init__(self, heartbeat_s: float) -> None:
         self.silent_after_s = heartbeat_s * MISSED_HEARTBEATS
-        self.table = records.Table(forget_after_s=heartbeat_s * 20)
+        self.table = records.Table(
+            forget_after_s=heartbeat_s * 20,
+            replaced_after_s=heartbeat_s * REPLACED_HEARTBEATS,
+        )
         self.targets: dict[records.InstanceId, Target] = {}
         self.entries = 1
         # Time in contact with control members; silence counts in it, since
@@ -141,10 +147,10 @@
             self.contact_s += now - self.advanced_at
         self.advanced_at = now
 
-    def merge(self, record: records.TargetRecord) -> bool:
+    def merge(self, record: records.TargetRecord, age_s: float = 0.0) -> bool:
         """Take an announcement; tell whether it changed the state."""
         before = self.table.by_id.get(record.instance_id)
-        if not self.table.merge(record, self.contact_s):
+        if not self.table.merge(record, self.contact_s - age_s):
             return False
         self.refresh(record)
         return before is None or before.state is not record.state
@@ -183,7 +189,16 @@
             for target in self.targets.values()
             if target.record.address == address
         ]
-        return max(found, key=lambda t: t.record.born_ms, default=None)
+        return max(found, key=self.get_recency, default=None)
+
+    def get_recency(self, target: Target) -> tuple[int, bool, float]:
+        """Return what sorts the starts at an address."""
+        record = target.record
+        return (
+            record.born_ms,
+            record.state is not records.TargetState.GONE,
+            self.table.heard_at[record.instance_id],
+        )
 
     def note_agent_load(
         self, address: str, load: messages.LoadUpdate, now: float
--- a/src/hemlockkeel/_internal/relay/process.py
+++ b/src/hemlockkeel/_internal/relay/process.py
@@ -228,8 +228,8 @@
     def take_records(self, message: messages.RecordsUpdate) -> None:
         """Take announcements of targets."""
         changed = False
-        for record in message.records:
-            if not self.fleet.merge(record):
+        for record, age_s in zip(message.records, message.ages_s, strict=True):
+            if not self.fleet.merge(record, age_s):
                 continue
             changed = True
             self.log.write("target_state", **records.describe(record))
--- a/src/hemlockkeel/_internal/relay/run.py
+++ b/src/hemlockkeel/_internal/relay/run.py
@@ -51,6 +51,8 @@
         self.adapter_wait_s = 0.0
         # Expected wait for a slot at the chosen target.
         self.slot_wait_s = 0.0
+        # The least expected wait that was too long, if there was one.
+        self.expected_wait_s: float | None = None
 
     @property
     def now(self) -> float:
@@ -87,11 +89,18 @@
             self.first_byte_s
         )
 
+    def note_expected_wait(self, wait_s: float) -> None:
+        """Remember when a target that refused would have a slot."""
+        if wait_s <= 0.0:
+            return
+        known = self.expected_wait_s
+        self.expected_wait_s = wait_s if known is None else min(known, wait_s)
+
     def refuse(self, cause: results.Cause, reason: str) -> None:
         """Refuse a request that has certainly not run."""
         bounds = RETRY_AFTER_S
-        if self.slot_wait_s:
-            bounds = (self.slot_wait_s / 2, self.slot_wait_s * 3 / 2)
+        if self.expected_wait_s is not None:
+            bounds = (self.expected_wait_s / 2, self.expected_wait_s * 3 / 2)
         if cause is results.Cause.QUARANTINED:
             bounds = RETRY_AFTER_QUARANTINE_S
         if cause is results.Cause.NO_CONFIGURATION:
--- a/tests/functional/test_relay.py
+++ b/tests/functional/test_relay.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import pathlib
+import socket
 import tempfile
 import unittest
 
 from hemlockkeel._internal.announced import records
+from hemlockkeel._internal.relay import exchange
 from hemlockkeel._internal.relay import process
 from hemlockkeel._internal.routes import budget
 from hemlockkeel._internal.routes import table
@@ -411,6 +413,34 @@
         kept.idle_since = now - 1.5
         self.assertIs(target.pool.take_idle(now, may_repeat=True), kept)
 
+    async def test_silent_connections_are_probed(self) -> None:
+        """A machine that freezes or is cut off is found by the kernel."""
+        target = fake_target.FakeTarget(self.answer_never)
+        await target.start()
+        self.addAsyncCleanup(target.stop)
+        connection = await exchange.connect(target.address)
+        self.addCleanup(connection.abort)
+        transport = connection.channel.transport
+        assert transport is not None
+        sock = transport.get_extra_info("socket")
+        level = socket.IPPROTO_TCP
+        idle_s = sock.getsockopt(level, socket.TCP_KEEPIDLE)
+        silent_ms = sock.getsockopt(level, socket.TCP_USER_TIMEOUT)
+        self.assertTrue(
+            sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+        )
+        # Callers leave a stream that has been silent for 3.2 s.
+        self.assertLess(max(idle_s * 1000, silent_ms), 3200)
+
+    async def answer_never(
+        self,
+        target: fake_target.FakeTarget,
+        seen: fake_target.Seen,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Leave a request without an answer."""
+        return False
+
 
 class TestForeignAnswers(RelayCase):
     """Answers that belong to another request."""
--- a/tests/unit/test_adapter_orders.py
+++ b/tests/unit/test_adapter_orders.py
@@ -77,8 +77,11 @@
         self.lost_share = 0.0
         self.evicted_in_use: list[str] = []
         self.in_use: set[str] = set()
+        self.lost = False
 
     async def read_report(self) -> engine.Report:
+        if self.lost:
+            raise ConnectionRefusedError("no listener")
         # Loads end between two reports.
         self.held.update(self.coming)
         self.coming.clear()
@@ -165,7 +168,7 @@
         client.held["a"] = 1
         kept = make_keeper(client)
         await kept.refresh()
-        kept.newest["m", "a"] = 2
+        kept.requests.newest["m", "a"] = 2
         task = asyncio.create_task(self.ensure(kept, "e", 1, "a"))
         await asyncio.sleep(0)
         self.assertFalse(task.done())
@@ -219,7 +222,7 @@
         kept = make_keeper(client)
         await kept.refresh()
         self.assertTrue((await self.ensure(kept, "e", 1, "a")).granted)
-        kept.newest["m", "a"] = 2
+        kept.requests.newest["m", "a"] = 2
         refused = await self.ensure(kept, "e", 2, "a")
         self.assertFalse(refused.granted)
         await self.run_steps(kept, 3)
@@ -264,7 +267,7 @@
         await kept.refresh()
         await self.ensure(kept, "e", 1, "a")
         await self.ensure(kept, "e", 2, "b")
-        kept.grant_shares = [0.5, 0.25, 0.25]
+        kept.requests.grant_shares = [0.5, 0.25, 0.25]
         self.assertAlmostEqual(kept.expect_slot_s(0), 0.5)
         self.assertAlmostEqual(kept.expect_slot_s(1), 1.0)
         self.assertAlmostEqual(kept.expect_slot_s(2), 2.0)
@@ -273,6 +276,8 @@
         client = FakeEngine(random.Random(1))
         kept = make_keeper(client)
         await kept.refresh()
+        assert kept.report is not None
+        kept.report = dataclasses.replace(kept.report, coming=(("m", "a"),))
         call = messages.EnsureAdapter(
             call_id=1, model="m", adapter="a", priority=0, wait_s=0.0
         )
@@ -283,7 +288,85 @@
         await kept.refresh()
         kept.serve_waiters()
         granted = (await task).granted
-        self.assertEqual(bool(kept.grants), granted)
+        self.assertEqual(bool(kept.requests.grants), granted)
+
+    async def test_hopeless_wait_is_refused_at_once(self) -> None:
+        client = FakeEngine(random.Random(1))
+        client.held = {"a": 1, "b": 1}
+        kept = make_keeper(client)
+        await kept.refresh()
+        await self.ensure(kept, "e", 1, "a")
+        await self.ensure(kept, "e", 2, "b")
+        # A slot is expected in 0.5 s, and a load takes 0.25 s.
+        call = messages.EnsureAdapter(
+            call_id=3, model="m", adapter="c", priority=0, wait_s=0.6
+        )
+        refused = await asyncio.wait_for(kept.ensure("e", call), 0.1)
+        self.assertFalse(refused.granted)
+        self.assertAlmostEqual(refused.expected_wait_s, 0.75)
+        self.assertEqual(kept.requests.waiters, [])
+
+    async def test_no_load_for_who_leaves_before_it_ends(self) -> None:
+        """A slot that comes free late goes to a request that can use it."""
+        client = FakeEngine(random.Random(1))
+        kept = make_keeper(client)
+        await kept.refresh()
+        now = kept.now
+        holding = kept.get_holding()
+        assert holding is not None
+        waits = {1: ("a", 0.3), 2: ("b", 5.0)}
+        waiting = {
+            number: kept.requests.add(
+                ("e", number),
+                messages.EnsureAdapter(
+                    call_id=number,
+                    model="m",
+                    adapter=name,
+                    priority=0,
+                    wait_s=wait_s,
+                ),
+                now,
+            )
+            for number, (name, wait_s) in waits.items()
+        }
+        late = kept.requests.refuse_late(holding, now + 0.1)
+        self.assertEqual(late, [waiting[1]])
+        self.assertFalse((await waiting[1].future).granted)
+        order = slots.choose_order(holding, kept.requests.get_demand())
+        self.assertEqual(order, engine.Order(LOAD, "m", "b"))
+
+    async def test_lost_engine_refuses_who_waits(self) -> None:
+        client = FakeEngine(random.Random(1))
+        kept = make_keeper(client)
+        await kept.refresh()
+        task = asyncio.create_task(self.ensure(kept, "e", 1, "a"))
+        await asyncio.sleep(0)
+        client.lost = True
+        self.assertFalse(await kept.refresh())
+        refused = await asyncio.wait_for(task, 1.0)
+        self.assertFalse(refused.granted)
+        again = await asyncio.wait_for(self.ensure(kept, "e", 2, "a"), 1.0)
+        self.assertIn("does not answer", again.reason)
+        client.lost = False
+        await kept.refresh()
+        task = asyncio.create_task(self.ensure(kept, "e", 3, "a"))
+        await asyncio.sleep(0)
+        await self.run_steps(kept, 4)
+        self.assertTrue((await task).granted)
+
+    async def test_loads_are_measured(self) -> None:
+        requests = make_keeper(FakeEngine(random.Random(1))).requests
+        key = ("m", "a")
+        requests.note_load(key, 10.0)
+        coming = slots.Holding({}, {key}, {"m"}, 2)
+        requests.note_holding(coming, 10.5)
+        self.assertEqual(requests.load_s, 0.25)
+        requests.note_holding(make_holding("a"), 11.25)
+        self.assertAlmostEqual(requests.load_s, 0.25 + 0.05)
+        # What the engine held lately comes fast, and says nothing of loads.
+        self.assertLess(requests.expect_load_s(key), 0.1)
+        requests.note_load(key, 20.0)
+        self.assertEqual(requests.loading, {})
 
     async def test_lost_entry_releases_its_grants(self) -> None:
         kept = make_keeper(FakeEngine(random.Random(1)))
@@ -292,4 +375,4 @@
         await self.run_steps(kept, 4)
         await task
         kept.release_all("e")
-        self.assertEqual(kept.grants, {})
+        self.assertEqual(kept.requests.grants, {})
--- a/tests/unit/test_announced.py
+++ b/tests/unit/test_announced.py
@@ -88,6 +88,35 @@
         table.merge(other, 1.0)
         self.assertEqual(table.find_usable(service, 1.0, 5.0), [])
 
+    def test_start_without_a_birth_is_replaced_by_who_is_heard(self) -> None:
+        table = records.Table(forget_after_s=60.0, replaced_after_s=1.8)
+        service = records.ServiceName("s")
+        table.merge(make_record(born_ms=0), 0.0)
+        table.merge(make_record(instance_id="t2", born_ms=0), 2.0)
+        usable = table.find_usable(service, 2.0, 7.2)
+        self.assertEqual([r.instance_id for r in usable], ["t2"])
+
+    def test_late_heartbeat_of_an_old_start_replaces_nobody(self) -> None:
+        table = records.Table(forget_after_s=60.0, replaced_after_s=1.8)
+        service = records.ServiceName("s")
+        table.merge(make_record(instance_id="t2", born_ms=0), 0.0)
+        table.merge(make_record(born_ms=0), 1.0)
+        usable = table.find_usable(service, 1.0, 7.2)
+        self.assertIn("t2", [r.instance_id for r in usable])
+        for at in (1.2, 2.4, 3.6):
+            beat = make_record(
+                instance_id="t2", born_ms=0, sequence=int(at * 10)
+            )
+            table.merge(beat, at)
+        usable = table.find_usable(service, 3.6, 7.2)
+        self.assertEqual([r.instance_id for r in usable], ["t2"])
+
+    def test_age_of_an_announcement_counts(self) -> None:
+        table = records.Table(forget_after_s=60.0)
+        record = make_record()
+        table.merge(record, 3.0)
+        self.assertEqual(table.get_ages([record], 10.0), [7.0])
+
     def test_old_targets_are_forgotten(self) -> None:
         table = records.Table(forget_after_s=60.0)
         table.merge(make_record(), 0.0)
--- a/tests/unit/test_choice.py
+++ b/tests/unit/test_choice.py
@@ -202,6 +202,42 @@
         self.fleet.merge(make_record("a", born_ms=2))
         self.assertEqual(self.fleet.targets[records.InstanceId("a")].own, 0)
 
+    def test_agents_word_goes_to_the_start_that_runs(self) -> None:
+        """A restarted engine without a birth on the wire is used again."""
+        known = fleet.Fleet(heartbeat_s=1.2)
+        changes = {"models": [], "address": "10.0.0.1:80", "born_ms": 0}
+        known.merge(make_record("old", **changes))
+        known.advance(0.0, True)
+        known.advance(2.4, True)
+        known.merge(make_record("new", **changes))
+        load = messages.LoadUpdate(
+            running=0,
+            queued=0,
+            kv_used=0,
+            kv_total=1000,
+            adapter_slots=2,
+            held=["m/a"],
+            coming=[],
+            granted=[],
+            slot_waits_s=[0.0],
+            may_order=True,
+        )
+        known.note_agent_load("10.0.0.1:80", load, 1.0)
+        found = known.list_candidates(
+            SERVICE, dialect.RequestFacts("r"), 1.0, set()
+        )
+        self.assertEqual([c.record.instance_id for c in found], ["new"])
+        assert found[0].engine is not None
+        self.assertTrue(found[0].engine.may_order)
+
+    def test_silence_before_an_entry_started_counts(self) -> None:
+        known = fleet.Fleet(heartbeat_s=1.2)
+        known.merge(make_record("a"), age_s=8.0)
+        found = known.list_candidates(
+            SERVICE, dialect.RequestFacts("r"), 1.0, set()
+        )
+        self.assertEqual(found, [])
+
     def test_agents_word_and_its_end(self) -> None:
         self.fleet.merge(make_record("a", models=[]))
         load = messages.LoadUpdate(
