Split replication from the consensus core; end an import circle

Cause: consensus/core.py had 760 lines, with what a leader keeps of each peer in between; entry/dispatcher.py and entry/runs.py imported each other, one of them only for type checks.

Change: progress of peers, quorum positions and the messages to peers are consensus/replication.py (core.py 659 lines); requests are begun by runs.handle, and the dispatcher holds what they share. No behaviour changes.

Measured: the consensus, membership and entry tests pass; no assertion was touched.

--- a/src/hemlockkeel/_internal/consensus/core.py
+++ b/src/hemlockkeel/_internal/consensus/core.py
@@ -14,9 +14,8 @@
 from hemlockkeel._internal import exceptions
 from hemlockkeel._internal.consensus import log as log_module
 from hemlockkeel._internal.consensus import messages
+from hemlockkeel._internal.consensus import replication
 
-MAX_ENTRIES_PER_APPEND = 512
-SNAPSHOT_CHUNK_BYTES = 1 << 20
 # Share of the election timeout that a leader lease lasts; the rest allows
 # for clock drift between members.
 LEASE_SHARE = 0.8
@@ -64,19 +63,6 @@
         )
 
 
-@dataclasses.dataclass
-class Progress:
-    """What a leader knows of one peer."""
-
-    match: int = 0
-    next: int = 1
-    # Leader's monotonic send time of the latest append the peer answered.
-    acked_at: float = float("-inf")
-    snapshot_offset: int = 0
-    in_flight: bool = False
-    sent_at: float = float("-inf")
-
-
 @dataclasses.dataclass
 class Saved:
     """State recovered from disk."""
@@ -113,7 +99,9 @@
         self.leader_heard_at = now
         self.election_at = 0.0
         self.votes: set[str] = set()
-        self.progress: dict[str, Progress] = {}
+        self.replicator = replication.Replicator(
+            member_id, saved.log, timing.heartbeat_s
+        )
         self.heartbeat_at = 0.0
         self.term_start_index = 0
         self.leader_since = now
@@ -196,18 +184,7 @@
 
     def get_quorum_time(self, now: float) -> float:
         """Return the send time that a quorum has answered."""
-        times = sorted(
-            (
-                now
-                if voter == self.member_id
-                else self.progress[voter].acked_at
-                for voter in self.membership.voters
-            ),
-            reverse=True,
-        )
-        if not times:
-            return now
-        return times[self.membership.quorum - 1]
+        return self.replicator.get_quorum_time(self.membership, now)
 
     def has_lease(self, now: float) -> bool:
         """Tell whether this member is certainly the only leader now."""
@@ -275,7 +252,7 @@
             self.set_term(term, "")
         self.state = State.FOLLOWER
         self.leader_id = leader_id
-        self.progress = {}
+        self.replicator.reset([])
         self.reset_election(now)
 
     def become_leader(self, now: float) -> None:
@@ -283,10 +260,8 @@
         self.state = State.LEADER
         self.leader_id = self.member_id
         self.term_start_index = self.log.last_index + 1
-        self.progress = {}
         self.leader_since = now
-        for peer in self.other_peers:
-            self.progress[peer] = Progress(next=self.log.last_index + 1)
+        self.replicator.reset(self.other_peers)
         self.heartbeat_at = now + self.timing.heartbeat_s
         self.append_own(messages.EntryKind.NOOP, b"")
         self.broadcast(now)
@@ -331,11 +306,7 @@
         self.membership = self.find_membership()
         if self.state is not State.LEADER:
             return
-        peers = set(self.other_peers)
-        for gone in set(self.progress) - peers:
-            del self.progress[gone]
-        for peer in peers - set(self.progress):
-            self.progress[peer] = Progress(next=self.log.last_index + 1)
+        self.replicator.track(self.other_peers)
 
     def on_persisted(self, index: int, now: float) -> None:
         """Learn that the log is on disk up to an index."""
@@ -352,83 +323,16 @@
 
     def send_append(self, peer: str, now: float, heartbeat: bool) -> None:
         """Send entries, a snapshot chunk or a heartbeat to a peer."""
-        progress = self.progress[peer]
-        lost = now - progress.sent_at > 2 * self.timing.heartbeat_s
-        if progress.in_flight and not (heartbeat and lost):
-            if heartbeat:
-                self.send_entries(peer, progress, [], now)
-            return
-        if progress.next <= self.log.base_index:
-            self.send_snapshot(peer, progress, now)
-            return
-        entries = self.log.slice(progress.next - 1, MAX_ENTRIES_PER_APPEND)
-        if not entries and not heartbeat:
-            return
-        progress.in_flight = bool(entries)
-        progress.sent_at = now
-        self.send_entries(peer, progress, entries, now)
-
-    def send_entries(
-        self,
-        peer: str,
-        progress: Progress,
-        entries: list[messages.Entry],
-        now: float,
-    ) -> None:
-        """Send an append request."""
-        previous = progress.next - 1
-        term = self.log.get_term(previous)
-        if term is None:
-            # The peer needs a snapshot; this only keeps it from voting.
-            previous, term = 0, 0
-            entries = []
-        self.effects.outgoing.append(
-            messages.AppendRequest(
-                term=self.term,
-                sender=self.member_id,
-                receiver=peer,
-                previous_index=previous,
-                previous_term=term,
-                entries=entries,
-                commit=self.commit,
-                sent_at=now,
-            )
-        )
-
-    def send_snapshot(self, peer: str, progress: Progress, now: float) -> None:
-        """Send the next chunk of the snapshot."""
-        assert self.snapshot is not None
-        meta, data = self.snapshot
-        offset = min(progress.snapshot_offset, len(data))
-        progress.in_flight = True
-        progress.sent_at = now
-        self.effects.outgoing.append(
-            messages.SnapshotChunk(
-                term=self.term,
-                sender=self.member_id,
-                receiver=peer,
-                meta=meta,
-                offset=offset,
-                total=len(data),
-                data=data[offset : offset + SNAPSHOT_CHUNK_BYTES],
-                sent_at=now,
-            )
-        )
+        lead = replication.Lead(self.term, self.commit, self.snapshot)
+        message = self.replicator.make_append(peer, lead, now, heartbeat)
+        if message is not None:
+            self.effects.outgoing.append(message)
 
     def advance_commit(self, now: float) -> None:
         """Commit what a quorum has stored in this term."""
-        matches = sorted(
-            (
-                self.persisted_index
-                if voter == self.member_id
-                else self.progress[voter].match
-                for voter in self.membership.voters
-            ),
-            reverse=True,
+        index = self.replicator.get_quorum_match(
+            self.membership, self.persisted_index
         )
-        if not matches:
-            return
-        index = matches[self.membership.quorum - 1]
         if index > self.commit and self.log.get_term(index) == self.term:
             self.set_commit(index)
             self.check_own_removal(now)
@@ -635,16 +539,11 @@
 
     def note_reply(
         self, message: messages.AppendReply | messages.SnapshotReply
-    ) -> Progress | None:
+    ) -> replication.Progress | None:
         """Note a sign of life from a peer; None for a stale reply."""
-        progress = self.progress.get(message.sender)
-        if self.state is not State.LEADER or progress is None:
-            return None
-        if message.term < self.term:
+        if self.state is not State.LEADER or message.term < self.term:
             return None
-        progress.acked_at = max(progress.acked_at, message.sent_at)
-        progress.in_flight = False
-        return progress
+        return self.replicator.note_reply(message)
 
     def handle_append_reply(
         self, message: messages.AppendReply, now: float
--- a/src/hemlockkeel/_internal/coordinator/membership.py
+++ b/src/hemlockkeel/_internal/coordinator/membership.py
@@ -44,7 +44,7 @@
             progress.acked_at,
             raft.log.last_index - progress.match if progress.match else None,
         )
-        for member_id, progress in raft.progress.items()
+        for member_id, progress in raft.replicator.progress.items()
     }
 
 
--- a/src/hemlockkeel/_internal/entry/dispatcher.py
+++ b/src/hemlockkeel/_internal/entry/dispatcher.py
@@ -8,9 +8,7 @@
 from hemlockkeel._internal.entry import context
 from hemlockkeel._internal.entry import fleet
 from hemlockkeel._internal.entry import records
-from hemlockkeel._internal.entry import runs
 from hemlockkeel._internal.follower import follower
-from hemlockkeel._internal.models import outcomes
 from hemlockkeel._internal.policy import limits
 from hemlockkeel._internal.policy import popularity
 from hemlockkeel._internal.policy import routing
@@ -66,17 +64,12 @@
             collections.deque()
         )
 
-    def handle(
-        self, request: context.RequestContext
-    ) -> outcomes.Refused | context.Events:
-        """Return the events of a request's answer."""
+    def note_arrival(self, request: context.RequestContext) -> None:
+        """Count a request in the retry budget and in popularity."""
         with self.lock:
             self.budget.earn()
             if request.ref is not None:
                 self.popularity.add(str(request.ref), time.monotonic())
-        if request.last_event is not None:
-            return runs.RequestRun(self, request).read_on(request.last_event)
-        return runs.RequestRun(self, request).run()
 
     def choose_target(
         self,
--- a/src/hemlockkeel/_internal/entry/process.py
+++ b/src/hemlockkeel/_internal/entry/process.py
@@ -1,6 +1,7 @@
 """Assembles and runs an entry."""
 
 import dataclasses
+import functools
 import threading
 import time
 
@@ -9,6 +10,7 @@
 from hemlockkeel._internal.entry import fleet
 from hemlockkeel._internal.entry import parse
 from hemlockkeel._internal.entry import records
+from hemlockkeel._internal.entry import runs
 from hemlockkeel._internal.entry.filters import admission
 from hemlockkeel._internal.entry.filters import base
 from hemlockkeel._internal.follower import control_client
@@ -90,7 +92,7 @@
                 admission.QuarantineFilter(self.follow, counters),
                 self.limit,
             ],
-            self.dispatcher.handle,
+            functools.partial(runs.handle, self.dispatcher),
         )
         self.web = web_server.WebServer(
             app.EntryApp(self.follow, chain, self.recorder, counters),
--- a/src/hemlockkeel/_internal/entry/runs.py
+++ b/src/hemlockkeel/_internal/entry/runs.py
@@ -1,10 +1,10 @@
 """One request from its first attempt to its last event."""
 
 import time
-import typing
 
 from hemlockkeel._internal.entry import attempts
 from hemlockkeel._internal.entry import context
+from hemlockkeel._internal.entry import dispatcher
 from hemlockkeel._internal.entry import joins
 from hemlockkeel._internal.entry import links
 from hemlockkeel._internal.entry import records
@@ -16,9 +16,6 @@
 from hemlockkeel._internal.state import commands
 from hemlockkeel._internal.utils import metrics
 
-if typing.TYPE_CHECKING:
-    from hemlockkeel._internal.entry import dispatcher
-
 MAX_ATTEMPTS = 5
 MAX_LOST_ATTEMPTS = 2
 WAIT_STEP_S = 0.1
@@ -28,11 +25,21 @@
 RESUME_WAIT_S = 4.0
 
 
+def handle(
+    shared: dispatcher.Dispatcher, request: context.RequestContext
+) -> outcomes.Refused | context.Events:
+    """Return the events of a request's answer."""
+    shared.note_arrival(request)
+    if request.last_event is not None:
+        return RequestRun(shared, request).read_on(request.last_event)
+    return RequestRun(shared, request).run()
+
+
 class RequestRun:
     """One request from its first attempt to its last event."""
 
     def __init__(
-        self, shared: "dispatcher.Dispatcher", request: context.RequestContext
+        self, shared: dispatcher.Dispatcher, request: context.RequestContext
     ) -> None:
         self.shared = shared
         self.request = request
