Expect waits for adapter slots from how long slots are taken

Change: an agent measures each stretch from the load of an adapter to the end of its last request.

Tried and taken out: keeping prompts and long answers on different engines when slots are scarce (by the time that they add to each other).

--- a/src/hemlockkeel/_internal/orders/keeper.py
+++ b/src/hemlockkeel/_internal/orders/keeper.py
@@ -357,8 +357,11 @@
             return False
         if reply not in (engine.Reply.ACCEPTED, engine.Reply.HOLDS_ALREADY):
             return False
-        if order.operation is engine.Operation.LOAD and order.adapter:
-            self.requests.note_load((order.model, order.adapter), self.now)
+        key = (order.model, order.adapter)
+        if order.operation is engine.Operation.UNLOAD:
+            self.requests.note_unload(key)
+        elif order.adapter:
+            self.requests.note_load(key, self.now)
         return await self.refresh()
 
 
--- a/src/hemlockkeel/_internal/orders/requests.py
+++ b/src/hemlockkeel/_internal/orders/requests.py
@@ -21,9 +21,9 @@
 # engines' sheet, and the time that takes, seconds.
 RECENT_ADAPTERS = 48
 RELOAD_S = 0.025
-# How long a request holds its adapter, and a load from the store takes,
+# How long an adapter is in use at a stretch, and a load from the store takes,
 # before any was measured, seconds, and the weight of a measurement.
-FIRST_HELD_S = 1.0
+FIRST_USED_S = 1.0
 FIRST_LOAD_S = 0.25
 MEASURE_WEIGHT = 0.05
 SLOT_WAIT_GRAIN_S = 0.1
@@ -52,25 +52,20 @@
         return self.priority, self.number
 
 
-@dataclasses.dataclass
-class Use:
-    """A granted adapter."""
-
-    key: slots.Key
-    since: float
-
-
 class AdapterRequests:
     """All requests that an agent knows of."""
 
     def __init__(self) -> None:
         self.waiters: list[Waiter] = []
         self.numbers = itertools.count()
-        self.grants: dict[Call, Use] = {}
+        # Adapter of each granted request.
+        self.grants: dict[Call, slots.Key] = {}
+        # When each adapter in use was loaded, or granted first.
+        self.used_since: dict[slots.Key, float] = {}
         # Time of the last use by (model, adapter), the oldest first.
         self.used_at: dict[slots.Key, float] = {}
         self.newest: dict[slots.Key, int] = {}
-        self.held_s = FIRST_HELD_S
+        self.used_s = FIRST_USED_S
         self.load_s = FIRST_LOAD_S
         # When loads from the store began that have not ended.
         self.loading: dict[slots.Key, float] = {}
@@ -114,10 +109,10 @@
 
     def release(self, call: Call, now: float) -> None:
         """End a request's wait or its use of an adapter."""
-        use = self.grants.pop(call, None)
-        if use is not None:
-            self.note_use(use.key, now)
-            self.held_s += MEASURE_WEIGHT * (now - use.since - self.held_s)
+        key = self.grants.pop(call, None)
+        if key is not None:
+            self.note_use(key, now)
+            self.note_unused(key, now)
         for waiter in list(self.waiters):
             if waiter.call == call:
                 self.refuse(waiter, "not needed any more")
@@ -129,7 +124,7 @@
 
     def get_used(self) -> set[slots.Key]:
         """Return the adapters that granted requests use."""
-        return {use.key for use in self.grants.values()}
+        return set(self.grants.values())
 
     def get_demand(self) -> slots.Demand:
         """Return what requests need."""
@@ -152,7 +147,8 @@
             self.waiters.remove(waiter)
             if waiter.future.done():
                 continue
-            self.grants[waiter.call] = Use(waiter.key, now)
+            self.grants[waiter.call] = waiter.key
+            self.used_since.setdefault(waiter.key, now)
             self.note_grant(waiter.priority)
             self.note_use(waiter.key, now)
             waiter.future.set_result(
@@ -218,7 +214,7 @@
         beyond = len(used - {key}) + 1 - holding.adapter_slots
         if beyond <= 0:
             return 0.0
-        wait_s = beyond * self.held_s / holding.adapter_slots
+        wait_s = beyond * self.used_s / holding.adapter_slots
         overtaken = min(MAX_OVERTAKEN, sum(self.grant_shares[:rank]))
         wait_s /= 1.0 - overtaken
         return round(wait_s / SLOT_WAIT_GRAIN_S) * SLOT_WAIT_GRAIN_S
@@ -238,8 +234,20 @@
         """A load has begun."""
         if not self.is_recent(key):
             self.loading[key] = now
+        self.used_since[key] = now
         self.note_use(key, now)
 
+    def note_unload(self, key: slots.Key) -> None:
+        """An adapter that no request uses is gone."""
+        self.used_since.pop(key, None)
+
+    def note_unused(self, key: slots.Key, now: float) -> None:
+        """Measure how long slots are taken, if no request is left."""
+        if key in self.grants.values():
+            return
+        took_s = now - self.used_since.pop(key, now)
+        self.used_s += MEASURE_WEIGHT * (took_s - self.used_s)
+
     def note_holding(self, holding: slots.Holding, now: float) -> None:
         """Measure the loads that have ended."""
         for key in list(self.loading):
@@ -259,4 +267,5 @@
     def note_restart(self) -> None:
         """The engine has started anew, and holds nothing of before."""
         self.used_at.clear()
+        self.used_since.clear()
         self.loading.clear()
