Soak the platform's programs under faults from outside

Change: tests/soak starts three control members, two entries and two agents as processes on loopback addresses of a seed, puts a proxy before each target, agent, entry and control address, and plays faults that overlap. Its checks are pure and see only what callers, back ends and the operator saw. `python -m tests.soak`; one short seed runs with the tests.

Clocks cannot be stepped without privileges, and links among control members do not pass through a proxy: neither is tried here.

Also: the list of granted adapters that no decision used is not sent any more.

--- a/src/hemlockkeel/_internal/links/messages.py
+++ b/src/hemlockkeel/_internal/links/messages.py
@@ -158,10 +158,9 @@
     kv_used: int
     kv_total: int
     adapter_slots: int
-    # Adapters as MODEL/NAME that are held, on their way, and granted.
+    # Adapters as MODEL/NAME that are held and on their way.
     held: list[str]
     coming: list[str]
-    granted: list[str]
     # Expected wait for an adapter slot by priority, the most urgent first,
     # seconds; 0 with a free one.
     slot_waits_s: list[float]
--- a/src/hemlockkeel/_internal/orders/process.py
+++ b/src/hemlockkeel/_internal/orders/process.py
@@ -257,7 +257,6 @@
                 if slots.is_current(key, holding, demand)
             ),
             coming=sorted("/".join(key) for key in holding.coming),
-            granted=sorted({"/".join(key) for key in requests.get_used()}),
             slot_waits_s=[
                 self.keeper.expect_slot_s(rank)
                 for rank in range(orders_requests.PRIORITY_RANKS)
@@ -282,7 +281,6 @@
         adapter_slots=0,
         held=[],
         coming=[],
-        granted=[],
         slot_waits_s=[],
         may_order=False,
     )
--- a/src/hemlockkeel/_internal/relay/choice.py
+++ b/src/hemlockkeel/_internal/relay/choice.py
@@ -47,7 +47,6 @@
 
     held: frozenset[str] = frozenset()
     coming: frozenset[str] = frozenset()
-    granted: frozenset[str] = frozenset()
     adapter_slots: int = 0
     kv_used: int = 0
     kv_total: int = 0
--- a/src/hemlockkeel/_internal/relay/fleet.py
+++ b/src/hemlockkeel/_internal/relay/fleet.py
@@ -211,7 +211,6 @@
         target.engine = choice.EngineView(
             frozenset(load.held),
             frozenset(load.coming),
-            frozenset(load.granted),
             load.adapter_slots,
             load.kv_used,
             load.kv_total,
--- /dev/null
+++ b/tests/functional/test_fault_soak.py
@@ -0,0 +1,21 @@
+"""A short run of the soak on a fixed seed, and seeds that once failed."""
+
+import pathlib
+import tempfile
+import unittest
+
+from tests.soak import run as soak_run
+
+SEED = 7
+SECONDS = 6.0
+
+
+class TestFaultSoak(unittest.IsolatedAsyncioTestCase):
+    """The real programs under faults from outside."""
+
+    async def test_promises_hold(self) -> None:
+        with tempfile.TemporaryDirectory() as keep:
+            outcome = await soak_run.run(SEED, SECONDS, pathlib.Path(keep))
+        self.assertEqual(outcome.wrong, [])
+        self.assertGreater(outcome.served, 20)
+        self.assertGreater(len(outcome.faults), 5)
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomised runs of the real programs under faults from outside."""
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,277 @@
+"""Callers and the operator of a soak."""
+
+import asyncio
+import json
+import random
+import time
+import typing
+
+import h11
+
+from tests.soak import calls
+from tests.soak import history
+from tests.soak import system as soak_system
+from tests.soak import targets
+
+HOST = "a.example"
+ADAPTERS = 8
+REQUEST_TIMEOUT_S = 6.0
+CONNECT_TIMEOUT_S = 1.0
+PAUSE_S = (0.0, 0.15)
+# Requests on one connection before the caller opens another.
+REUSES = (1, 30)
+KINDS = {
+    "/safe/x": "safe",
+    "/once/x": "unsafe",
+    "/moved/x": "safe",
+    "/stream/x": "stream",
+}
+# Share of requests for a route that only one version has.
+ONLY_SHARE = 0.15
+OPERATOR_PAUSE_S = (0.3, 1.5)
+
+
+def make_configuration(version: int, service: str) -> bytes:
+    """Return a configuration; the service is that of the moved route."""
+    routes = [
+        make_route("/safe/", "safe", "p", attempts=2),
+        make_route("/once/", "unsafe", "p"),
+        make_route("/moved/", "safe", service),
+        make_route(f"/only-{version}/", "safe", "p"),
+        make_route("/stream/", "streaming", "e", sticky=True),
+    ]
+    services: list[dict[str, typing.Any]] = [
+        {"name": name, "maxConnections": 100} for name in ("p", "q")
+    ]
+    services.append(
+        {
+            "name": "e",
+            "maxConnections": 100,
+            "engine": {
+                "slots": 8,
+                "kvCapacity": 100_000,
+                "weightsMb": 100.0,
+                "adapterSlots": targets.ADAPTER_SLOTS,
+                "models": [
+                    {
+                        "name": targets.MODEL,
+                        "weightsMb": 50.0,
+                        "loadTimeS": 0.1,
+                        "adapters": ADAPTERS,
+                    }
+                ],
+            },
+        }
+    )
+    body = {"version": version, "routes": routes, "services": services}
+    return json.dumps(body).encode()
+
+
+def make_route(
+    prefix: str, kind: str, service: str, **more: object
+) -> dict[str, object]:
+    """Return one route."""
+    return {
+        "name": f"r{prefix.strip('/')}",
+        "host": HOST,
+        "pathPrefix": prefix,
+        "kind": kind,
+        "timeoutMs": 5000,
+        "sloMs": 1000,
+        "service": service,
+        "attempts": 1,
+        **more,
+    }
+
+
+class Operator:
+    """Changes the configuration again and again, and reads it back."""
+
+    def __init__(self, system: soak_system.System, rng: random.Random) -> None:
+        self.system = system
+        self.seen = system.seen
+        self.rng = rng
+        self.version = 0
+        self.done = False
+
+    async def run(self) -> None:
+        """Change and read until told to end."""
+        while not self.done:
+            await self.change()
+            await asyncio.sleep(self.rng.uniform(*OPERATOR_PAUSE_S))
+            await self.read()
+
+    async def change(self) -> None:
+        """Send the next configuration until it is acknowledged."""
+        self.version += self.rng.randint(1, 3)
+        service = self.rng.choice("pq")
+        sent = history.Configured(self.version, service, soak_system.get_now())
+        self.seen.configured.append(sent)
+        body = make_configuration(self.version, service)
+        while not self.done:
+            address = self.rng.choice(list(self.system.apis.values()))
+            status, _ = await calls.call(address, "PUT", "/config", body)
+            if status == 200:
+                sent.acknowledged_at = soak_system.get_now()
+                return
+            if 400 <= status < 500:
+                self.seen.engine_faults.append(
+                    f"configuration {self.version} refused with {status}"
+                )
+                return
+            await asyncio.sleep(0.1)
+
+    async def read(self) -> int:
+        """Read the configuration at any member; return its version."""
+        address = self.rng.choice(list(self.system.apis.values()))
+        sent_at = soak_system.get_now()
+        status, body = await calls.call(address, "GET", "/config")
+        if status != 200:
+            return 0
+        version = int(json.loads(body)["version"])
+        self.seen.read_back.append(history.ReadBack(sent_at, version))
+        return version
+
+
+class Caller:
+    """Sends one request after another, on connections that it keeps."""
+
+    def __init__(
+        self, name: str, system: soak_system.System, rng: random.Random
+    ) -> None:
+        self.name = name
+        self.system = system
+        self.rng = rng
+        self.count = 0
+        self.done = False
+
+    async def run(self) -> None:
+        """Call until told to end."""
+        while not self.done:
+            entry = self.rng.choice(soak_system.ENTRIES)
+            try:
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    reader, writer = await asyncio.open_connection(
+                        *self.system.fronts[entry]
+                    )
+            except (OSError, TimeoutError):
+                await asyncio.sleep(PAUSE_S[1])
+                continue
+            connection = Connection(reader, writer)
+            for _ in range(self.rng.randint(*REUSES)):
+                sent = self.make_request(entry)
+                self.system.seen.sent.append(sent)
+                await self.exchange(connection, sent)
+                if self.done or not connection.is_reusable(sent):
+                    break
+                await asyncio.sleep(self.rng.uniform(*PAUSE_S))
+            writer.transport.abort()
+
+    def make_request(self, entry: str) -> history.Sent:
+        """Choose the next request."""
+        self.count += 1
+        path = self.rng.choice(list(KINDS))
+        kind = KINDS[path]
+        known = self.system.seen.configured[-3:]
+        if known and self.rng.random() < ONLY_SHARE:
+            path = f"/only-{self.rng.choice(known).version}/x"
+            kind = "safe"
+        adapter = ""
+        if kind == "stream":
+            adapter = f"a{self.rng.randrange(ADAPTERS)}"
+        return history.Sent(
+            f"{self.name}-{self.count}",
+            path,
+            kind,
+            entry,
+            self.system.programs[entry].incarnation,
+            soak_system.get_now(),
+            adapter,
+        )
+
+    async def exchange(
+        self, connection: "Connection", sent: history.Sent
+    ) -> None:
+        """Send a request and take the answer as far as it comes."""
+        headers = [("Host", HOST), ("X-Request-Id", sent.request_id)]
+        headers.append(("X-Request-Deadline", "5000"))
+        headers.append(("Content-Length", "4"))
+        if sent.adapter:
+            model = f"{targets.MODEL}/{sent.adapter}"
+            headers.append(("X-Model-Name", model))
+            headers.append(("X-Token-Usage", "10,12"))
+        try:
+            async with asyncio.timeout(REQUEST_TIMEOUT_S):
+                await connection.exchange(sent, headers)
+        except (OSError, TimeoutError, h11.ProtocolError):
+            connection.broken = True
+        sent.ended_at = time.monotonic()
+        program = self.system.programs[sent.entry]
+        if program.incarnation != sent.incarnation:
+            # Which start answered is not known.
+            sent.incarnation = -1
+
+
+class Connection:
+    """A caller's connection."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.reader = reader
+        self.writer = writer
+        self.state = h11.Connection(h11.CLIENT)
+        self.broken = False
+
+    def is_reusable(self, sent: history.Sent) -> bool:
+        """Tell whether another request may follow."""
+        if self.broken or not sent.complete:
+            return False
+        if self.state.our_state is not h11.DONE:
+            return False
+        if self.state.their_state is not h11.DONE:
+            return False
+        self.state.start_next_cycle()
+        return True
+
+    async def exchange(
+        self, sent: history.Sent, headers: list[tuple[str, str]]
+    ) -> None:
+        """Send a request and read its answer."""
+        request = h11.Request(method="POST", target=sent.path, headers=headers)
+        data = self.state.send(request) or b""
+        data += self.state.send(h11.Data(data=b"body")) or b""
+        data += self.state.send(h11.EndOfMessage()) or b""
+        self.writer.write(data)
+        await self.writer.drain()
+        body = b""
+        while True:
+            event = self.state.next_event()
+            if event is h11.NEED_DATA:
+                self.state.receive_data(await self.reader.read(65536))
+            elif isinstance(event, h11.Response):
+                sent.status = event.status_code
+                names = {bytes(key) for key, _ in event.headers}
+                sent.sealed = b"x-response-seal" in names
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if sent.kind == "stream" and sent.status == 200:
+                    sent.events = read_events(body, sent.request_id)
+            elif isinstance(event, h11.EndOfMessage):
+                sent.body = body
+                sent.complete = True
+                return
+            else:
+                self.broken = True
+                return
+
+
+def read_events(body: bytes, request_id: str) -> list[int]:
+    """Return the ids of whole events; -1 for one of another request."""
+    found = []
+    for event in body.split(b"\n\n")[:-1]:
+        lines = event.split(b"\n")
+        own = lines[-1] == b"data: " + request_id.encode()
+        number = lines[0].removeprefix(b"id: ")
+        found.append(int(number) if own and number.isdigit() else -1)
+    return found
--- /dev/null
+++ b/tests/soak/system.py
@@ -0,0 +1,281 @@
+"""The real programs of a soak, each a process, and the proxies between."""
+
+import asyncio
+import json
+import os
+import pathlib
+import random
+import shutil
+import signal
+import sys
+import time
+
+from tests.lib import ports
+from tests.soak import checks
+from tests.soak import history
+from tests.soak import proxy
+from tests.soak import targets
+
+CONTROL = ("control-1", "control-2", "control-3")
+ENTRIES = ("entry-1", "entry-2")
+TARGETS = {"p1": "p", "p2": "p", "q1": "q", "e1": "e", "e2": "e"}
+# From a process's end to its next start, seconds.
+RESTART_S = 0.3
+# A process that is told to stop must have ended by then, seconds.
+STOPPED_BY_S = checks.GRACE_S + 2.0
+SETTINGS = """\
+nodeName={name}
+ip={ip}
+zone=dc1
+listen.front={ip}:{front}
+listen.ready={ip}:{ready}
+listen.control={ip}:{api}
+app={app}
+service=e
+portRange={links},{agents}
+seedNodes={seeds}
+bootstrap={bootstrap}
+heartbeatMs=1200
+bounds.graceS={grace}
+bounds.retryBudgetRatio=0.2
+bounds.budgetWindowS=10
+bounds.retryBudgetSlack=58
+bounds.requireFence=true
+dataDir={data}
+"""
+
+
+class Program:
+    """One process of hemlockkeel, over all its starts."""
+
+    def __init__(self, name: str, role: str, folder: pathlib.Path) -> None:
+        self.name = name
+        self.role = role
+        self.settings = folder / f"{name}.conf"
+        self.log = folder / f"{name}.log"
+        self.data = folder / f"{name}.data"
+        self.process: asyncio.subprocess.Process | None = None
+        # Starts so far, less one, and where the log of the last one begins.
+        self.incarnation = -1
+        self.log_offset = 0
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether the process is there."""
+        return self.process is not None and self.process.returncode is None
+
+    async def start(self) -> None:
+        """Start the process; its log grows over all starts."""
+        self.incarnation += 1
+        if self.log.exists():
+            self.log_offset = self.log.stat().st_size
+        with self.log.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "hemlockkeel.platform",
+                self.role,
+                env={
+                    **os.environ,
+                    "HEMLOCKKEEL_NODE_FILE": str(self.settings),
+                },
+                stdout=log,
+                stderr=log,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it runs."""
+        if self.process is not None and self.is_running:
+            self.process.send_signal(number)
+
+    def has_begun(self) -> bool:
+        """Tell whether the process has come as far as its first line.
+
+        It handles signals from then on.
+        """
+        with self.log.open("rb") as log:
+            log.seek(self.log_offset)
+            return b'"event":"starting"' in log.read()
+
+    async def wait(self) -> int:
+        """Return the exit code."""
+        assert self.process is not None
+        return await self.process.wait()
+
+
+class System:
+    """Processes, proxies and targets on loopback addresses of one seed."""
+
+    def __init__(
+        self, seed: int, folder: pathlib.Path, seen: history.History
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.folder = folder
+        self.seen = seen
+        self.net = f"127.{1 + seed % 250}"
+        names = ("front", "ready", "api", "app")
+        self.ports = {name: ports.find_free_port() for name in names}
+        # Agents take links at the port after the members'.
+        self.ports["links"] = ports.find_free_pair()
+        self.ports["agents"] = self.ports["links"] + 1
+        self.programs: dict[str, Program] = {}
+        self.proxies: dict[str, proxy.Proxy] = {}
+        self.targets: dict[str, targets.Target] = {}
+        # Callers' way to each entry, and the operator's to each member.
+        self.fronts: dict[str, tuple[str, int]] = {}
+        self.apis: dict[str, tuple[str, int]] = {}
+
+    def get_host(self, group: int, number: int) -> str:
+        """Return an address of this seed."""
+        return f"{self.net}.{group}.{number}"
+
+    async def start(self) -> None:
+        """Start everything."""
+        for number, name in enumerate(CONTROL, 1):
+            self.apis[name] = await self.add_proxy(
+                f"{name}/api", (11, number), (1, number), "api"
+            )
+        for number, name in enumerate(ENTRIES, 1):
+            self.fronts[name] = await self.add_proxy(
+                f"{name}/front", (12, number), (2, number), "front"
+            )
+        for number, (name, service) in enumerate(TARGETS.items(), 1):
+            host, port = await self.add_proxy(
+                name, (13, number), (3, number), "app"
+            )
+            self.targets[name] = targets.Target(
+                name,
+                service,
+                self.get_host(3, number),
+                self.ports["app"],
+                f"{host}:{port}",
+                list(self.apis.values()),
+                self.seen,
+                random.Random(self.rng.random()),
+            )
+        for number, name in enumerate(CONTROL, 1):
+            self.add_program(name, "control", (1, number))
+        for number, name in enumerate(ENTRIES, 1):
+            self.add_program(name, "entry", (2, number))
+        for number, (name, service) in enumerate(TARGETS.items(), 1):
+            if service == "e":
+                await self.add_proxy(
+                    f"agent-{name}", (13, number), (3, number), "agents"
+                )
+                self.add_program(f"agent-{name}", "agent", (3, number))
+        for target in self.targets.values():
+            await target.start(first=True)
+        for program in self.programs.values():
+            await program.start()
+
+    async def add_proxy(
+        self,
+        name: str,
+        at: tuple[int, int],
+        to: tuple[int, int],
+        port_name: str,
+    ) -> tuple[str, int]:
+        """Start a proxy; return where it listens."""
+        port = self.ports[port_name]
+        made = proxy.Proxy(name, random.Random(self.rng.random()))
+        host = self.get_host(*at)
+        await made.start(host, port, (self.get_host(*to), port))
+        self.proxies[name] = made
+        return host, port
+
+    def add_program(
+        self, name: str, role: str, address: tuple[int, int]
+    ) -> None:
+        """Prepare a process."""
+        program = Program(name, role, self.folder)
+        self.programs[name] = program
+        self.write_settings(program, self.get_host(*address), True)
+
+    def write_settings(
+        self, program: Program, ip: str, bootstrap: bool
+    ) -> None:
+        """Write a process's settings file."""
+        api = self.ports["api"]
+        seeds = [f"{self.get_host(1, n)}:{api}" for n in (1, 2, 3)]
+        engine = ip.replace(f"{self.net}.3.", f"{self.net}.13.")
+        text = SETTINGS.format(
+            name=program.name,
+            ip=ip,
+            app=f"{engine}:{self.ports['app']}",
+            seeds=",".join(seeds),
+            bootstrap=str(bootstrap).lower(),
+            grace=checks.GRACE_S,
+            data=program.data,
+            **{k: v for k, v in self.ports.items() if k != "app"},
+        )
+        program.settings.write_text(text)
+
+    def forget_bootstrap(self) -> None:
+        """Only the first start of the whole system founds it."""
+        for program in self.programs.values():
+            text = program.settings.read_text()
+            program.settings.write_text(
+                text.replace("bootstrap=true", "bootstrap=false")
+            )
+
+    def lose_disk(self, program: Program) -> None:
+        """Empty a member's data folder."""
+        shutil.rmtree(program.data, ignore_errors=True)
+
+    async def stop(self) -> None:
+        """End every process that this run started."""
+        for program in self.programs.values():
+            program.send(signal.SIGCONT)
+            program.send(signal.SIGKILL)
+            if program.process is not None:
+                await program.wait()
+        for target in self.targets.values():
+            await target.crash()
+        for each in self.proxies.values():
+            await each.stop()
+
+    def find_own_ends(self) -> list[str]:
+        """Return the processes that ended by themselves."""
+        return [
+            f"{program.name} ended with {program.process.returncode}"
+            for program in self.programs.values()
+            if program.process is not None
+            and program.process.returncode is not None
+        ]
+
+    def find_unreadable_lines(self) -> list[str]:
+        """Return what processes wrote that is no log line."""
+        found = []
+        for program in self.programs.values():
+            for line in program.log.read_text().splitlines():
+                try:
+                    json.loads(line)
+                except ValueError:
+                    found.append(f"{program.name} wrote {line[:200]}")
+                    break
+        return found
+
+
+def get_group(name: str) -> str:
+    """Return the name under which a process's faults are judged."""
+    return "" if name in CONTROL else name
+
+
+async def end_gracefully(program: Program) -> str:
+    """Stop a process; return what went wrong."""
+    program.send(signal.SIGTERM)
+    try:
+        async with asyncio.timeout(STOPPED_BY_S):
+            code = await program.wait()
+    except TimeoutError:
+        program.send(signal.SIGKILL)
+        await program.wait()
+        return f"{program.name} did not stop within {STOPPED_BY_S} s"
+    if code == -signal.SIGTERM and not program.has_begun():
+        return ""
+    return f"{program.name} stopped with {code}" if code else ""
+
+
+def get_now() -> float:
+    """Return the clock of all that is remembered."""
+    return time.monotonic()
