Let requests that are late anyway come after those on time

Change: entries tell agents until when a grant leads to an answer within the objective; waiters past it come after all others, and at the engine they run behind every route's requests that can still be on time.

--- a/src/hemlockkeel/_internal/links/messages.py
+++ b/src/hemlockkeel/_internal/links/messages.py
@@ -116,6 +116,8 @@
     adapter: str
     priority: int
     wait_s: float
+    # Time left in which a grant leads to an answer within the objective.
+    on_time_s: float = 0.0
     # Prompt tokens that the engine has to read for the request.
     prompt_tokens: int = 0
 
--- a/src/hemlockkeel/_internal/orders/keeper.py
+++ b/src/hemlockkeel/_internal/orders/keeper.py
@@ -136,7 +136,7 @@
         if key not in self.requests.get_used():
             return False
         return key in holding.adapters and not slots.is_current(
-            key, holding, self.requests.get_demand()
+            key, holding, self.requests.get_demand(self.now)
         )
 
     def release(self, peer: link.Link, call_id: int) -> None:
@@ -294,7 +294,7 @@
         assert self.report is not None
         if not holding.models:
             return self.choose_model()
-        return slots.choose_order(holding, self.requests.get_demand())
+        return slots.choose_order(holding, self.requests.get_demand(self.now))
 
     def choose_model(self) -> engine.Order | None:
         """Return the order that gives an empty engine its model."""
--- a/src/hemlockkeel/_internal/orders/process.py
+++ b/src/hemlockkeel/_internal/orders/process.py
@@ -244,7 +244,7 @@
         if report is None or holding is None:
             return None
         requests = self.keeper.requests
-        demand = requests.get_demand()
+        demand = requests.get_demand(self.keeper.now)
         return messages.LoadUpdate(
             running=report.running // RUNNING_GRAIN * RUNNING_GRAIN,
             queued=report.queued,
--- a/src/hemlockkeel/_internal/orders/requests.py
+++ b/src/hemlockkeel/_internal/orders/requests.py
@@ -41,15 +41,20 @@
     call: Call
     priority: int
     prompt_tokens: int
-    # Loop time at which it stops waiting.
+    # Loop times at which it stops waiting, and until which a grant leads to
+    # an answer within its objective.
     until: float
+    on_time_until: float
     number: int
     future: asyncio.Future[messages.AdapterGrant]
 
-    @property
-    def order(self) -> tuple[int, int]:
-        """Return what sorts waiters: the most urgent, then the oldest."""
-        return self.priority, self.number
+    def get_order(self, now: float) -> tuple[bool, int, int]:
+        """Return what sorts waiters: the most urgent, then the oldest.
+
+        Who is late anyway comes after all others: at high load the oldest
+        would otherwise make each one after them late too.
+        """
+        return now > self.on_time_until, self.priority, self.number
 
 
 class AdapterRequests:
@@ -82,6 +87,7 @@
             wanted.priority,
             wanted.prompt_tokens,
             now + wanted.wait_s,
+            now + wanted.on_time_s,
             next(self.numbers),
             asyncio.get_running_loop().create_future(),
         )
@@ -126,9 +132,14 @@
         """Return the adapters that granted requests use."""
         return set(self.grants.values())
 
-    def get_demand(self) -> slots.Demand:
+    def get_demand(self, now: float) -> slots.Demand:
         """Return what requests need."""
-        ordered = sorted(self.waiters, key=lambda waiter: waiter.order)
+        ordered = sorted(
+            self.waiters,
+            key=lambda waiter: waiter.get_order(
+                now + self.expect_load_s(waiter.key)
+            ),
+        )
         waiting = [w.key for w in ordered if not w.future.done()]
         return slots.Demand(
             list(dict.fromkeys(waiting)),
@@ -139,7 +150,7 @@
 
     def grant_held(self, holding: slots.Holding, now: float) -> list[Waiter]:
         """Grant what is held already; return who got it."""
-        demand = self.get_demand()
+        demand = self.get_demand(now)
         granted = []
         for waiter in list(self.waiters):
             if not slots.is_current(waiter.key, holding, demand):
@@ -181,7 +192,7 @@
         self, waiter: Waiter, holding: slots.Holding, now: float
     ) -> float:
         """Return the expected wait of a request for its adapter."""
-        if slots.is_current(waiter.key, holding, self.get_demand()):
+        if slots.is_current(waiter.key, holding, self.get_demand(now)):
             return 0.0
         if waiter.key in holding.coming:
             since = self.loading.get(waiter.key, now)
--- a/src/hemlockkeel/_internal/relay/adapters.py
+++ b/src/hemlockkeel/_internal/relay/adapters.py
@@ -42,6 +42,7 @@
         adapter: str,
         priority: int,
         wait_s: float,
+        on_time_s: float,
         prompt_tokens: int,
     ) -> Grant | None:
         """Return a grant, or a refusal; None when no agent answers.
@@ -57,6 +58,7 @@
             adapter=adapter,
             priority=priority,
             wait_s=wait_s,
+            on_time_s=on_time_s,
             prompt_tokens=prompt_tokens,
         )
         call_id = peer.last_call + 1
--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -4,6 +4,7 @@
 
 from hemlockkeel._internal.links import link
 from hemlockkeel._internal.models import outcomes
+from hemlockkeel._internal.orders import backlog
 from hemlockkeel._internal.relay import dialect
 from hemlockkeel._internal.relay import events
 from hemlockkeel._internal.relay import exchange
@@ -17,6 +18,9 @@
 MIN_USEFUL_S = 0.02
 # Wait for an adapter, over all targets, as a share of the objective.
 ADAPTER_WAIT_SHARE = 1.25
+# What a request that is late anyway loses in priority: it comes after those
+# of every route that can still be on time.
+LATE_PRIORITIES = 4
 # Statuses that promise callers that a request has not run: callers then repeat
 # even what must not run twice.
 PROMISING = frozenset({408, 421, 429, 503})
@@ -61,6 +65,7 @@
                 self.run.facts.adapter,
                 self.route.priority,
                 wait_s,
+                self.get_on_time_left(),
                 self.get_unread_tokens(),
             )
         except (link.LinkClosedError, TimeoutError) as fault:
@@ -94,6 +99,17 @@
         )
         return max(MIN_USEFUL_S, until - self.run.now)
 
+    def get_on_time_left(self) -> float:
+        """Return how long the target may still take to begin on time."""
+        reading_s = self.get_unread_tokens() / backlog.PREFILL_TOKENS_PER_S
+        due_at = self.run.request.arrived_at + self.route.objective_s
+        return due_at - reading_s - self.run.now
+
+    def get_target_priority(self) -> int:
+        """Return the priority at the target, behind others if it is late."""
+        late = self.get_on_time_left() < 0.0
+        return self.route.priority + (LATE_PRIORITIES if late else 0)
+
     def fail_unsent(self, cause: results.Cause, reason: str) -> results.Failed:
         """Return the outcome of an attempt that reached no target."""
         self.run.note("not_sent", cause=cause.value, reason=reason)
@@ -138,7 +154,9 @@
             left,
             self.target.record.instance_id,
             version,
-            self.route.priority if self.target.engine is not None else None,
+            self.get_target_priority()
+            if self.target.engine is not None
+            else None,
             last_id,
         )
 
--- a/tests/unit/test_adapter_orders.py
+++ b/tests/unit/test_adapter_orders.py
@@ -332,9 +332,32 @@
         late = kept.requests.refuse_late(holding, now + 0.1)
         self.assertEqual(late, [waiting[1]])
         self.assertFalse((await waiting[1].future).granted)
-        order = slots.choose_order(holding, kept.requests.get_demand())
+        order = slots.choose_order(holding, kept.requests.get_demand(now))
         self.assertEqual(order, engine.Order(LOAD, "m", "b"))
 
+    async def test_late_requests_come_after_those_on_time(self) -> None:
+        requests = make_keeper(FakeEngine(random.Random(1))).requests
+        for number, (name, priority, on_time_s) in enumerate(
+            [("old", 0, 0.2), ("new", 0, 1.0), ("minor", 2, 1.0)]
+        ):
+            requests.add(
+                ("e", number),
+                messages.EnsureAdapter(
+                    call_id=number,
+                    model="m",
+                    adapter=name,
+                    priority=priority,
+                    wait_s=5.0,
+                    on_time_s=on_time_s,
+                ),
+                10.0,
+            )
+        names = [key[1] for key in requests.get_demand(9.9).wanted]
+        self.assertEqual(names, ["old", "new", "minor"])
+        # A load takes 0.25 s.
+        names = [key[1] for key in requests.get_demand(10.0).wanted]
+        self.assertEqual(names, ["new", "minor", "old"])
+
     async def test_lost_engine_refuses_who_waits(self) -> None:
         client = FakeEngine(random.Random(1))
         kept = make_keeper(client)
