Log grants and refusals of adapters with the request's id

Change: the id goes with the call; agents log each grant and refusal with what decided it.

Measured: unit and relay tests pass; two lines a request at one agent.

--- a/src/hemlockkeel/_internal/links/messages.py
+++ b/src/hemlockkeel/_internal/links/messages.py
@@ -120,6 +120,8 @@
     on_time_s: float = 0.0
     # Prompt tokens that the engine has to read for the request.
     prompt_tokens: int = 0
+    # The request's id, for logs.
+    request_id: str = ""
 
 
 class AdapterGrant(Message, frozen=True, tag=True, kw_only=True):
--- a/src/hemlockkeel/_internal/orders/keeper.py
+++ b/src/hemlockkeel/_internal/orders/keeper.py
@@ -70,6 +70,7 @@
         self.wanted_model = call.model
         refusal = self.find_refusal((call.model, call.adapter))
         if refusal is not None:
+            self.log_refusal(call, refusal)
             return refusal
         waiter = self.requests.add((peer, call.call_id), call, self.now)
         self.serve_waiters()
@@ -86,7 +87,7 @@
                 granted=False, reason="no slot came free in time"
             )
         if not grant.granted:
-            self.log_refusal(waiter, grant)
+            self.log_refusal(call, grant)
         return grant
 
     def find_refusal(self, key: slots.Key) -> messages.AdapterGrant | None:
@@ -114,13 +115,13 @@
             )
 
     def log_refusal(
-        self, waiter: requests.Waiter, grant: messages.AdapterGrant
+        self, call: messages.EnsureAdapter, grant: messages.AdapterGrant
     ) -> None:
         """Log a refusal with what decided it."""
-        model, adapter = waiter.key
         self.log.write(
             "adapter_not_granted",
-            adapter=f"{model}/{adapter}",
+            id=call.request_id,
+            adapter=f"{call.model}/{call.adapter}",
             reason=grant.reason,
             expected_wait=round(grant.expected_wait_s, 3),
             waiting=len(self.requests.waiters),
@@ -167,6 +168,14 @@
             return
         for waiter in self.requests.grant_held(holding, self.now):
             self.backlog.add(waiter.prompt_tokens, self.now)
+            self.log.write(
+                "adapter_granted",
+                id=waiter.request_id,
+                adapter="/".join(waiter.key),
+                waited=round(self.now - waiter.since, 3),
+                waiting=len(self.requests.waiters),
+                report_age=round(self.now - self.reported_at, 3),
+            )
         self.requests.refuse_late(holding, self.now)
 
     # Fences
--- a/src/hemlockkeel/_internal/orders/requests.py
+++ b/src/hemlockkeel/_internal/orders/requests.py
@@ -41,8 +41,10 @@
     call: Call
     priority: int
     prompt_tokens: int
-    # Loop times at which it stops waiting, and until which a grant leads to
-    # an answer within its objective.
+    request_id: str
+    # Loop times at which it came, at which it stops waiting, and until which
+    # a grant leads to an answer within its objective.
+    since: float
     until: float
     on_time_until: float
     number: int
@@ -86,6 +88,8 @@
             call,
             wanted.priority,
             wanted.prompt_tokens,
+            wanted.request_id,
+            now,
             now + wanted.wait_s,
             now + wanted.on_time_s,
             next(self.numbers),
--- a/src/hemlockkeel/_internal/relay/adapters.py
+++ b/src/hemlockkeel/_internal/relay/adapters.py
@@ -44,6 +44,7 @@
         wait_s: float,
         on_time_s: float,
         prompt_tokens: int,
+        request_id: str,
     ) -> Grant | None:
         """Return a grant, or a refusal; None when no agent answers.
 
@@ -60,6 +61,7 @@
             wait_s=wait_s,
             on_time_s=on_time_s,
             prompt_tokens=prompt_tokens,
+            request_id=request_id,
         )
         call_id = peer.last_call + 1
         try:
--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -67,6 +67,7 @@
                 wait_s,
                 self.get_on_time_left(),
                 self.get_unread_tokens(),
+                self.run.facts.request_id,
             )
         except (link.LinkClosedError, TimeoutError) as fault:
             return self.fail_unsent(
