--- a/src/hemlockkeel/_internal/coordinator/membership.py
+++ b/src/hemlockkeel/_internal/coordinator/membership.py
@@ -12,14 +12,14 @@
 # Silence after which a voter may be removed in favour of another. Longer
 # than a restart or an election, shorter than a repair by hand.
 SILENT_AFTER_S = 2.5
-# Age after which a wish to join has lapsed; wishes are repeated each second.
+# Age after which a request to join has lapsed; it is repeated each second.
 JOIN_LAPSES_S = 2.5
 # Log entries that a learner may lack to get its vote.
 CAUGHT_UP_ENTRIES = 50
 
 
 @dataclasses.dataclass(frozen=True)
-class Wish:
+class JoinRequest:
     """A process that wants to be a member."""
 
     member_id: str
@@ -52,12 +52,12 @@
     membership: messages.Membership,
     own_id: str,
     states: dict[str, PeerState],
-    wishes: list[Wish],
+    joins: list[JoinRequest],
     leading_since: float,
     now: float,
 ) -> messages.Membership | None:
     """Return the next membership, one member apart; None for no change."""
-    fresh = [w for w in wishes if now - w.at <= JOIN_LAPSES_S]
+    fresh = [j for j in joins if now - j.at <= JOIN_LAPSES_S]
     replaced = find_replaced(membership, own_id, fresh)
     if replaced is not None:
         return without(membership, replaced)
@@ -67,22 +67,22 @@
     learner = find_caught_up(membership, own_id, states)
     if learner is not None:
         return with_vote(membership, learner)
-    for wish in fresh:
-        if membership.get(wish.member_id) is None:
-            peer = messages.Peer(wish.member_id, wish.address, False)
+    for join in fresh:
+        if membership.get(join.member_id) is None:
+            peer = messages.Peer(join.member_id, join.address, False)
             return messages.Membership([*membership.peers, peer])
     return None
 
 
 def find_replaced(
-    membership: messages.Membership, own_id: str, wishes: list[Wish]
+    membership: messages.Membership, own_id: str, joins: list[JoinRequest]
 ) -> str | None:
     """Return a member at whose address another process now lives."""
-    for wish in wishes:
+    for join in joins:
         for peer in membership.peers:
-            if peer.address != wish.address or peer.member_id == own_id:
+            if peer.address != join.address or peer.member_id == own_id:
                 continue
-            if peer.member_id != wish.member_id and may_lose_one(membership):
+            if peer.member_id != join.member_id and may_lose_one(membership):
                 return peer.member_id
     return None
 
--- a/src/hemlockkeel/_internal/coordinator/process.py
+++ b/src/hemlockkeel/_internal/coordinator/process.py
@@ -66,7 +66,7 @@
         self.calls = calls
         self.loop = asyncio.get_running_loop()
         self.clock = clock.SuspendAwareClock()
-        self.wishes: dict[str, membership.Wish] = {}
+        self.joins: dict[str, membership.JoinRequest] = {}
         self.leading_since = 0.0
         self.sender = sender.LinkSender(self.loop, settings.link_address)
         self.catalogue = catalogue.Catalogue(self.on_change)
@@ -137,7 +137,7 @@
         """Keep links to all members and seeds."""
         known = {peer.address for peer in self.catalogue.membership.peers}
         known |= self.settings.seeds
-        known |= {wish.address for wish in self.wishes.values()}
+        known |= {join.address for join in self.joins.values()}
         self.peers.set_addresses(known - {self.settings.link_address})
 
     def on_change(self) -> None:
@@ -197,7 +197,7 @@
             current,
             self.node.member_id,
             states,
-            list(self.wishes.values()),
+            list(self.joins.values()),
             self.leading_since,
             now,
         )
@@ -296,7 +296,7 @@
             case messages.Read():
                 outcome = self.replica.read_here()
             case messages.Join():
-                outcome = self.take_wish(message)
+                outcome = self.take_join(message)
             case messages.ShareRecord():
                 self.registry.take_record(message.record)
                 outcome = messages.Outcome(done=True)
@@ -304,15 +304,15 @@
                 outcome = messages.Outcome(done=False)
         peer.send(msgspec.structs.replace(outcome, call_id=message.call_id))
 
-    def take_wish(self, message: messages.Join) -> messages.Outcome:
+    def take_join(self, message: messages.Join) -> messages.Outcome:
         """Note that a process wants to be a member."""
-        if message.member_id not in self.wishes:
+        if message.member_id not in self.joins:
             self.log.write(
-                "join_wished",
+                "join_requested",
                 member=message.member_id,
                 address=message.address,
             )
-        self.wishes[message.member_id] = membership.Wish(
+        self.joins[message.member_id] = membership.JoinRequest(
             message.member_id, message.address, self.clock.monotonic()
         )
         self.dial_peers()
--- a/src/hemlockkeel/_internal/links/messages.py
+++ b/src/hemlockkeel/_internal/links/messages.py
@@ -121,9 +121,10 @@
     model: str
     adapter: str
     priority: int
+    # Time that the request can wait at most, and time left in which a grant
+    # leads to an answer within the objective.
     wait_s: float
-    # Time left in which a grant leads to an answer within the objective.
-    on_time_s: float = 0.0
+    on_time_s: float
     # Prompt tokens that the engine has to read for the request.
     prompt_tokens: int = 0
     # The request's id, for logs.
--- a/src/hemlockkeel/_internal/orders/keeper.py
+++ b/src/hemlockkeel/_internal/orders/keeper.py
@@ -74,7 +74,9 @@
             return refusal
         waiter = self.requests.add((peer, call.call_id), call, self.now)
         self.serve_waiters()
-        self.refuse_hopeless(waiter)
+        holding = self.get_holding()
+        if holding is not None:
+            self.requests.refuse_hopeless(waiter, holding, self.now)
         if not waiter.future.done():
             self.wake.set()
         try:
@@ -103,17 +105,6 @@
             return refuse("an older version is still in use")
         return None
 
-    def refuse_hopeless(self, waiter: requests.Waiter) -> None:
-        """Refuse a request at once that would wait in vain."""
-        holding = self.get_holding()
-        if holding is None or waiter.future.done():
-            return
-        wait_s = self.requests.expect_s(waiter, holding, self.now)
-        if self.now + wait_s > waiter.until:
-            self.requests.refuse(
-                waiter, "every slot is taken for too long", wait_s
-            )
-
     def log_refusal(
         self, call: messages.EnsureAdapter, grant: messages.AdapterGrant
     ) -> None:
--- a/src/hemlockkeel/_internal/orders/requests.py
+++ b/src/hemlockkeel/_internal/orders/requests.py
@@ -26,6 +26,9 @@
 FIRST_USED_S = 1.0
 FIRST_LOAD_S = 0.25
 MEASURE_WEIGHT = 0.05
+# How long a request that is late may still wait for a slot that others want,
+# seconds: the load of an adapter that is about to end its last request's use.
+LATE_SLACK_S = 0.25
 SLOT_WAIT_GRAIN_S = 0.1
 # Priorities that are told apart, and the largest share of slots that higher
 # ones are reckoned to take.
@@ -50,6 +53,16 @@
     number: int
     future: asyncio.Future[messages.AdapterGrant]
 
+    def get_limit(self, slot_wait_s: float) -> float:
+        """Return until when it waits, with the expected wait for a slot.
+
+        A slot that others want is worth more to those on time; with a free
+        one an answer that is late is better than none.
+        """
+        if slot_wait_s <= 0.0:
+            return self.until
+        return min(self.until, self.on_time_until + LATE_SLACK_S)
+
     def get_order(self, now: float) -> tuple[bool, int, int]:
         """Return what sorts waiters: the most urgent, then the oldest.
 
@@ -179,31 +192,30 @@
 
         A load for them would only take the slot from others.
         """
-        late = [
-            waiter
-            for waiter in self.waiters
-            if waiter.key not in holding.coming
-            and now + self.expect_load_s(waiter.key) > waiter.until
-        ]
-        for waiter in late:
+        late = []
+        for waiter in list(self.waiters):
+            if waiter.key in holding.coming:
+                continue
             wait_s = self.expect_slot_s(waiter.priority, holding, waiter.key)
-            self.refuse(waiter, "no slot came free in time", wait_s)
+            loaded_at = now + self.expect_load_s(waiter.key)
+            if loaded_at > waiter.get_limit(wait_s):
+                self.refuse(waiter, "no slot came free in time", wait_s)
+                late.append(waiter)
         return late
 
-    # Expectations
-
-    def expect_s(
+    def refuse_hopeless(
         self, waiter: Waiter, holding: slots.Holding, now: float
-    ) -> float:
-        """Return the expected wait of a request for its adapter."""
-        if slots.is_current(waiter.key, holding, self.get_demand(now)):
-            return 0.0
-        if waiter.key in holding.coming:
-            since = self.loading.get(waiter.key, now)
-            return max(0.0, since + self.load_s - now)
-        return self.expect_load_s(waiter.key) + self.expect_slot_s(
-            waiter.priority, holding, waiter.key
-        )
+    ) -> None:
+        """Refuse a request that has just come and would wait in vain."""
+        if waiter.key in holding.coming or waiter.future.done():
+            return
+        wait_s = self.expect_slot_s(waiter.priority, holding, waiter.key)
+        limit = waiter.get_limit(wait_s)
+        wait_s += self.expect_load_s(waiter.key)
+        if now + wait_s > limit:
+            self.refuse(waiter, "every slot is taken for too long", wait_s)
+
+    # Expectations
 
     def expect_load_s(self, key: slots.Key) -> float:
         """Return how long a load takes."""
--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -5,6 +5,7 @@
 from hemlockkeel._internal.links import link
 from hemlockkeel._internal.models import outcomes
 from hemlockkeel._internal.orders import backlog
+from hemlockkeel._internal.orders import requests
 from hemlockkeel._internal.relay import dialect
 from hemlockkeel._internal.relay import events
 from hemlockkeel._internal.relay import exchange
@@ -16,8 +17,10 @@
 
 # Shortest time in which a target can do anything for a request.
 MIN_USEFUL_S = 0.02
-# Wait for an adapter, over all targets, as a share of the objective.
-ADAPTER_WAIT_SHARE = 1.25
+# Wait for an adapter, over all targets, as a share of the objective, and at
+# one target beyond the time in which it can be on time, seconds: two loads.
+ADAPTER_WAIT_SHARE = 2.5
+LATE_WAIT_S = 0.5
 # What a request that is late anyway loses in priority: it comes after those
 # of every route that can still be on time.
 LATE_PRIORITIES = 4
@@ -52,7 +55,7 @@
         grants = self.run.knowledge.grants
         begun = self.run.now
         wait_s = self.get_adapter_wait()
-        if self.run.slot_wait_s > wait_s:
+        if not self.may_wait_for_slot():
             # The best target would not have a slot in time.
             self.run.note_expected_wait(self.run.slot_wait_s)
             return self.fail_unsent(
@@ -87,18 +90,26 @@
         finally:
             grants.release(grant)
 
-    def get_adapter_wait(self) -> float:
-        """Return how long the request may still wait for its adapter.
+    def may_wait_for_slot(self) -> bool:
+        """Tell whether the expected wait for a slot makes sense.
 
         Beyond the route's objective an answer is worth less than what the
-        place gives to others; a caller is told sooner to come back.
+        slot gives to others; a caller is told at once to come back.
         """
+        if self.run.slot_wait_s <= 0.0:
+            return True
+        left = self.get_on_time_left() + requests.LATE_SLACK_S
+        return self.run.slot_wait_s <= left
+
+    def get_adapter_wait(self) -> float:
+        """Return how long the request may still wait for its adapter."""
         arrived_at = self.run.request.arrived_at
         until = min(
             arrived_at + self.route.objective_s * ADAPTER_WAIT_SHARE,
             (arrived_at + self.run.ends_at) / 2,
         )
-        return max(MIN_USEFUL_S, until - self.run.now)
+        late_s = max(0.0, self.get_on_time_left()) + LATE_WAIT_S
+        return max(MIN_USEFUL_S, min(until - self.run.now, late_s))
 
     def get_on_time_left(self) -> float:
         """Return how long the target may still take to begin on time."""
