Sync what a restarted member reads; one record for each sync

Cause, found by trying every crash point: a member that was killed between a write and its sync came back with the entry in its log and reported it as stored; a loss of power then took it, though others had counted it. And a vote and entries that were written together were two records: with the first one's blocks lost and the second's there, the member took the log for damaged and refused to start.

Change: the log and its folder are synced when they are read; one append is one record (logs of before are still read).

--- a/src/hemlockkeel/_internal/commands/backup.py
+++ b/src/hemlockkeel/_internal/commands/backup.py
@@ -6,7 +6,7 @@
 import typer
 
 from hemlockkeel._internal.cli import options
-from hemlockkeel._internal.consensus import storage
+from hemlockkeel._internal.consensus import disk
 
 app = typer.Typer(add_completion=False)
 
@@ -21,6 +21,8 @@
     """Write the leader's whole state to a file that lasts."""
     client = options.make_client(control_url, admin_token)
     data: bytes = client.call("GET", "/v1/backup")
-    storage.write_file(to, data)
+    folder = disk.FolderDisk(to.resolve().parent, "choose another file")
+    folder.replace(to.name, data)
+    folder.close()
     value = {"file": str(to), "bytes": len(data)}
     options.show(value, as_json, f"{len(data)} bytes written to {to}")
--- a/src/hemlockkeel/_internal/consensus/node.py
+++ b/src/hemlockkeel/_internal/consensus/node.py
@@ -13,6 +13,7 @@
 
 from hemlockkeel._internal import exceptions
 from hemlockkeel._internal.consensus import core
+from hemlockkeel._internal.consensus import disk
 from hemlockkeel._internal.consensus import messages
 from hemlockkeel._internal.consensus import storage
 from hemlockkeel._internal.utils import clock
@@ -132,7 +133,7 @@
         self.stopping = threading.Event()
         self.failed: exceptions.StorageError | None = None
         self.applied_index = 0
-        self.storage = storage.Storage(folder)
+        self.storage = storage.Storage(disk.FolderDisk(folder))
         founds = founding is not None and self.storage.is_blank
         self.identity = self.storage.load_identity(
             storage.Identity(founding.member_id, founding.cluster_id)
--- a/src/hemlockkeel/_internal/consensus/storage.py
+++ b/src/hemlockkeel/_internal/consensus/storage.py
@@ -1,16 +1,13 @@
 """Durable log and snapshot of one member, under one data folder.
 
 Files: ``identity.json`` (who this disk is), ``log`` (checksummed records)
-and ``snapshot``. A record is its length, its CRC-32 and its bytes. A torn
+and ``snapshot``. A record is its length, its CRC-32 and its bytes. Each sync
+covers one record, so that a loss of power can harm only the last one. A torn
 record at the end of the log is cut off on start: it was never acknowledged,
 since acknowledgements follow the sync. A bad record before good ones is
 damage, and the member refuses to start.
 """
 
-import contextlib
-import io
-import os
-import pathlib
 import struct
 import uuid
 import zlib
@@ -19,6 +16,7 @@
 
 from hemlockkeel._internal import exceptions
 from hemlockkeel._internal.consensus import core
+from hemlockkeel._internal.consensus import disk as disk_module
 from hemlockkeel._internal.consensus import log as log_module
 from hemlockkeel._internal.consensus import messages
 
@@ -27,7 +25,6 @@
 LOG_NAME = "log"
 SNAPSHOT_NAME = "snapshot"
 IDENTITY_NAME = "identity.json"
-TEMPORARY_SUFFIX = ".new"
 
 
 class LogBase(msgspec.Struct, frozen=True, tag=True):
@@ -37,7 +34,14 @@
     term: int
 
 
-AnyRecord = LogBase | messages.HardState | messages.StoredEntries
+class Batch(msgspec.Struct, frozen=True, tag=True):
+    """What is made durable by one sync."""
+
+    hard_state: messages.HardState | None
+    entries: list[messages.Entry]
+
+
+AnyRecord = LogBase | Batch | messages.HardState | messages.StoredEntries
 RECORD_DECODER: msgspec.msgpack.Decoder[AnyRecord] = msgspec.msgpack.Decoder(
     AnyRecord
 )
@@ -110,68 +114,30 @@
         )
 
 
-def sync_folder(folder: pathlib.Path) -> None:
-    """Sync a folder so that renames inside it last."""
-    descriptor = os.open(folder, os.O_RDONLY)
-    try:
-        os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
-
-
-def write_file(path: pathlib.Path, data: bytes) -> None:
-    """Replace a file so that either the old or the new one is whole."""
-    temporary = path.with_name(path.name + TEMPORARY_SUFFIX)
-    with temporary.open("wb") as stream:
-        stream.write(data)
-        stream.flush()
-        os.fsync(stream.fileno())
-    temporary.replace(path)
-    sync_folder(path.parent)
-
-
 class Storage:
     """One member's files."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
-        self.folder = folder
-        self.stream: io.BufferedWriter | None = None
+    def __init__(self, disk: disk_module.Disk) -> None:
+        self.disk = disk
         self.log_bytes = 0
-        self.open_folder()
-
-    def open_folder(self) -> None:
-        """Create the folder and check that it can be written.
-
-        :raises StorageError: when it cannot.
-        """
-        try:
-            self.folder.mkdir(parents=True, exist_ok=True)
-            probe = self.folder / ("probe" + TEMPORARY_SUFFIX)
-            probe.write_bytes(b"")
-            probe.unlink()
-        except OSError as fault:
-            raise exceptions.StorageError(
-                f"data folder {self.folder} cannot be written: "
-                f"{fault.strerror}; choose another with --data-dir"
-            ) from fault
 
     @property
     def is_blank(self) -> bool:
         """Tell whether the folder belongs to nobody yet."""
-        return not (self.folder / IDENTITY_NAME).exists()
+        return not self.disk.exists(IDENTITY_NAME)
 
     def load_identity(self, founder: Identity | None = None) -> Identity:
         """Return this disk's identity.
 
         A blank disk gets the founder's, if there is one, or a new one.
         """
-        path = self.folder / IDENTITY_NAME
-        if path.exists():
-            return msgspec.json.decode(path.read_bytes(), type=Identity)
-        if (self.folder / LOG_NAME).exists():
+        if self.disk.exists(IDENTITY_NAME):
+            data = self.disk.read(IDENTITY_NAME)
+            return msgspec.json.decode(data, type=Identity)
+        if self.disk.exists(LOG_NAME):
             raise exceptions.StorageError(
-                f"{path} is missing but a log exists; restore the folder "
-                "from a backup or start with a blank one"
+                f"{IDENTITY_NAME} is missing but a log exists; restore the "
+                "folder from a backup or start with a blank one"
             )
         identity = founder or Identity("control-" + uuid.uuid4().hex[:12])
         self.save_identity(identity)
@@ -179,7 +145,7 @@
 
     def save_identity(self, identity: Identity) -> None:
         """Store this disk's identity."""
-        write_file(self.folder / IDENTITY_NAME, msgspec.json.encode(identity))
+        self.disk.replace(IDENTITY_NAME, msgspec.json.encode(identity))
 
     def load(self) -> core.Saved:
         """Recover the stored state and open the log for appending."""
@@ -192,16 +158,15 @@
 
         :raises StorageError: when its checksum is wrong.
         """
-        path = self.folder / SNAPSHOT_NAME
-        if not path.exists():
+        if not self.disk.exists(SNAPSHOT_NAME):
             return None
-        data = path.read_bytes()
+        data = self.disk.read(SNAPSHOT_NAME)
         size, checksum = RECORD_HEADER.unpack_from(data, 0)
         payload = data[RECORD_HEADER.size :]
         if len(payload) != size or zlib.crc32(payload) != checksum:
             raise exceptions.StorageError(
-                f"{path} is damaged; replace this member with 'hemlockkeel "
-                "control replace' and a blank data folder"
+                f"{SNAPSHOT_NAME} is damaged; replace this member with "
+                "'hemlockkeel control replace' and a blank data folder"
             )
         stored = msgspec.msgpack.decode(payload, type=StoredSnapshot)
         return stored.meta, stored.data
@@ -209,43 +174,32 @@
     def load_log(
         self, snapshot: tuple[messages.SnapshotMeta, bytes] | None
     ) -> tuple[messages.HardState, log_module.Log]:
-        """Recover the log and cut off a torn end."""
-        path = self.folder / LOG_NAME
+        """Recover the log and cut off a torn end.
+
+        What is read may not have been synced when its writer ended; it is
+        before anything follows from it.
+        """
         hard_state = messages.HardState(0)
         log = log_module.Log()
-        if path.exists():
-            payloads, good = unpack_records(path.read_bytes())
+        if self.disk.exists(LOG_NAME):
+            data = self.disk.read(LOG_NAME)
+            payloads, good = unpack_records(data)
             for payload in payloads:
                 record = RECORD_DECODER.decode(payload)
-                if isinstance(record, messages.HardState):
-                    hard_state = record
-                    continue
+                hard_state = get_hard_state(record) or hard_state
                 log = replay_record(log, record)
-            self.cut(path, good)
+            if good < len(data):
+                self.disk.truncate(LOG_NAME, good)
+            self.disk.sync(LOG_NAME)
+            self.disk.sync_names()
+            self.log_bytes = good
         if snapshot is not None and not covers(log, snapshot[0]):
             # The process stopped between an install and its new log.
             log = log_module.Log(snapshot[0].index, snapshot[0].term)
-        if not path.exists():
+        if not self.disk.exists(LOG_NAME):
             self.write_log(hard_state, log)
-        self.open_log()
         return hard_state, log
 
-    def cut(self, path: pathlib.Path, good: int) -> None:
-        """Cut a torn record off the end of the log."""
-        if good == path.stat().st_size:
-            return
-        with path.open("r+b") as stream:
-            stream.truncate(good)
-            os.fsync(stream.fileno())
-
-    def open_log(self) -> None:
-        """Open the log for appending."""
-        if self.stream is not None:
-            self.stream.close()
-        path = self.folder / LOG_NAME
-        self.stream = path.open("ab")
-        self.log_bytes = path.stat().st_size
-
     def append(
         self,
         hard_state: messages.HardState | None,
@@ -256,24 +210,19 @@
         :raises StorageError: when writing or syncing fails; the member
             must then stop, since what is on disk is unknown.
         """
-        data = b""
-        if hard_state is not None:
-            data += pack_record(msgspec.msgpack.encode(hard_state))
-        if entries:
-            stored = messages.StoredEntries(entries)
-            data += pack_record(msgspec.msgpack.encode(stored))
-        self.write_and_sync(data)
+        if hard_state is None and not entries:
+            return
+        batch = Batch(hard_state, entries)
+        self.write_and_sync(pack_record(msgspec.msgpack.encode(batch)))
 
     def write_and_sync(self, data: bytes) -> None:
         """Write bytes at the end of the log and sync them."""
-        assert self.stream is not None
         try:
-            self.stream.write(data)
-            self.stream.flush()
-            os.fsync(self.stream.fileno())
+            self.disk.append(LOG_NAME, data)
+            self.disk.sync(LOG_NAME)
         except OSError as fault:
             raise exceptions.StorageError(
-                f"cannot write the log in {self.folder}: {fault.strerror}; "
+                f"cannot write the log: {fault.strerror}; "
                 "free space or replace the disk, then start again"
             ) from fault
         self.log_bytes += len(data)
@@ -291,12 +240,11 @@
         """
         payload = msgspec.msgpack.encode(StoredSnapshot(meta, data))
         try:
-            write_file(self.folder / SNAPSHOT_NAME, pack_record(payload))
+            self.disk.replace(SNAPSHOT_NAME, pack_record(payload))
             self.write_log(hard_state, log)
-            self.open_log()
         except OSError as fault:
             raise exceptions.StorageError(
-                f"cannot write a snapshot in {self.folder}: {fault.strerror}"
+                f"cannot write a snapshot: {fault.strerror}"
             ) from fault
 
     def write_log(
@@ -309,15 +257,19 @@
         if log.entries:
             stored = messages.StoredEntries(log.entries)
             data += pack_record(msgspec.msgpack.encode(stored))
-        write_file(self.folder / LOG_NAME, data)
+        self.disk.replace(LOG_NAME, data)
+        self.log_bytes = len(data)
 
     def close(self) -> None:
         """Close the log."""
-        if self.stream is None:
-            return
-        with contextlib.suppress(OSError):
-            self.stream.close()
-        self.stream = None
+        self.disk.close()
+
+
+def get_hard_state(record: AnyRecord) -> messages.HardState | None:
+    """Return the hard state in a record, if there is one."""
+    if isinstance(record, messages.HardState):
+        return record
+    return record.hard_state if isinstance(record, Batch) else None
 
 
 def covers(log: log_module.Log, meta: messages.SnapshotMeta) -> bool:
@@ -325,12 +277,12 @@
     return log.get_term(meta.index) == meta.term
 
 
-def replay_record(
-    log: log_module.Log, record: LogBase | messages.StoredEntries
-) -> log_module.Log:
+def replay_record(log: log_module.Log, record: AnyRecord) -> log_module.Log:
     """Apply a stored record to the log read so far."""
     if isinstance(record, LogBase):
         return log_module.Log(record.index, record.term)
+    if isinstance(record, messages.HardState):
+        return log
     for entry in record.entries:
         if entry.index <= log.base_index:
             continue
--- a/src/hemlockkeel/_internal/state/backup.py
+++ b/src/hemlockkeel/_internal/state/backup.py
@@ -3,6 +3,7 @@
 import pathlib
 
 from hemlockkeel._internal import exceptions
+from hemlockkeel._internal.consensus import disk
 from hemlockkeel._internal.consensus import log as log_module
 from hemlockkeel._internal.consensus import messages
 from hemlockkeel._internal.consensus import storage
@@ -51,20 +52,20 @@
         raise exceptions.StorageError(
             f"{folder} holds a log already; choose a blank folder"
         )
-    disk = storage.Storage(folder)
-    identity = disk.load_identity()
+    stored = storage.Storage(disk.FolderDisk(folder))
+    identity = stored.load_identity()
     identity = storage.Identity(
         identity.member_id, "cluster-" + identity.member_id
     )
-    disk.save_identity(identity)
+    stored.save_identity(identity)
     index = state.applied + INDEX_JUMP
     peer = messages.Peer(identity.member_id, address)
     meta = messages.SnapshotMeta(index, 1, messages.Membership([peer]))
     state.applied = index
     state.view.restore(state.view.items, index)
     data = state.encode_snapshot()
-    disk.save_snapshot(
+    stored.save_snapshot(
         meta, data, messages.HardState(1), log_module.Log(index, 1)
     )
-    disk.close()
+    stored.close()
     return identity
--- a/tests/unit/test_consensus.py
+++ b/tests/unit/test_consensus.py
@@ -15,6 +15,7 @@
 
 from hemlockkeel._internal import exceptions
 from hemlockkeel._internal.consensus import core
+from hemlockkeel._internal.consensus import disk as disk_module
 from hemlockkeel._internal.consensus import log as log_module
 from hemlockkeel._internal.consensus import messages
 from hemlockkeel._internal.consensus import storage
@@ -149,7 +150,7 @@
         self.folder = pathlib.Path(folder.name)
 
     def open(self) -> tuple[storage.Storage, core.Saved]:
-        disk = storage.Storage(self.folder)
+        disk = storage.Storage(disk_module.FolderDisk(self.folder))
         self.addCleanup(disk.close)
         disk.load_identity()
         return disk, disk.load()
@@ -232,9 +233,10 @@
         self.assertIn("free space", str(caught.exception))
 
     def test_identity_is_kept_and_new_on_a_blank_disk(self) -> None:
-        first = storage.Storage(self.folder).load_identity()
-        again = storage.Storage(self.folder).load_identity()
-        other = storage.Storage(self.folder / "blank").load_identity()
+        first, again, other = (
+            storage.Storage(disk_module.FolderDisk(folder)).load_identity()
+            for folder in (self.folder, self.folder, self.folder / "blank")
+        )
         self.assertEqual(first, again)
         self.assertNotEqual(first.member_id, other.member_id)
 
@@ -242,5 +244,5 @@
         path = self.folder / "file"
         path.write_text("in the way")
         with self.assertRaises(exceptions.StorageError) as caught:
-            storage.Storage(path / "data")
+            disk_module.FolderDisk(path / "data")
         self.assertIn("--data-dir", str(caught.exception))
