Move the decisions on waiting out of the attempt

Change: relay/waits.py holds how long a request may wait and what being late costs it, pure and tested; the call itself is passed on and kept. Behaviour is unchanged.

--- a/src/hemlockkeel/_internal/orders/keeper.py
+++ b/src/hemlockkeel/_internal/orders/keeper.py
@@ -158,10 +158,10 @@
         if holding is None:
             return
         for waiter in self.requests.grant_held(holding, self.now):
-            self.backlog.add(waiter.prompt_tokens, self.now)
+            self.backlog.add(waiter.wanted.prompt_tokens, self.now)
             self.log.write(
                 "adapter_granted",
-                id=waiter.request_id,
+                id=waiter.wanted.request_id,
                 adapter="/".join(waiter.key),
                 waited=round(self.now - waiter.since, 3),
                 waiting=len(self.requests.waiters),
--- a/src/hemlockkeel/_internal/orders/requests.py
+++ b/src/hemlockkeel/_internal/orders/requests.py
@@ -40,19 +40,28 @@
 class Waiter:
     """A request that waits for an adapter."""
 
-    key: slots.Key
     call: Call
-    priority: int
-    prompt_tokens: int
-    request_id: str
-    # Loop times at which it came, at which it stops waiting, and until which
-    # a grant leads to an answer within its objective.
+    wanted: messages.EnsureAdapter
+    # Loop time at which it came.
     since: float
-    until: float
-    on_time_until: float
     number: int
     future: asyncio.Future[messages.AdapterGrant]
 
+    @property
+    def key(self) -> slots.Key:
+        """Return the adapter that it waits for."""
+        return self.wanted.model, self.wanted.adapter
+
+    @property
+    def until(self) -> float:
+        """Return the loop time at which it stops waiting."""
+        return self.since + self.wanted.wait_s
+
+    @property
+    def on_time_until(self) -> float:
+        """Return until when a grant leads to an answer on time."""
+        return self.since + self.wanted.on_time_s
+
     def get_limit(self, slot_wait_s: float) -> float:
         """Return until when it waits, with the expected wait for a slot.
 
@@ -69,7 +78,7 @@
         Who is late anyway comes after all others: at high load the oldest
         would otherwise make each one after them late too.
         """
-        return now > self.on_time_until, self.priority, self.number
+        return now > self.on_time_until, self.wanted.priority, self.number
 
 
 class AdapterRequests:
@@ -97,14 +106,9 @@
     ) -> Waiter:
         """Let a request wait."""
         waiter = Waiter(
-            (wanted.model, wanted.adapter),
             call,
-            wanted.priority,
-            wanted.prompt_tokens,
-            wanted.request_id,
+            wanted,
             now,
-            now + wanted.wait_s,
-            now + wanted.on_time_s,
             next(self.numbers),
             asyncio.get_running_loop().create_future(),
         )
@@ -177,7 +181,7 @@
                 continue
             self.grants[waiter.call] = waiter.key
             self.used_since.setdefault(waiter.key, now)
-            self.note_grant(waiter.priority)
+            self.note_grant(waiter.wanted.priority)
             self.note_use(waiter.key, now)
             waiter.future.set_result(
                 messages.AdapterGrant(
@@ -196,7 +200,9 @@
         for waiter in list(self.waiters):
             if waiter.key in holding.coming:
                 continue
-            wait_s = self.expect_slot_s(waiter.priority, holding, waiter.key)
+            wait_s = self.expect_slot_s(
+                waiter.wanted.priority, holding, waiter.key
+            )
             loaded_at = now + self.expect_load_s(waiter.key)
             if loaded_at > waiter.get_limit(wait_s):
                 self.refuse(waiter, "no slot came free in time", wait_s)
@@ -209,7 +215,9 @@
         """Refuse a request that has just come and would wait in vain."""
         if waiter.key in holding.coming or waiter.future.done():
             return
-        wait_s = self.expect_slot_s(waiter.priority, holding, waiter.key)
+        wait_s = self.expect_slot_s(
+            waiter.wanted.priority, holding, waiter.key
+        )
         limit = waiter.get_limit(wait_s)
         wait_s += self.expect_load_s(waiter.key)
         if now + wait_s > limit:
@@ -237,7 +245,7 @@
         if not holding.adapter_slots:
             return 0.0
         used = self.get_used() | holding.coming
-        used |= {w.key for w in self.waiters if w.priority <= rank}
+        used |= {w.key for w in self.waiters if w.wanted.priority <= rank}
         beyond = len(used - {key}) + 1 - holding.adapter_slots
         if beyond <= 0:
             return 0.0
--- a/src/hemlockkeel/_internal/relay/adapters.py
+++ b/src/hemlockkeel/_internal/relay/adapters.py
@@ -36,15 +36,7 @@
         return f"{host}:{self.agent_port}"
 
     async def acquire(
-        self,
-        target_address: str,
-        model: str,
-        adapter: str,
-        priority: int,
-        wait_s: float,
-        on_time_s: float,
-        prompt_tokens: int,
-        request_id: str,
+        self, target_address: str, call: messages.EnsureAdapter
     ) -> Grant | None:
         """Return a grant, or a refusal; None when no agent answers.
 
@@ -54,18 +46,9 @@
         peer = self.agents.get(self.get_agent_address(target_address))
         if peer is None:
             return None
-        call = messages.EnsureAdapter(
-            model=model,
-            adapter=adapter,
-            priority=priority,
-            wait_s=wait_s,
-            on_time_s=on_time_s,
-            prompt_tokens=prompt_tokens,
-            request_id=request_id,
-        )
         call_id = peer.last_call + 1
         try:
-            reply = await peer.call(call, wait_s + REPLY_SLACK_S)
+            reply = await peer.call(call, call.wait_s + REPLY_SLACK_S)
         except BaseException:
             # The agent may grant what nobody waits for any more.
             peer.send(messages.ReleaseAdapter(granted_call=call_id))
--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -3,9 +3,8 @@
 import collections
 
 from hemlockkeel._internal.links import link
+from hemlockkeel._internal.links import messages
 from hemlockkeel._internal.models import outcomes
-from hemlockkeel._internal.orders import backlog
-from hemlockkeel._internal.orders import requests
 from hemlockkeel._internal.relay import dialect
 from hemlockkeel._internal.relay import events
 from hemlockkeel._internal.relay import exchange
@@ -13,17 +12,9 @@
 from hemlockkeel._internal.relay import headers
 from hemlockkeel._internal.relay import results
 from hemlockkeel._internal.relay import run as run_module
+from hemlockkeel._internal.relay import waits
 from hemlockkeel._internal.routes import table
 
-# Shortest time in which a target can do anything for a request.
-MIN_USEFUL_S = 0.02
-# Wait for an adapter, over all targets, as a share of the objective, and at
-# one target beyond the time in which it can be on time, seconds: two loads.
-ADAPTER_WAIT_SHARE = 2.5
-LATE_WAIT_S = 0.5
-# What a request that is late anyway loses in priority: it comes after those
-# of every route that can still be on time.
-LATE_PRIORITIES = 4
 # Statuses that promise callers that a request has not run: callers then repeat
 # even what must not run twice.
 PROMISING = frozenset({408, 421, 429, 503})
@@ -54,8 +45,9 @@
         """Hold the adapter at the target while the request runs there."""
         grants = self.run.knowledge.grants
         begun = self.run.now
-        wait_s = self.get_adapter_wait()
-        if not self.may_wait_for_slot():
+        if not self.get_patience().may_wait_for_slot(
+            self.run.slot_wait_s, begun
+        ):
             # The best target would not have a slot in time.
             self.run.note_expected_wait(self.run.slot_wait_s)
             return self.fail_unsent(
@@ -63,14 +55,7 @@
             )
         try:
             grant = await grants.acquire(
-                self.target.record.address,
-                self.run.facts.model,
-                self.run.facts.adapter,
-                self.route.priority,
-                wait_s,
-                self.get_on_time_left(),
-                self.get_unread_tokens(),
-                self.run.facts.request_id,
+                self.target.record.address, self.make_call()
             )
         except (link.LinkClosedError, TimeoutError) as fault:
             return self.fail_unsent(
@@ -90,37 +75,29 @@
         finally:
             grants.release(grant)
 
-    def may_wait_for_slot(self) -> bool:
-        """Tell whether the expected wait for a slot makes sense.
-
-        Beyond the route's objective an answer is worth less than what the
-        slot gives to others; a caller is told at once to come back.
-        """
-        if self.run.slot_wait_s <= 0.0:
-            return True
-        left = self.get_on_time_left() + requests.LATE_SLACK_S
-        return self.run.slot_wait_s <= left
-
-    def get_adapter_wait(self) -> float:
-        """Return how long the request may still wait for its adapter."""
-        arrived_at = self.run.request.arrived_at
-        until = min(
-            arrived_at + self.route.objective_s * ADAPTER_WAIT_SHARE,
-            (arrived_at + self.run.ends_at) / 2,
+    def make_call(self) -> messages.EnsureAdapter:
+        """Return what the agent beside the target is asked."""
+        facts = self.run.facts
+        patience = self.get_patience()
+        return messages.EnsureAdapter(
+            model=facts.model,
+            adapter=facts.adapter,
+            priority=patience.priority,
+            wait_s=patience.get_adapter_wait(self.run.now),
+            on_time_s=patience.get_on_time_left(self.run.now),
+            prompt_tokens=patience.unread_tokens,
+            request_id=facts.request_id,
         )
-        late_s = max(0.0, self.get_on_time_left()) + LATE_WAIT_S
-        return max(MIN_USEFUL_S, min(until - self.run.now, late_s))
 
-    def get_on_time_left(self) -> float:
-        """Return how long the target may still take to begin on time."""
-        reading_s = self.get_unread_tokens() / backlog.PREFILL_TOKENS_PER_S
-        due_at = self.run.request.arrived_at + self.route.objective_s
-        return due_at - reading_s - self.run.now
-
-    def get_target_priority(self) -> int:
-        """Return the priority at the target, behind others if it is late."""
-        late = self.get_on_time_left() < 0.0
-        return self.route.priority + (LATE_PRIORITIES if late else 0)
+    def get_patience(self) -> waits.Patience:
+        """Return how long the request may wait at this target."""
+        return waits.Patience(
+            self.run.request.arrived_at,
+            self.run.ends_at,
+            self.route.objective_s,
+            self.route.priority,
+            self.get_unread_tokens(),
+        )
 
     def fail_unsent(self, cause: results.Cause, reason: str) -> results.Failed:
         """Return the outcome of an attempt that reached no target."""
@@ -148,7 +125,7 @@
                 target.note_result(True, self.run.now)
                 return self.fail_unsent(results.Cause.NO_TARGET, str(fault))
         left = self.run.ends_at - self.run.now
-        if left < MIN_USEFUL_S:
+        if left < waits.MIN_USEFUL_S:
             target.pool.drop(connection)
             return self.fail_unsent(results.Cause.DEADLINE, "no time left")
         return await self.exchange_on(
@@ -166,7 +143,7 @@
             left,
             self.target.record.instance_id,
             version,
-            self.get_target_priority()
+            self.get_patience().get_target_priority(self.run.now)
             if self.target.engine is not None
             else None,
             last_id,
--- a/src/hemlockkeel/_internal/relay/forwarder.py
+++ b/src/hemlockkeel/_internal/relay/forwarder.py
@@ -17,6 +17,7 @@
 from hemlockkeel._internal.relay import knowledge as knowledge_module
 from hemlockkeel._internal.relay import results
 from hemlockkeel._internal.relay import run as run_module
+from hemlockkeel._internal.relay import waits
 from hemlockkeel._internal.routes import table
 
 # A target answers at the deadline itself; this long after it the entry does.
@@ -174,7 +175,7 @@
         """Tell whether attempts, time and budget allow another send."""
         if self.state.sends >= route.attempts:
             return False
-        if self.state.ends_at - self.state.now < attempt.MIN_USEFUL_S:
+        if self.state.ends_at - self.state.now < waits.MIN_USEFUL_S:
             return False
         allowed = self.knowledge.get_budget(service.name).spend(
             self.state.now, self.knowledge.fleet.entries
--- a/tests/unit/test_adapter_load.py
+++ b/tests/unit/test_adapter_load.py
@@ -123,7 +123,12 @@
                 until = now + self.rng.uniform(*USE_S)
                 self.uses.append((until, waiter.call))
             self.told.append(
-                Told(granted, now - since, waiter.priority, SLOTS - len(used))
+                Told(
+                    granted,
+                    now - since,
+                    waiter.wanted.priority,
+                    SLOTS - len(used),
+                )
             )
 
 
--- a/tests/unit/test_choice.py
+++ b/tests/unit/test_choice.py
@@ -10,6 +10,7 @@
 from hemlockkeel._internal.relay import choice
 from hemlockkeel._internal.relay import dialect
 from hemlockkeel._internal.relay import fleet
+from hemlockkeel._internal.relay import waits
 
 SERVICE = records.ServiceName("s")
 
@@ -159,6 +160,38 @@
         self.assertEqual(len(chosen), 1)
 
 
+class TestPatience(unittest.TestCase):
+    """How long a request may wait for an adapter."""
+
+    PATIENCE = waits.Patience(
+        arrived_at=10.0,
+        ends_at=16.0,
+        objective_s=1.0,
+        priority=2,
+        unread_tokens=int(backlog.PREFILL_TOKENS_PER_S / 4),
+    )
+
+    def test_reading_takes_part_of_the_objective(self) -> None:
+        self.assertAlmostEqual(self.PATIENCE.get_on_time_left(10.5), 0.25)
+
+    def test_contended_slots_are_for_who_can_be_on_time(self) -> None:
+        self.assertTrue(self.PATIENCE.may_wait_for_slot(0.9, 10.0))
+        self.assertFalse(self.PATIENCE.may_wait_for_slot(1.1, 10.0))
+        self.assertFalse(self.PATIENCE.may_wait_for_slot(0.1, 11.0))
+        self.assertTrue(self.PATIENCE.may_wait_for_slot(0.0, 11.0))
+
+    def test_wait_ends_within_half_of_the_time(self) -> None:
+        self.assertAlmostEqual(self.PATIENCE.get_adapter_wait(10.0), 1.25)
+        self.assertAlmostEqual(self.PATIENCE.get_adapter_wait(12.3), 0.2)
+        short = dataclasses.replace(self.PATIENCE, ends_at=10.5)
+        self.assertAlmostEqual(short.get_adapter_wait(10.0), 0.25)
+        self.assertGreater(short.get_adapter_wait(11.0), 0.0)
+
+    def test_late_request_runs_behind_others(self) -> None:
+        self.assertEqual(self.PATIENCE.get_target_priority(10.5), 2)
+        self.assertGreater(self.PATIENCE.get_target_priority(11.0), 2)
+
+
 class TestBacklog(unittest.TestCase):
     """Prompt tokens left to read."""
 
