--- a/src/hemlockkeel/_internal/agent/engine_backend.py
+++ b/src/hemlockkeel/_internal/agent/engine_backend.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 import concurrent.futures
-import dataclasses
 import threading
 import time
 
@@ -10,6 +9,7 @@
 from hemlockkeel._internal.agent import answers
 from hemlockkeel._internal.agent import backend
 from hemlockkeel._internal.agent import crashes
+from hemlockkeel._internal.agent import engine_run
 from hemlockkeel._internal.engines import base
 from hemlockkeel._internal.follower import follower
 from hemlockkeel._internal.models import adapters
@@ -19,30 +19,15 @@
 from hemlockkeel._internal.policy import eviction
 from hemlockkeel._internal.policy import pool
 from hemlockkeel._internal.rpc.gen.hk import ttypes
-from hemlockkeel._internal.utils import digests
 from hemlockkeel._internal.utils import logs
 from hemlockkeel._internal.utils import metrics
 
 MONITOR_S = 0.25
-ORDERING_STATES = (
-    follower.FollowerState.READY,
-    follower.FollowerState.LEAVING,
-)
 MAX_EVENT_PREFIXES = 64
 # An engine's load report may lag by this much behind its runs.
 ORPHAN_WAIT_S = 60.0
 
 
-@dataclasses.dataclass
-class Active:
-    """One attempt that was accepted and has not ended."""
-
-    order: ttypes.WorkOrder
-    work: pool.Work
-    attempt: backend.Attempt
-    cancelled: bool = False
-
-
 class EngineBackend(backend.Backend):
     """Queue and batch of one engine."""
 
@@ -78,7 +63,7 @@
         # Runs of an older agent may use any adapter that is loaded.
         self.orphans_until = 0.0
         self.adopt_engine_state()
-        self.active: dict[str, Active] = {}
+        self.active: dict[str, engine_run.Active] = {}
         self.load_changed = threading.Event()
         self.stopping = threading.Event()
         workers = self.identity.batch_slots + 2
@@ -155,7 +140,7 @@
                 f"{order.base_model}",
             )
         now = time.monotonic()
-        active = make_active(order, now)
+        active = engine_run.make_active(order, now)
         with self.lock:
             refusal = self.pool.admit(active.work, now)
             if refusal is not None:
@@ -226,10 +211,18 @@
                 )
             )
 
-    def run(self, active: Active) -> None:
+    def run(self, active: engine_run.Active) -> None:
         """Run one attempt to its end."""
         try:
-            self.stream(active)
+            copied = engine_run.EngineRun(
+                self.engine,
+                self.identity.base_model,
+                self.store,
+                self.follow,
+                self.counters,
+                self.is_same_boot,
+            )
+            self.end_whole(active, copied.copy(active))
         except base.RunFailedError as fault:
             self.handle_failure(active, fault)
         except Exception as fault:
@@ -248,96 +241,7 @@
                 self.active.pop(active.work.request_id, None)
             self.advance()
 
-    def stream(self, active: Active) -> None:
-        """Copy the engine's answer into the store."""
-        order = active.order
-        fence = ids.Fence(self.follow.incarnation)
-        run_id = ids.RequestId(active.attempt.engine_id)
-        run_order = base.RunOrder(
-            run_id,
-            active.work.ref,
-            self.identity.base_model,
-            order.body,
-            active.work.rank,
-            fence,
-        )
-        if order.resume_attempt >= 0:
-            held = backend.Attempt(order.request_id, order.resume_attempt)
-            run_id = ids.RequestId(held.engine_id)
-            events = self.engine.resume(run_id, 0)
-        else:
-            self.check_may_order()
-            events = self.engine.run(run_order)
-        tokens: list[str] = []
-        while True:
-            try:
-                self.copy_events(active, events, tokens)
-                return
-            except base.RunFailedError as fault:
-                if not fault.crashed or not self.is_same_boot():
-                    raise
-                # Only the connection broke; the engine still has the run.
-                events = self.engine.resume(run_id, len(tokens))
-
-    def check_may_order(self) -> None:
-        """Require that this agent may still give its engine orders."""
-        state = self.follow.get_state()
-        if state in ORDERING_STATES:
-            return
-        raise base.RunFailedError(
-            outcomes.RefusalCode.NOT_READY,
-            f"the agent may not give orders now ({state.value})",
-            outcomes.Verdict.NOT_RUN,
-        )
-
-    def copy_events(
-        self,
-        active: Active,
-        events: collections.abc.Iterator[base.Event],
-        tokens: list[str],
-    ) -> None:
-        """Copy events until the answer ends; check them on the way."""
-        for event in events:
-            if isinstance(event, base.Finished):
-                self.check_end(active, event, tokens)
-                self.end_whole(active, tokens)
-                return
-            if event.offset != len(tokens):
-                self.counters.count(metrics.Counter.FRAMES_DROPPED)
-                continue
-            self.store.add_tokens(
-                active.order.request_id,
-                active.attempt.number,
-                event.offset,
-                event.tokens,
-            )
-            tokens.extend(event.tokens)
-
-    def check_end(
-        self, active: Active, event: base.Finished, tokens: list[str]
-    ) -> None:
-        """Check an answer's adapter, length and digest.
-
-        :raises RunFailedError: when the answer is not the request's own.
-        """
-        digest = digests.AnswerDigest()
-        digest.add(tokens)
-        wanted = str(active.work.ref or self.identity.base_model)
-        right = (event.length, event.digest, event.ref) == (
-            len(tokens),
-            digest.value(),
-            wanted,
-        )
-        if right:
-            return
-        self.counters.count(metrics.Counter.ANSWERS_REJECTED)
-        raise base.RunFailedError(
-            outcomes.RefusalCode.LOST,
-            "the engine's answer is not whole or not of this adapter",
-            outcomes.Verdict.MAY_HAVE_RUN,
-        )
-
-    def end_whole(self, active: Active, tokens: list[str]) -> None:
+    def end_whole(self, active: engine_run.Active, tokens: list[str]) -> None:
         """End an answer that is whole."""
         if active.work.suspect:
             self.reporter.clear(active.work.digest)
@@ -347,7 +251,9 @@
             )
         )
 
-    def end_failed(self, active: Active, refusal: outcomes.Refused) -> None:
+    def end_failed(
+        self, active: engine_run.Active, refusal: outcomes.Refused
+    ) -> None:
         """End an answer without the whole of it."""
         self.store.end(
             answers.make_failure(
@@ -356,7 +262,7 @@
         )
 
     def handle_failure(
-        self, active: Active, fault: base.RunFailedError
+        self, active: engine_run.Active, fault: base.RunFailedError
     ) -> None:
         """End a failed attempt; report a crash first."""
         if active.cancelled:
@@ -494,28 +400,3 @@
     def count_unfinished(self) -> int:
         with self.lock:
             return len(self.active)
-
-
-def make_active(order: ttypes.WorkOrder, now: float) -> Active:
-    """Return the agent's form of a work order."""
-    ref = None
-    if order.adapter:
-        ref = adapters.AdapterRef(
-            ids.AdapterName(order.adapter),
-            ids.AdapterVersion(order.adapter_version),
-        )
-    work = pool.Work(
-        request_id=order.request_id,
-        ref=ref,
-        rank=order.priority,
-        arrived=now,
-        deadline=now + order.deadline_ms / 1000.0,
-        digest=order.content_digest,
-        caller=order.caller,
-        suspect=order.suspect,
-        idempotent=order.idempotent,
-        hold_s=order.hold_ms / 1000.0,
-        stall_weight=order.stall_weight,
-    )
-    attempt = backend.Attempt(order.request_id, order.attempt)
-    return Active(order, work, attempt)
--- /dev/null
+++ b/src/hemlockkeel/_internal/agent/engine_run.py
@@ -0,0 +1,167 @@
+"""One attempt on an engine: its order, and a copy of its answer."""
+
+import collections.abc
+import dataclasses
+
+from hemlockkeel._internal.agent import answers
+from hemlockkeel._internal.agent import backend
+from hemlockkeel._internal.engines import base
+from hemlockkeel._internal.follower import follower
+from hemlockkeel._internal.models import adapters
+from hemlockkeel._internal.models import ids
+from hemlockkeel._internal.models import outcomes
+from hemlockkeel._internal.policy import pool
+from hemlockkeel._internal.rpc.gen.hk import ttypes
+from hemlockkeel._internal.utils import digests
+from hemlockkeel._internal.utils import metrics
+
+ORDERING_STATES = (
+    follower.FollowerState.READY,
+    follower.FollowerState.LEAVING,
+)
+
+
+@dataclasses.dataclass
+class Active:
+    """One attempt that was accepted and has not ended."""
+
+    order: ttypes.WorkOrder
+    work: pool.Work
+    attempt: backend.Attempt
+    cancelled: bool = False
+
+
+def make_active(order: ttypes.WorkOrder, now: float) -> Active:
+    """Return the agent's form of a work order."""
+    ref = None
+    if order.adapter:
+        ref = adapters.AdapterRef(
+            ids.AdapterName(order.adapter),
+            ids.AdapterVersion(order.adapter_version),
+        )
+    work = pool.Work(
+        request_id=order.request_id,
+        ref=ref,
+        rank=order.priority,
+        arrived=now,
+        deadline=now + order.deadline_ms / 1000.0,
+        digest=order.content_digest,
+        caller=order.caller,
+        suspect=order.suspect,
+        idempotent=order.idempotent,
+        hold_s=order.hold_ms / 1000.0,
+        stall_weight=order.stall_weight,
+    )
+    attempt = backend.Attempt(order.request_id, order.attempt)
+    return Active(order, work, attempt)
+
+
+class EngineRun:
+    """Runs an attempt and copies its events into the answer store."""
+
+    def __init__(
+        self,
+        engine: base.Engine,
+        base_model: str,
+        store: answers.AnswerStore,
+        follow: follower.Follower,
+        counters: metrics.Metrics,
+        is_same_boot: collections.abc.Callable[[], bool],
+    ) -> None:
+        self.engine = engine
+        self.base_model = base_model
+        self.store = store
+        self.follow = follow
+        self.counters = counters
+        self.is_same_boot = is_same_boot
+
+    def copy(self, active: Active) -> list[str]:
+        """Copy the engine's answer into the store; return its tokens.
+
+        :raises RunFailedError: when the answer is not whole.
+        """
+        order = active.order
+        fence = ids.Fence(self.follow.incarnation)
+        run_id = ids.RequestId(active.attempt.engine_id)
+        run_order = base.RunOrder(
+            run_id,
+            active.work.ref,
+            self.base_model,
+            order.body,
+            active.work.rank,
+            fence,
+        )
+        if order.resume_attempt >= 0:
+            held = backend.Attempt(order.request_id, order.resume_attempt)
+            run_id = ids.RequestId(held.engine_id)
+            events = self.engine.resume(run_id, 0)
+        else:
+            self.check_may_order()
+            events = self.engine.run(run_order)
+        tokens: list[str] = []
+        while True:
+            try:
+                self.copy_events(active, events, tokens)
+                return tokens
+            except base.RunFailedError as fault:
+                if not fault.crashed or not self.is_same_boot():
+                    raise
+                # Only the connection broke; the engine still has the run.
+                events = self.engine.resume(run_id, len(tokens))
+
+    def check_may_order(self) -> None:
+        """Require that this agent may still give its engine orders."""
+        state = self.follow.get_state()
+        if state in ORDERING_STATES:
+            return
+        raise base.RunFailedError(
+            outcomes.RefusalCode.NOT_READY,
+            f"the agent may not give orders now ({state.value})",
+            outcomes.Verdict.NOT_RUN,
+        )
+
+    def copy_events(
+        self,
+        active: Active,
+        events: collections.abc.Iterator[base.Event],
+        tokens: list[str],
+    ) -> None:
+        """Copy events until the answer ends; check them on the way."""
+        for event in events:
+            if isinstance(event, base.Finished):
+                self.check_end(active, event, tokens)
+                return
+            if event.offset != len(tokens):
+                self.counters.count(metrics.Counter.FRAMES_DROPPED)
+                continue
+            self.store.add_tokens(
+                active.order.request_id,
+                active.attempt.number,
+                event.offset,
+                event.tokens,
+            )
+            tokens.extend(event.tokens)
+
+    def check_end(
+        self, active: Active, event: base.Finished, tokens: list[str]
+    ) -> None:
+        """Check an answer's adapter, length and digest.
+
+        :raises RunFailedError: when the answer is not the request's own.
+        """
+        digest = digests.AnswerDigest()
+        digest.add(tokens)
+        wanted = str(active.work.ref or self.base_model)
+        right = (event.length, event.digest, event.ref) == (
+            len(tokens),
+            digest.value(),
+            wanted,
+        )
+        if right:
+            return
+        self.counters.count(metrics.Counter.ANSWERS_REJECTED)
+        raise base.RunFailedError(
+            outcomes.RefusalCode.LOST,
+            "the engine's answer is not whole or not of this adapter",
+            outcomes.Verdict.MAY_HAVE_RUN,
+        )
--- a/src/hemlockkeel/_internal/agent/loader.py
+++ b/src/hemlockkeel/_internal/agent/loader.py
@@ -6,6 +6,7 @@
 
 from hemlockkeel._internal import exceptions
 from hemlockkeel._internal.agent import engine_backend
+from hemlockkeel._internal.agent import engine_run
 from hemlockkeel._internal.follower import control_client
 from hemlockkeel._internal.follower import follower
 from hemlockkeel._internal.models import adapters
@@ -70,7 +71,7 @@
 
     def find_wants(self) -> list[ttypes.LoadWant]:
         """Return the loads that could start if permits were given."""
-        if self.follow.get_state() not in engine_backend.ORDERING_STATES:
+        if self.follow.get_state() not in engine_run.ORDERING_STATES:
             return []
         now = time.monotonic()
         with self.backend.lock:
