Soak: tear writes where the log is; share the settings file of tests

Cause: the soak looked for *.log to leave a write half done, and a member's log has no suffix, so that fault was never played. Two tests wrote the platform's settings file each on its own.

Change: the log's own name is used, and such a write is listed among the faults; tests/lib/node_file.py holds the settings file.

--- a/tests/functional/test_platform_processes.py
+++ b/tests/functional/test_platform_processes.py
@@ -11,28 +11,11 @@
 import unittest
 
 from tests.lib import fake_target
+from tests.lib import node_file
 from tests.lib import ports
 
 # Bound of a step's wait; the test ends earlier when its condition holds.
 WAIT_S = 30.0
-SETTINGS = """\
-nodeName={name}
-ip={ip}
-zone=dc1
-listen.front={ip}:{front}
-listen.ready={ip}:{ready}
-listen.control={ip}:{api}
-portRange={links},{links}
-seedNodes=127.0.0.1:{api}
-bootstrap=true
-heartbeatMs=1200
-bounds.graceS={grace}
-bounds.retryBudgetRatio=0.2
-bounds.budgetWindowS=10
-bounds.retryBudgetSlack=58
-bounds.requireFence=true
-dataDir={data}
-"""
 CONFIGURATION = {
     "version": 3,
     "routes": [
@@ -89,9 +72,13 @@
     def write_settings(self, role: str, ip: str) -> pathlib.Path:
         path = self.folder / f"{role}.conf"
         path.write_text(
-            SETTINGS.format(
+            node_file.render(
                 name=f"{role}-1",
                 ip=ip,
+                app="",
+                agents=self.ports["links"],
+                seeds=f"127.0.0.1:{self.ports['api']}",
+                bootstrap="true",
                 grace=8,
                 data=self.folder / "data",
                 **self.ports,
--- /dev/null
+++ b/tests/lib/node_file.py
@@ -0,0 +1,27 @@
+"""Settings files as the platform writes them."""
+
+SETTINGS = """\
+nodeName={name}
+ip={ip}
+zone=dc1
+listen.front={ip}:{front}
+listen.ready={ip}:{ready}
+listen.control={ip}:{api}
+app={app}
+service=e
+portRange={links},{agents}
+seedNodes={seeds}
+bootstrap={bootstrap}
+heartbeatMs=1200
+bounds.graceS={grace}
+bounds.retryBudgetRatio=0.2
+bounds.budgetWindowS=10
+bounds.retryBudgetSlack=58
+bounds.requireFence=true
+dataDir={data}
+"""
+
+
+def render(**values: object) -> str:
+    """Return a settings file."""
+    return SETTINGS.format(**values)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -4,6 +4,7 @@
 import random
 import signal
 
+from hemlockkeel._internal.consensus import storage
 from tests.soak import history
 from tests.soak import proxy
 from tests.soak import system as soak_system
@@ -126,7 +127,8 @@
 
     def tear_log(self, program: soak_system.Program) -> None:
         """Leave a write half done at the end of a member's log."""
-        for path in program.data.rglob("*.log"):
+        for path in program.data.rglob(storage.LOG_NAME):
+            self.played.append(f"torn write {program.name}")
             with path.open("ab") as log:
                 log.write(self.rng.randbytes(self.rng.randint(*TORN_BYTES)))
 
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -10,6 +10,7 @@
 import sys
 import time
 
+from tests.lib import node_file
 from tests.lib import ports
 from tests.soak import checks
 from tests.soak import history
@@ -23,26 +24,6 @@
 RESTART_S = 0.3
 # A process that is told to stop must have ended by then, seconds.
 STOPPED_BY_S = checks.GRACE_S + 2.0
-SETTINGS = """\
-nodeName={name}
-ip={ip}
-zone=dc1
-listen.front={ip}:{front}
-listen.ready={ip}:{ready}
-listen.control={ip}:{api}
-app={app}
-service=e
-portRange={links},{agents}
-seedNodes={seeds}
-bootstrap={bootstrap}
-heartbeatMs=1200
-bounds.graceS={grace}
-bounds.retryBudgetRatio=0.2
-bounds.budgetWindowS=10
-bounds.retryBudgetSlack=58
-bounds.requireFence=true
-dataDir={data}
-"""
 
 
 class Program:
@@ -198,7 +179,7 @@
         api = self.ports["api"]
         seeds = [f"{self.get_host(1, n)}:{api}" for n in (1, 2, 3)]
         engine = ip.replace(f"{self.net}.3.", f"{self.net}.13.")
-        text = SETTINGS.format(
+        text = node_file.render(
             name=program.name,
             ip=ip,
             app=f"{engine}:{self.ports['app']}",
