--- a/tests/unit/test_adapter_orders.py
+++ b/tests/unit/test_adapter_orders.py
@@ -140,23 +140,41 @@
     return made
 
 
+def make_call(
+    name: str,
+    wait_s: float = 5.0,
+    on_time_s: float | None = None,
+    number: int = 1,
+    priority: int = 0,
+) -> messages.EnsureAdapter:
+    """Return a call that can be on time for as long as it waits."""
+    return messages.EnsureAdapter(
+        call_id=number,
+        model="m",
+        adapter=name,
+        priority=priority,
+        wait_s=wait_s,
+        on_time_s=wait_s if on_time_s is None else on_time_s,
+    )
+
+
 class TestKeeper(unittest.IsolatedAsyncioTestCase):
     """Requests, grants and orders together."""
 
     async def ensure(
         self, kept: keeper.Keeper, peer: object, call: int, name: str
     ) -> messages.AdapterGrant:
-        return await kept.ensure(
-            peer,
-            messages.EnsureAdapter(
-                call_id=call,
-                model="m",
-                adapter=name,
-                priority=0,
-                wait_s=5.0,
-                on_time_s=5.0,
-            ),
-        )
+        return await kept.ensure(peer, make_call(name, number=call))
+
+    async def use_both_slots(self) -> keeper.Keeper:
+        """Return a keeper whose engine has no slot left."""
+        client = FakeEngine(random.Random(1))
+        client.held = {"a": 1, "b": 1}
+        kept = make_keeper(client)
+        await kept.refresh()
+        await self.ensure(kept, "e", 1, "a")
+        await self.ensure(kept, "e", 2, "b")
+        return kept
 
     async def run_steps(self, kept: keeper.Keeper, count: int) -> None:
         for _ in range(count):
@@ -268,12 +286,7 @@
         self.assertEqual(kept.expect_slot_s(0), 0.0)
 
     async def test_less_urgent_requests_expect_to_be_overtaken(self) -> None:
-        client = FakeEngine(random.Random(1))
-        client.held = {"a": 1, "b": 1}
-        kept = make_keeper(client)
-        await kept.refresh()
-        await self.ensure(kept, "e", 1, "a")
-        await self.ensure(kept, "e", 2, "b")
+        kept = await self.use_both_slots()
         kept.requests.grant_shares = [0.5, 0.25, 0.25]
         self.assertAlmostEqual(kept.expect_slot_s(0), 0.5)
         self.assertAlmostEqual(kept.expect_slot_s(1), 1.0)
@@ -285,14 +298,7 @@
         await kept.refresh()
         assert kept.report is not None
         kept.report = dataclasses.replace(kept.report, coming=(("m", "a"),))
-        call = messages.EnsureAdapter(
-            call_id=1,
-            model="m",
-            adapter="a",
-            priority=0,
-            wait_s=0.0,
-            on_time_s=0.0,
-        )
+        call = make_call("a", wait_s=0.0)
         task = asyncio.create_task(kept.ensure("e", call))
         await asyncio.sleep(0)
         # The adapter arrives in the same turn in which the wait ends.
@@ -303,21 +309,9 @@
         self.assertEqual(bool(kept.requests.grants), granted)
 
     async def test_hopeless_wait_is_refused_at_once(self) -> None:
-        client = FakeEngine(random.Random(1))
-        client.held = {"a": 1, "b": 1}
-        kept = make_keeper(client)
-        await kept.refresh()
-        await self.ensure(kept, "e", 1, "a")
-        await self.ensure(kept, "e", 2, "b")
+        kept = await self.use_both_slots()
         # A slot is expected in 0.5 s, and a load takes 0.25 s.
-        call = messages.EnsureAdapter(
-            call_id=3,
-            model="m",
-            adapter="c",
-            priority=0,
-            wait_s=0.6,
-            on_time_s=0.6,
-        )
+        call = make_call("c", wait_s=0.6, number=3)
         refused = await asyncio.wait_for(kept.ensure("e", call), 0.1)
         self.assertFalse(refused.granted)
         self.assertAlmostEqual(refused.expected_wait_s, 0.75)
@@ -335,14 +329,7 @@
         waiting = {
             number: kept.requests.add(
                 ("e", number),
-                messages.EnsureAdapter(
-                    call_id=number,
-                    model="m",
-                    adapter=name,
-                    priority=0,
-                    wait_s=wait_s,
-                    on_time_s=wait_s,
-                ),
+                make_call(name, wait_s, number=number),
                 now,
             )
             for number, (name, wait_s) in waits.items()
@@ -360,14 +347,7 @@
         ):
             requests.add(
                 ("e", number),
-                messages.EnsureAdapter(
-                    call_id=number,
-                    model="m",
-                    adapter=name,
-                    priority=priority,
-                    wait_s=5.0,
-                    on_time_s=on_time_s,
-                ),
+                make_call(name, 5.0, on_time_s, number, priority),
                 10.0,
             )
         names = [key[1] for key in requests.get_demand(9.9).wanted]
@@ -379,14 +359,7 @@
     async def test_late_request_takes_only_a_slot_that_is_free(self) -> None:
         kept = make_keeper(FakeEngine(random.Random(1)))
         await kept.refresh()
-        call = messages.EnsureAdapter(
-            call_id=1,
-            model="m",
-            adapter="a",
-            priority=0,
-            wait_s=2.0,
-            on_time_s=-0.5,
-        )
+        call = make_call("a", wait_s=2.0, on_time_s=-0.5)
         task = asyncio.create_task(kept.ensure("e", call))
         await asyncio.sleep(0)
         await self.run_steps(kept, 4)
