Log and count what decides about requests that crash targets

The logs could not tell the incident's hypotheses apart: a broken response did not name its request's digest, a probe that was accepted or timed out left no line, and a suspect that was not quarantined left none either.

Now each probe has a line and a counter by outcome, each counted crash a line with the number of crashes, of those without others, and of the requests beside; lost responses and callers that left carry the digest. No decision changes.

--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -217,6 +217,7 @@
             self.context.log_event(
                 "answer_broken",
                 target=target.record.instance_id,
+                digest=self.context.digest,
                 reason=str(error),
             )
             if self.context.connection.response_started:
--- a/src/hemlockkeel/_internal/relay/crashes.py
+++ b/src/hemlockkeel/_internal/relay/crashes.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import enum
 
 from hemlockkeel._internal.links import dialer
 from hemlockkeel._internal.links import messages
@@ -15,20 +16,37 @@
 from hemlockkeel._internal.relay import target_registry as registry_module
 from hemlockkeel._internal.state import suspects
 from hemlockkeel._internal.utils import event_log
+from hemlockkeel._internal.utils import instruments
 
 # Crashes of targets after which a request is refused. With fewer, a request
 # that was in progress at two crashes by chance would be refused.
 QUARANTINE_CRASHES = 3
+MAX_LOGGED_DIGESTS = 8
+
+
+class ProbeOutcome(enum.Enum):
+    """What became of a new connection to a target.
+
+    The values appear in logs and metrics.
+    """
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    TIMED_OUT = "timed_out"
 
 
 class CrashMonitor:
     """Reports crashes of targets and tracks suspected requests."""
 
     def __init__(
-        self, control: dialer.DialerSet, log: event_log.EventLog
+        self,
+        control: dialer.DialerSet,
+        log: event_log.EventLog,
+        metrics: instruments.Instruments,
     ) -> None:
         self.control = control
         self.log = log
+        self.instruments = metrics
         self.table = suspects.SuspectTable(QUARANTINE_CRASHES)
         self.probing: set[tuple[str, int]] = set()
         self.tasks: set[asyncio.Task[None]] = set()
@@ -65,15 +83,19 @@
     ) -> None:
         """Report a crash if the target refuses a new connection."""
         record = target.record
-        try:
-            connection = await exchange.connect(record.address)
-            connection.abort()
+        outcome = await probe_target(record.address)
+        self.probing.discard((record.instance_id, record.started_at_ms))
+        self.instruments.target_probes.labels(outcome.value).inc()
+        self.log.write(
+            "target_probed",
+            target=record.instance_id,
+            born_ms=record.started_at_ms,
+            outcome=outcome.value,
+            suspects=digests[:MAX_LOGGED_DIGESTS],
+            suspect_count=len(digests),
+        )
+        if outcome is not ProbeOutcome.REFUSED:
             return
-        except exchange.ConnectFailedError as error:
-            if not isinstance(error.__cause__, ConnectionRefusedError):
-                return
-        finally:
-            self.probing.discard((record.instance_id, record.started_at_ms))
         self.log.write(
             "target_crashed",
             target=record.instance_id,
@@ -93,16 +115,20 @@
         for suspect in self.table.report(
             report.target, str(report.started_at_ms), report.digests, self.now
         ):
-            if suspect.quarantined_until:
-                self.log.write(
-                    "request_quarantined",
-                    digest=suspect.digest,
-                    crashes=suspect.crashes,
-                )
+            self.log.write(
+                "request_quarantined"
+                if suspect.quarantined_until
+                else "request_suspected",
+                digest=suspect.digest,
+                crashes=suspect.crashes,
+                alone_crashes=suspect.alone_crashes,
+                beside=len(report.digests) - 1,
+            )
 
     def report_success(self, digest: ids.ContentDigest) -> None:
         """Clear the suspicion of a request that completed, at all entries."""
         if self.table.clear([digest]):
+            self.log.write("suspicion_cleared", digest=digest)
             self.broadcast(messages.CrashCleared(digest=digest))
 
     def handle_cleared(self, message: messages.CrashCleared) -> None:
@@ -117,3 +143,15 @@
     def expire(self) -> None:
         """Remove outdated suspicions and quarantines."""
         self.table.expire(self.now)
+
+
+async def probe_target(address: str) -> ProbeOutcome:
+    """Open a connection to a target and close it."""
+    try:
+        connection = await exchange.connect(address)
+    except exchange.ConnectFailedError as error:
+        if isinstance(error.__cause__, ConnectionRefusedError):
+            return ProbeOutcome.REFUSED
+        return ProbeOutcome.TIMED_OUT
+    connection.abort()
+    return ProbeOutcome.ACCEPTED
--- a/src/hemlockkeel/_internal/relay/forwarder.py
+++ b/src/hemlockkeel/_internal/relay/forwarder.py
@@ -95,7 +95,11 @@
         except TimeoutError:
             self.handle_deadline()
         except asyncio.CancelledError:
-            self.context.log_event("caller_gone", sends=self.context.sends)
+            self.context.log_event(
+                "caller_gone",
+                sends=self.context.sends,
+                digest=self.context.digest,
+            )
             raise
 
     def handle_deadline(self) -> None:
--- a/src/hemlockkeel/_internal/relay/process.py
+++ b/src/hemlockkeel/_internal/relay/process.py
@@ -141,7 +141,9 @@
         self.control_links = dialer.DialerSet(
             hello, ControlListener(self), log
         )
-        self.crashes = crashes.CrashMonitor(self.control_links, log)
+        self.crashes = crashes.CrashMonitor(
+            self.control_links, log, self.instruments
+        )
         self.agent_listener = AgentListener(self)
         self.agent_links = dialer.DialerSet(hello, self.agent_listener, log)
         self.adapter_client = adapters.AdapterClient(
--- a/src/hemlockkeel/_internal/utils/instruments.py
+++ b/src/hemlockkeel/_internal/utils/instruments.py
@@ -25,6 +25,12 @@
             ["outcome"],
             registry=self.registry,
         )
+        self.target_probes = prometheus_client.Counter(
+            "hemlockkeel_target_probes",
+            "Connections opened to see whether a target has ended, by outcome",
+            ["outcome"],
+            registry=self.registry,
+        )
         self.first_byte = prometheus_client.Histogram(
             "hemlockkeel_first_byte_seconds",
             "Time from a request's arrival to the first byte of its response",
