Blame the request with the most crashes, with company or not

Callers saw a request sent on to busy targets until all had ended.

Cause: the table that the relay borrowed quarantines a request only if one of its crashes happened while it ran alone. The product's agents run suspects alone; an entry cannot, as its target also runs other requests, so the count went up for ever. Class of fault: a rule that relies on what another component does, used where nothing does it.

Now a ledger of crashes and the requests in progress at each blames the one that was at most of them (three or more); its crashes are then explained, and the harmless ones beside it are free again. Requests at exactly the same crashes are contested.

Property test: the request at all of 3 to 8 random crashes is always found.

--- a/src/hemlockkeel/_internal/relay/crashes.py
+++ b/src/hemlockkeel/_internal/relay/crashes.py
@@ -1,26 +1,23 @@
-"""Detects and quarantines requests that crash the targets that run them.
+"""Detects crashes of targets and quarantines the requests to blame for them.
 
 When a response breaks off, the entry checks whether the target still accepts
-connections. If not, every entry is told that the requests in progress there
-are suspected; one that was in progress when three targets crashed is refused
-for a while.
+connections. If not, every entry is told which requests were in progress there.
+A request that is to blame for three crashes is refused for a while.
 """
 
 import asyncio
 import enum
 
+from hemlockkeel._internal.discovery import records
 from hemlockkeel._internal.links import dialer
 from hemlockkeel._internal.links import messages
 from hemlockkeel._internal.models import ids
+from hemlockkeel._internal.relay import crash_ledger
 from hemlockkeel._internal.relay import exchange
 from hemlockkeel._internal.relay import target_registry as registry_module
-from hemlockkeel._internal.state import suspects
 from hemlockkeel._internal.utils import event_log
 from hemlockkeel._internal.utils import instruments
 
-# Crashes of targets after which a request is refused. With fewer, a request
-# that was in progress at two crashes by chance would be refused.
-QUARANTINE_CRASHES = 3
 MAX_LOGGED_DIGESTS = 8
 
 
@@ -47,7 +44,7 @@
         self.control = control
         self.log = log
         self.instruments = metrics
-        self.table = suspects.SuspectTable(QUARANTINE_CRASHES)
+        self.ledger = crash_ledger.CrashLedger()
         self.probing: set[tuple[str, int]] = set()
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -58,7 +55,9 @@
 
     def is_quarantined(self, digest: ids.ContentDigest) -> bool:
         """Return whether requests with this content are refused for now."""
-        return self.table.is_quarantined(digest, self.now)
+        return (
+            self.ledger.get_suspicion(digest) is crash_ledger.Suspicion.BLAMED
+        )
 
     def start_probe(
         self, target: registry_module.Target, digests: list[ids.ContentDigest]
@@ -111,29 +110,42 @@
         self.broadcast(report)
 
     def handle_report(self, report: messages.CrashReport) -> None:
-        """Count a crash; repeated reports count once."""
-        for suspect in self.table.report(
-            report.target, str(report.started_at_ms), report.digests, self.now
-        ):
-            self.log.write(
-                "request_quarantined"
-                if suspect.quarantined_until
-                else "request_suspected",
-                digest=suspect.digest,
-                crashes=suspect.crashes,
-                alone_crashes=suspect.alone_crashes,
-                beside=len(report.digests) - 1,
-            )
+        """Add a crash; what is known already changes nothing."""
+        key = crash_ledger.CrashKey(
+            records.InstanceId(report.target), report.started_at_ms
+        )
+        digests = [ids.ContentDigest(digest) for digest in report.digests]
+        added = self.ledger.merge(key, digests, self.now)
+        for digest in sorted(added):
+            self.log_suspicion(digest, len(digests) - 1)
+
+    def log_suspicion(self, digest: ids.ContentDigest, beside: int) -> None:
+        """Log the crashes that a request is suspected of."""
+        suspicion = self.ledger.get_suspicion(digest)
+        self.log.write(
+            "request_quarantined"
+            if suspicion is crash_ledger.Suspicion.BLAMED
+            else "request_suspected",
+            digest=digest,
+            suspicion=suspicion.name.lower(),
+            crashes=[
+                f"{crash.key.target}/{crash.key.started_at_ms}"
+                for crash in self.ledger.list_crashes(digest)
+            ],
+            beside=beside,
+        )
 
     def report_success(self, digest: ids.ContentDigest) -> None:
         """Clear the suspicion of a request that completed, at all entries."""
-        if self.table.clear([digest]):
-            self.log.write("suspicion_cleared", digest=digest)
-            self.broadcast(messages.CrashCleared(digest=digest))
+        if self.ledger.get_suspicion(digest) is crash_ledger.Suspicion.NONE:
+            return
+        self.ledger.clear(digest)
+        self.log.write("suspicion_cleared", digest=digest)
+        self.broadcast(messages.CrashCleared(digest=digest))
 
     def handle_cleared(self, message: messages.CrashCleared) -> None:
         """Clear a request that completed at another entry."""
-        self.table.clear([message.digest])
+        self.ledger.clear(ids.ContentDigest(message.digest))
 
     def broadcast(self, message: messages.AnyMessage) -> None:
         """Send a message to all entries through every control member."""
@@ -141,8 +153,8 @@
             peer.send(message)
 
     def expire(self) -> None:
-        """Remove outdated suspicions and quarantines."""
-        self.table.expire(self.now)
+        """Drop old crashes."""
+        self.ledger.expire(self.now)
 
 
 async def probe_target(address: str) -> ProbeOutcome:
--- /dev/null
+++ b/tests/unit/test_crash_ledger.py
@@ -0,0 +1,128 @@
+"""Tests of the decision which requests are to blame for crashes."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+
+from hemlockkeel._internal.discovery import records
+from hemlockkeel._internal.models import ids
+from hemlockkeel._internal.relay import crash_ledger
+
+BAD = ids.ContentDigest("bad")
+GOOD = ids.ContentDigest("good")
+NONE = crash_ledger.Suspicion.NONE
+SUSPECTED = crash_ledger.Suspicion.SUSPECTED
+CONTESTED = crash_ledger.Suspicion.CONTESTED
+BLAMED = crash_ledger.Suspicion.BLAMED
+
+
+def make_key(number: int) -> crash_ledger.CrashKey:
+    """Return the key of one of several crashes."""
+    return crash_ledger.CrashKey(records.InstanceId(f"t{number}"), number)
+
+
+def make_ledger(*crashes: str) -> crash_ledger.CrashLedger:
+    """Return a ledger; each crash is given as the digests beside it."""
+    ledger = crash_ledger.CrashLedger()
+    for number, digests in enumerate(crashes):
+        ledger.merge(
+            make_key(number),
+            [ids.ContentDigest(digest) for digest in digests.split()],
+            float(number),
+        )
+    return ledger
+
+
+class TestBlame(unittest.TestCase):
+    """Which requests are suspected, contested or blamed."""
+
+    def test_request_with_company_at_each_crash_is_blamed(self) -> None:
+        ledger = make_ledger("bad a b", "bad b c", "bad c d")
+        self.assertIs(ledger.get_suspicion(BAD), BLAMED)
+        for name in "abcd":
+            digest = ids.ContentDigest(name)
+            self.assertIs(ledger.get_suspicion(digest), NONE)
+
+    def test_two_crashes_blame_nobody(self) -> None:
+        ledger = make_ledger("bad good", "bad")
+        self.assertIs(ledger.get_suspicion(BAD), SUSPECTED)
+        self.assertIs(ledger.get_suspicion(GOOD), SUSPECTED)
+
+    def test_requests_at_the_same_crashes_are_contested(self) -> None:
+        ledger = make_ledger("bad good", "bad good", "bad good")
+        self.assertIs(ledger.get_suspicion(BAD), CONTESTED)
+        self.assertIs(ledger.get_suspicion(GOOD), CONTESTED)
+
+    def test_one_more_crash_or_a_success_settles_a_contest(self) -> None:
+        crashes = ["bad good", "bad good", "bad good"]
+        crashed = make_ledger(*crashes, "bad")
+        cleared = make_ledger(*crashes)
+        cleared.clear(GOOD)
+        for ledger in (crashed, cleared):
+            self.assertIs(ledger.get_suspicion(BAD), BLAMED)
+            self.assertIs(ledger.get_suspicion(GOOD), NONE)
+
+    def test_two_fatal_requests_are_both_blamed(self) -> None:
+        ledger = make_ledger("bad", "other", "bad", "other", "bad", "other")
+        self.assertIs(ledger.get_suspicion(BAD), BLAMED)
+        other = ids.ContentDigest("other")
+        self.assertIs(ledger.get_suspicion(other), BLAMED)
+
+    @given(
+        strategies.lists(
+            strategies.sets(strategies.sampled_from("abcdefgh"), max_size=6),
+            min_size=3,
+            max_size=8,
+        )
+    )
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    def test_fatal_request_is_always_found(
+        self, companies: list[set[str]]
+    ) -> None:
+        """The request at all crashes is blamed, others only beside it."""
+        ledger = make_ledger(*(" ".join([*c, "bad"]) for c in companies))
+        always = set.intersection(*companies)
+        expected = CONTESTED if always else BLAMED
+        self.assertIs(ledger.get_suspicion(BAD), expected)
+        for name in set("abcdefgh") - always:
+            digest = ids.ContentDigest(name)
+            self.assertIs(ledger.get_suspicion(digest), NONE)
+
+
+class TestReports(unittest.TestCase):
+    """Reports that are repeated, late or withdrawn."""
+
+    def test_repeated_report_counts_once(self) -> None:
+        ledger = make_ledger("bad")
+        self.assertEqual(ledger.merge(make_key(0), [BAD], 9.0), set())
+        self.assertEqual(len(ledger.list_crashes(BAD)), 1)
+
+    def test_report_does_not_undo_a_success(self) -> None:
+        ledger = make_ledger("good")
+        ledger.clear(GOOD)
+        self.assertEqual(ledger.merge(make_key(0), [GOOD], 9.0), set())
+        self.assertIs(ledger.get_suspicion(GOOD), NONE)
+
+    def test_crash_of_a_target_that_still_runs_does_not_count(self) -> None:
+        ledger = make_ledger("bad", "bad", "bad")
+        self.assertTrue(ledger.withdraw(make_key(2), 5.0))
+        self.assertIs(ledger.get_suspicion(BAD), SUSPECTED)
+        ledger.merge(make_key(2), [BAD], 4.0)
+        self.assertIs(ledger.get_suspicion(BAD), SUSPECTED)
+        ledger.merge(make_key(2), [BAD], 6.0)
+        self.assertIs(ledger.get_suspicion(BAD), BLAMED)
+
+    def test_crash_counts_again_once_it_is_certain(self) -> None:
+        ledger = make_ledger("bad", "bad", "bad")
+        ledger.withdraw(make_key(2), 5.0)
+        ledger.reinstate(make_key(2))
+        self.assertIs(ledger.get_suspicion(BAD), BLAMED)
+
+    def test_crashes_expire(self) -> None:
+        ledger = make_ledger("bad", "bad", "bad")
+        ledger.expire(crash_ledger.CRASH_RETENTION_S + 0.5)
+        self.assertIs(ledger.get_suspicion(BAD), SUSPECTED)
+        ledger.expire(crash_ledger.CRASH_RETENTION_S + 2.0)
+        self.assertIs(ledger.get_suspicion(BAD), NONE)
