Learn from announcements that a target has crashed and returned

Callers saw a request sent on to targets that were back at once, or that had ended behind a cut, for ever.

Cause: an entry decided once, by a probe when a response broke off. A target that had returned accepted the probe; a caller that left first started none. The later incarnation that such a target announces was not used as evidence. Class of fault: a verdict from a single observation at a single moment, with better evidence ignored.

Now a target that is replaced, at its id or its address, without having said that it leaves has crashed. To blame may be the requests in progress there, and those whose response was lost within the last 15 s, unless the target gave a sign of life more than 2 s after.

--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -194,6 +194,7 @@
             response = await connection.read_head(
                 shared.codec, self.context.metadata.request_id
             )
+            target.heard_at = self.context.now
             if response.metadata.load is not None:
                 target.update_load(response.metadata.load, self.context.now)
             result = await self.handle_response(
@@ -236,6 +237,7 @@
                     connection, finished_response.headers, self.context.now
                 )
             else:
+                target.record_lost(self.context.digest, self.context.now)
                 target.pool.discard(connection)
 
     def get_uncached_tokens(self) -> int:
@@ -332,6 +334,7 @@
         splitter.last_id = last_id
         while True:
             data = await connection.read_data()
+            self.target.heard_at = self.context.now
             if data is None:
                 break
             try:
--- a/src/hemlockkeel/_internal/relay/crashes.py
+++ b/src/hemlockkeel/_internal/relay/crashes.py
@@ -1,11 +1,13 @@
 """Detects crashes of targets and quarantines the requests to blame for them.
 
-When a response breaks off, the entry checks whether the target still accepts
-connections. If not, every entry is told which requests were in progress there.
+A target has crashed if it accepts no connection after a response has broken
+off, or if a later incarnation announces itself in its place. Every entry is
+then told which requests were in progress there or had just been lost.
 A request that is to blame for three crashes is refused for a while.
 """
 
 import asyncio
+import collections.abc
 import enum
 
 from hemlockkeel._internal.discovery import records
@@ -95,16 +97,39 @@
         )
         if outcome is not ProbeOutcome.REFUSED:
             return
+        self.report_crash(record, digests, "refused")
+
+    def handle_replaced(self, target: registry_module.Target) -> None:
+        """Report the crash of a target that has been replaced.
+
+        Whatever a probe found, its end is certain now.
+        """
+        record = target.record
+        self.ledger.reinstate(
+            crash_ledger.CrashKey(record.instance_id, record.started_at_ms)
+        )
+        digests = target.list_unanswered(self.now)
+        if digests:
+            self.report_crash(record, digests, "replaced")
+
+    def report_crash(
+        self,
+        record: records.TargetRecord,
+        digests: collections.abc.Sequence[str],
+        evidence: str,
+    ) -> None:
+        """Count a crash and report it to all entries."""
         self.log.write(
             "target_crashed",
             target=record.instance_id,
             born_ms=record.started_at_ms,
+            evidence=evidence,
             suspects=len(digests),
         )
         report = messages.CrashReport(
             target=record.instance_id,
             started_at_ms=record.started_at_ms,
-            digests=digests,
+            digests=list(digests),
         )
         self.handle_report(report)
         self.broadcast(report)
--- a/src/hemlockkeel/_internal/relay/process.py
+++ b/src/hemlockkeel/_internal/relay/process.py
@@ -144,6 +144,7 @@
         self.crashes = crashes.CrashMonitor(
             self.control_links, log, self.instruments
         )
+        self.registry.on_crashed = self.crashes.handle_replaced
         self.agent_listener = AgentListener(self)
         self.agent_links = dialer.DialerSet(hello, self.agent_listener, log)
         self.adapter_client = adapters.AdapterClient(
--- a/src/hemlockkeel/_internal/relay/target_registry.py
+++ b/src/hemlockkeel/_internal/relay/target_registry.py
@@ -1,6 +1,7 @@
 """Targets as an entry knows them: announcements, load and failures."""
 
 import collections
+import collections.abc
 import dataclasses
 
 from hemlockkeel._internal.discovery import records
@@ -30,6 +31,12 @@
 MAX_RECENT_ADAPTERS = 48
 # Cached prompt prefixes that are remembered for a target.
 MAX_CACHED_PREFIXES = 2000
+# How long a request whose response was lost may be to blame for the end of
+# its target, which can be noticed much later: once the target has returned.
+LOST_RETENTION_S = 15.0
+# A request that was lost this long before the target's last sign of life did
+# not end it. Shorter, it may have been queued there.
+LOST_QUEUE_S = 2.0
 # Share of a target's connection limit that all entries together may use.
 CONNECTION_SHARE = 0.9
 
@@ -48,6 +55,14 @@
     digests: collections.Counter[ids.ContentDigest] = dataclasses.field(
         default_factory=collections.Counter
     )
+    # Loop times at which responses were lost, by content digest.
+    lost_at: dict[ids.ContentDigest, float] = dataclasses.field(
+        default_factory=dict
+    )
+    # Loop time of the last response data.
+    heard_at: float = float("-inf")
+    # Whether a later incarnation has taken its place.
+    replaced: bool = False
     in_flight_prefill_tokens: int = 0
     running: int = 0
     waiting: int = 0
@@ -83,6 +98,23 @@
         age_s = now - self.failure_at
         return float(self.failure_share * 0.5 ** (age_s / FAILURE_HALF_LIFE_S))
 
+    def record_lost(self, digest: ids.ContentDigest, now: float) -> None:
+        """Remember a request whose response did not arrive completely."""
+        self.lost_at.pop(digest, None)
+        self.lost_at[digest] = now
+        while next(iter(self.lost_at.values())) < now - LOST_RETENTION_S:
+            del self.lost_at[next(iter(self.lost_at))]
+
+    def list_unanswered(self, now: float) -> list[ids.ContentDigest]:
+        """Return the requests that may have ended the target.
+
+        These are in progress, or were lost shortly before its last sign of
+        life or since.
+        """
+        since = max(now - LOST_RETENTION_S, self.heard_at - LOST_QUEUE_S)
+        lost = {digest for digest, at in self.lost_at.items() if at >= since}
+        return sorted(lost | self.digests.keys())
+
     def record_prompt(
         self, adapter: str, parts: tuple[header_codec.PromptPart, ...]
     ) -> None:
@@ -142,6 +174,11 @@
     """All targets that this entry has been told of."""
 
     def __init__(self, heartbeat_s: float) -> None:
+        # Called with each target that was replaced by a later incarnation
+        # without having announced that it leaves.
+        self.on_crashed: collections.abc.Callable[[Target], None] = (
+            ignore_crash
+        )
         self.max_silence_s = heartbeat_s * MAX_MISSED_HEARTBEATS
         self.table = records.TargetTable(
             expire_after_s=heartbeat_s * EXPIRE_AFTER_HEARTBEATS,
@@ -182,20 +219,58 @@
             or target.record.address != record.address
         ):
             # A new incarnation shares no state with the one before.
+            self.mark_replaced(target)
             target.close()
             target = None
+        is_new = target is None
         if target is None:
             target = Target(record, pool.TargetPool(record.address))
             self.targets[record.instance_id] = target
         target.record = record
+        if is_new:
+            self.mark_superseded(
+                each
+                for each in self.targets.values()
+                if each.record.address == record.address
+            )
         if record.models is not None and target.engine is None:
             target.engine = target_selection.EngineView()
         if target.engine is not None and not target.engine.can_load:
             target.engine.loaded = list_adapter_names(record)
             target.record_loaded(target.engine.loaded)
 
+    def mark_replaced(self, target: Target) -> None:
+        """Record that another incarnation runs in a target's place."""
+        if target.replaced:
+            return
+        target.replaced = True
+        if target.record.state is records.TargetState.READY:
+            self.on_crashed(target)
+
+    def mark_superseded(
+        self, candidates: collections.abc.Iterable[Target]
+    ) -> None:
+        """Mark those of some targets as replaced that are superseded."""
+        for target in list(candidates):
+            if not target.replaced and self.table.is_superseded(target.record):
+                self.mark_replaced(target)
+
+    def find_shared_addresses(self) -> list[Target]:
+        """Return the targets whose address another one has, too."""
+        by_address = collections.defaultdict(list)
+        for target in self.targets.values():
+            by_address[target.record.address].append(target)
+        return [
+            target
+            for group in by_address.values()
+            if len(group) > 1
+            for target in group
+        ]
+
     def expire(self, now: float) -> None:
         """Remove targets that are silent for long; close idle connections."""
+        # Where targets do not report their start, heartbeats decide later.
+        self.mark_superseded(self.find_shared_addresses())
         for instance_id in self.table.expire(self.contact_s):
             expired = self.targets.pop(instance_id, None)
             if expired is not None:
@@ -303,6 +378,10 @@
         return max(1, int(share))
 
 
+def ignore_crash(target: Target) -> None:
+    """Do nothing about a crash."""
+
+
 def qualify_names(by_model: dict[str, list[str]]) -> frozenset[str]:
     """Return the adapters, given by model, as MODEL/NAME."""
     return frozenset(
