Count targets that fall silent as crashed until they are heard of

Callers saw a request sent on to targets that answered nothing from then on: no reset, no refused connection.

Cause: only a response that breaks off started a probe, and only a refused connection counted. A silent target does neither before its callers leave. Class of fault: absence of news taken as absence of a fault.

Now a target that owes responses and sends no data for 1 s is probed, also if the callers have left, and one that cannot be reached counts as crashed: known 2.5 s after its last data at most, within the 3 s that entries have. A cut looks the same, so such a crash is withdrawn if the target announces itself more than 3 s later, and counted again once it has certainly been replaced.

A test for requests lost at targets that were only cut off checks that they are served afterwards.

--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -174,6 +174,7 @@
         ):
             length = str(len(self.context.request.body)).encode()
             request_headers.append((b"Content-Length", length))
+        target.record_sent(self.context.now)
         target.in_flight += 1
         target.digests[self.context.digest] += 1
         target.in_flight_prefill_tokens += prefill_tokens
@@ -213,7 +214,7 @@
             return result
         except exchange.InvalidResponseError as error:
             target.record_result(True, self.context.now)
-            shared.crashes.start_probe(target, list(target.digests))
+            shared.crashes.start_probe(target)
             shared.instruments.attempts.labels("broken").inc()
             self.context.log_event(
                 "answer_broken",
--- a/src/hemlockkeel/_internal/relay/crashes.py
+++ b/src/hemlockkeel/_internal/relay/crashes.py
@@ -1,8 +1,10 @@
 """Detects crashes of targets and quarantines the requests to blame for them.
 
 A target has crashed if it accepts no connection after a response has broken
-off, or if a later incarnation announces itself in its place. Every entry is
-then told which requests were in progress there or had just been lost.
+off or while it is silent, or if a later incarnation announces itself in its
+place. Every entry is then told which requests were in progress there or had
+just been lost. A crash that only a probe has found is withdrawn if the target
+goes on to announce itself: it was cut off from this entry.
 A request that is to blame for three crashes is refused for a while.
 """
 
@@ -21,6 +23,9 @@
 from hemlockkeel._internal.utils import instruments
 
 MAX_LOGGED_DIGESTS = 8
+# Announcements may arrive this late, so that one that is received sooner after
+# a crash does not show that the target still runs.
+ANNOUNCEMENT_DELAY_S = 3.0
 
 
 class ProbeOutcome(enum.Enum):
@@ -31,7 +36,7 @@
 
     ACCEPTED = "accepted"
     REFUSED = "refused"
-    TIMED_OUT = "timed_out"
+    UNREACHABLE = "unreachable"
 
 
 class CrashMonitor:
@@ -47,7 +52,7 @@
         self.log = log
         self.instruments = metrics
         self.ledger = crash_ledger.CrashLedger()
-        self.probing: set[tuple[str, int]] = set()
+        self.probing: set[crash_ledger.CrashKey] = set()
         self.tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -61,56 +66,72 @@
             self.ledger.get_suspicion(digest) is crash_ledger.Suspicion.BLAMED
         )
 
-    def start_probe(
-        self, target: registry_module.Target, digests: list[ids.ContentDigest]
-    ) -> None:
-        """Start a probe of a target whose response broke off.
+    def start_probe(self, target: registry_module.Target) -> None:
+        """Start a probe of a target whose responses broke off or stall.
 
-        ``digests`` are those of this entry's requests at the target. One
-        probe runs for each target incarnation.
+        One probe runs for each target incarnation.
         """
-        incarnation = (target.record.instance_id, target.record.started_at_ms)
-        if incarnation in self.probing:
+        key = target.crash_key
+        if key in self.probing:
             return
-        self.probing.add(incarnation)
-        task = asyncio.get_running_loop().create_task(
-            self.probe(target, [str(digest) for digest in digests])
-        )
+        self.probing.add(key)
+        target.probed_at = self.now
+        task = asyncio.get_running_loop().create_task(self.probe(target))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def probe(
-        self, target: registry_module.Target, digests: list[str]
+    def probe_silent_targets(
+        self, targets: collections.abc.Iterable[registry_module.Target]
     ) -> None:
-        """Report a crash if the target refuses a new connection."""
-        record = target.record
-        outcome = await probe_target(record.address)
-        self.probing.discard((record.instance_id, record.started_at_ms))
+        """Probe targets that owe responses but have sent no data for long."""
+        for target in targets:
+            if target.is_silent(self.now):
+                self.start_probe(target)
+
+    async def probe(self, target: registry_module.Target) -> None:
+        """Report a crash if the target accepts no new connection."""
+        outcome = await probe_target(target.record.address)
+        self.probing.discard(target.crash_key)
+        digests = target.list_unanswered(self.now)
         self.instruments.target_probes.labels(outcome.value).inc()
         self.log.write(
             "target_probed",
-            target=record.instance_id,
-            born_ms=record.started_at_ms,
+            target=target.record.instance_id,
+            born_ms=target.record.started_at_ms,
             outcome=outcome.value,
             suspects=digests[:MAX_LOGGED_DIGESTS],
             suspect_count=len(digests),
         )
-        if outcome is not ProbeOutcome.REFUSED:
+        if outcome is not ProbeOutcome.ACCEPTED and digests:
+            self.report_crash(target.record, digests, outcome.value)
+
+    def handle_announcement(
+        self, target: registry_module.Target, heard_at: float
+    ) -> None:
+        """Withdraw the crash of a target that still announces itself."""
+        key = target.crash_key
+        crash = self.ledger.crashes.get(key)
+        if crash is None or target.replaced:
             return
-        self.report_crash(record, digests, "refused")
+        if heard_at < crash.at + ANNOUNCEMENT_DELAY_S:
+            return
+        if self.ledger.withdraw(key, self.now):
+            self.log.write(
+                "crash_withdrawn",
+                target=key.target,
+                born_ms=key.started_at_ms,
+                sequence=target.record.sequence,
+            )
 
     def handle_replaced(self, target: registry_module.Target) -> None:
         """Report the crash of a target that has been replaced.
 
         Whatever a probe found, its end is certain now.
         """
-        record = target.record
-        self.ledger.reinstate(
-            crash_ledger.CrashKey(record.instance_id, record.started_at_ms)
-        )
+        self.ledger.reinstate(target.crash_key)
         digests = target.list_unanswered(self.now)
         if digests:
-            self.report_crash(record, digests, "replaced")
+            self.report_crash(target.record, digests, "replaced")
 
     def report_crash(
         self,
@@ -189,6 +210,6 @@
     except exchange.ConnectFailedError as error:
         if isinstance(error.__cause__, ConnectionRefusedError):
             return ProbeOutcome.REFUSED
-        return ProbeOutcome.TIMED_OUT
+        return ProbeOutcome.UNREACHABLE
     connection.abort()
     return ProbeOutcome.ACCEPTED
--- a/src/hemlockkeel/_internal/relay/process.py
+++ b/src/hemlockkeel/_internal/relay/process.py
@@ -214,6 +214,7 @@
             now = asyncio.get_running_loop().time()
             self.registry.advance_contact(now, self.has_control_majority())
             self.registry.expire(now)
+            self.crashes.probe_silent_targets(self.registry.targets.values())
             self.crashes.expire()
             self.connect_agents()
 
@@ -254,13 +255,26 @@
         """Merge announcements of targets and log changes of state."""
         changed = False
         for record, age_s in zip(message.records, message.ages_s, strict=True):
-            if not self.registry.merge(record, age_s):
+            changed_state = self.registry.merge(record, age_s)
+            self.handle_announcement(record, age_s)
+            if not changed_state:
                 continue
             changed = True
             self.log.write("target_state", **records.describe(record))
         if changed:
             self.connect_agents()
 
+    def handle_announcement(
+        self, record: records.TargetRecord, age_s: float
+    ) -> None:
+        """Notice that a target still runs, if an announcement is news."""
+        target = self.registry.targets.get(record.instance_id)
+        if target is None or target.record is not record:
+            return
+        if record.state is not records.TargetState.GONE:
+            heard_at = asyncio.get_running_loop().time() - age_s
+            self.crashes.handle_announcement(target, heard_at)
+
     def connect_agents(self) -> None:
         """Maintain a link to the agent of each engine."""
         targets = {
--- a/src/hemlockkeel/_internal/relay/target_registry.py
+++ b/src/hemlockkeel/_internal/relay/target_registry.py
@@ -8,6 +8,7 @@
 from hemlockkeel._internal.links import messages
 from hemlockkeel._internal.models import ids
 from hemlockkeel._internal.orders import backlog
+from hemlockkeel._internal.relay import crash_ledger
 from hemlockkeel._internal.relay import header_codec
 from hemlockkeel._internal.relay import pool
 from hemlockkeel._internal.relay import target_selection
@@ -37,6 +38,10 @@
 # A request that was lost this long before the target's last sign of life did
 # not end it. Shorter, it may have been queued there.
 LOST_QUEUE_S = 2.0
+# Time without any data, while responses are due, after which a target may have
+# ended. Entries have to know of a crash within three seconds; a probe takes up
+# to one more.
+SILENCE_S = 1.0
 # Share of a target's connection limit that all entries together may use.
 CONNECTION_SHARE = 0.9
 
@@ -59,8 +64,11 @@
     lost_at: dict[ids.ContentDigest, float] = dataclasses.field(
         default_factory=dict
     )
-    # Loop time of the last response data.
+    # Loop times of the last response data, of the first request since, and of
+    # the start of the last probe.
     heard_at: float = float("-inf")
+    asked_at: float = float("-inf")
+    probed_at: float = float("-inf")
     # Whether a later incarnation has taken its place.
     replaced: bool = False
     in_flight_prefill_tokens: int = 0
@@ -98,6 +106,30 @@
         age_s = now - self.failure_at
         return float(self.failure_share * 0.5 ** (age_s / FAILURE_HALF_LIFE_S))
 
+    @property
+    def crash_key(self) -> crash_ledger.CrashKey:
+        """Return the key under which a crash of it is known."""
+        return crash_ledger.CrashKey(
+            self.record.instance_id, self.record.started_at_ms
+        )
+
+    def record_sent(self, now: float) -> None:
+        """Record that a request is sent."""
+        if self.asked_at <= self.heard_at:
+            self.asked_at = now
+
+    def is_silent(self, now: float) -> bool:
+        """Return whether responses are due but no data has come for long.
+
+        This includes responses whose callers have left since the last probe.
+        """
+        if now - max(self.asked_at, self.heard_at, self.probed_at) < SILENCE_S:
+            return False
+        if self.digests:
+            return True
+        since = max(self.heard_at, self.probed_at)
+        return any(at > since for at in self.lost_at.values())
+
     def record_lost(self, digest: ids.ContentDigest, now: float) -> None:
         """Remember a request whose response did not arrive completely."""
         self.lost_at.pop(digest, None)
--- a/tests/functional/test_crashing_requests.py
+++ b/tests/functional/test_crashing_requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from hemlockkeel._internal.relay import crashes as crashes_module
 from tests.lib import ending_target
 from tests.lib import relay_fleet
 
@@ -109,6 +110,36 @@
         self.assertLessEqual(len(late), MAX_LATE_RUNS)
 
 
+class TestTargetsThatStillRun(CrashingRequestCase):
+    """Targets that only seem to have ended."""
+
+    async def test_requests_at_targets_that_were_cut_off_are_not_blamed(
+        self,
+    ) -> None:
+        crashes = self.entries[0].crashes
+        for number in range(MAX_CRASHES):
+            await self.start_targets(1, ending_target.EndMode.SILENT)
+            target = self.targets[number]
+            caller = asyncio.create_task(self.send(0, "once/slow"))
+            await self.wait_for(lambda t=target: t.server.received)
+            await target.end()
+            caller.cancel()
+            await self.wait_for(
+                lambda n=number: len(crashes.ledger.crashes) == n + 1
+            )
+        self.check_refused(await self.send(0, "once/slow"))
+        # The announcements are later than any that was on its way.
+        for crash in crashes.ledger.crashes.values():
+            crash.at -= 2 * crashes_module.ANNOUNCEMENT_DELAY_S
+        for target in self.targets:
+            target.send_announcement()
+        await self.wait_for(lambda: not crashes.ledger.list_crash_sets())
+        await self.start_targets(1, ending_target.EndMode.REFUSES)
+        self.targets[-1].released.set()
+        response = await self.send(0, "once/slow")
+        self.assertTrue(response.startswith(b"HTTP/1.1 200"), response)
+
+
 class TestHarmlessRequests(CrashingRequestCase):
     """Requests that were in progress beside a fatal one."""
 
