Keep crash reports and send them to entries and members that missed them

Callers saw an entry send on a request that other entries had quarantined.

Cause: a report was sent once, over the links that were up at that moment, and kept by nobody but the entries that got it. An entry that started later, whose link was down, or that reaches another control member than the reporter, never learned it. Class of fault: state spread by events alone, with nothing that brings a late or lost reader up to date.

Now control members keep the crashes in the same ledger, send them to an entry before its configuration, and forward what is new to each other; entries report theirs again on each new link. Reports are merged: repeated, late and reordered ones change nothing, and what has completed since goes with them.

--- a/src/hemlockkeel/_internal/coordinator/process.py
+++ b/src/hemlockkeel/_internal/coordinator/process.py
@@ -12,6 +12,7 @@
 from hemlockkeel._internal.consensus import messages as consensus_messages
 from hemlockkeel._internal.consensus import node
 from hemlockkeel._internal.coordinator import api
+from hemlockkeel._internal.coordinator import crash_reports
 from hemlockkeel._internal.coordinator import membership
 from hemlockkeel._internal.coordinator import replicated_state
 from hemlockkeel._internal.coordinator import sender
@@ -101,6 +102,9 @@
         self.registry = targets.TargetRegistry(
             self.replicated_state, self.subscribers, log
         )
+        self.crash_reports = crash_reports.CrashReports(
+            self.subscribers, self.peers
+        )
         self.sender.peers = self.peers
         self.sender.cluster_id = self.node.cluster_id
         self.api = http_service.HttpListener(self)
@@ -260,6 +264,7 @@
             )
             await asyncio.sleep(MEMBERS_INTERVAL_S)
             self.registry.table.expire(self.loop.time())
+            self.crash_reports.ledger.expire(self.loop.time())
 
     def get_limits(self) -> table.RequestLimits:
         return API_LIMITS
@@ -268,6 +273,9 @@
 
     def on_hello(self, peer: link.Link) -> None:
         self.log.write("link_up", role=peer.role, name=peer.name)
+        if peer.role == "entry":
+            # Before the configuration, without which it serves no request.
+            self.crash_reports.send_all(peer, self.loop.time())
         if peer.role != "control":
             self.subscribers.add(peer, self.registry.table, self.loop.time())
 
@@ -279,8 +287,10 @@
     ) -> None:
         if isinstance(message, messages.RaftBatch):
             self.handle_raft_batch(message)
-        elif isinstance(message, messages.CrashReport | messages.CrashCleared):
-            self.subscribers.send_to_entries(message)
+        elif isinstance(message, messages.CrashReport):
+            self.crash_reports.handle_report(message, self.loop.time())
+        elif isinstance(message, messages.CrashCleared):
+            self.crash_reports.handle_cleared(message)
         elif isinstance(message, messages.FetchConfiguration):
             peer.send(self.subscribers.configuration_update)
 
--- a/src/hemlockkeel/_internal/relay/crash_ledger.py
+++ b/src/hemlockkeel/_internal/discovery/crash_ledger.py
@@ -72,10 +72,12 @@
         key: CrashKey,
         digests: typing.Iterable[ids.ContentDigest],
         at: float,
+        cleared: typing.Iterable[ids.ContentDigest] = (),
     ) -> set[ids.ContentDigest]:
         """Add a crash, or requests to a known one.
 
-        Returns the requests for which it is new.
+        Requests in ``cleared`` have completed since. Returns the requests for
+        which the crash is new.
         """
         crash = self.crashes.get(key)
         if crash is None:
@@ -87,10 +89,10 @@
                 return set()
             crash.withdrawn_at = None
             crash.digests.clear()
+        crash.cleared |= set(cleared)
         added = set(digests) - crash.digests - crash.cleared
-        if added:
-            crash.digests |= added
-            self.suspicions = None
+        crash.digests = (crash.digests | added) - crash.cleared
+        self.suspicions = None
         return added
 
     def withdraw(self, key: CrashKey, at: float) -> bool:
--- a/src/hemlockkeel/_internal/links/messages.py
+++ b/src/hemlockkeel/_internal/links/messages.py
@@ -170,7 +170,8 @@
 class CrashReport(Message, frozen=True, tag=True, kw_only=True):
     """Reports a target that crashed while running requests.
 
-    Control members forward it to all entries. ``digests`` identify the
+    Control members keep it, send it to entries that connect later, and
+    forward what is new to all entries and members. ``digests`` identify the
     content of the requests, ``started_at_ms`` the start of the target that
     crashed.
     """
@@ -178,12 +179,16 @@
     target: str
     started_at_ms: int
     digests: list[str]
+    # Time since the crash was noticed, seconds.
+    age_s: float = 0.0
+    # Digests of requests that have completed since.
+    cleared: list[str] = []
 
 
 class CrashCleared(Message, frozen=True, tag=True, kw_only=True):
     """Reports that a request suspected of causing a crash has completed.
 
-    Control members forward it to all entries.
+    Control members forward it to all entries and members.
     """
 
     digest: str
--- a/src/hemlockkeel/_internal/relay/crashes.py
+++ b/src/hemlockkeel/_internal/relay/crashes.py
@@ -12,11 +12,13 @@
 import collections.abc
 import enum
 
+from hemlockkeel._internal.discovery import crash_ledger
 from hemlockkeel._internal.discovery import records
+from hemlockkeel._internal.links import crash_reports
 from hemlockkeel._internal.links import dialer
+from hemlockkeel._internal.links import link
 from hemlockkeel._internal.links import messages
 from hemlockkeel._internal.models import ids
-from hemlockkeel._internal.relay import crash_ledger
 from hemlockkeel._internal.relay import exchange
 from hemlockkeel._internal.relay import target_registry as registry_module
 from hemlockkeel._internal.utils import event_log
@@ -157,13 +159,18 @@
 
     def handle_report(self, report: messages.CrashReport) -> None:
         """Add a crash; what is known already changes nothing."""
-        key = crash_ledger.CrashKey(
-            records.InstanceId(report.target), report.started_at_ms
-        )
-        digests = [ids.ContentDigest(digest) for digest in report.digests]
-        added = self.ledger.merge(key, digests, self.now)
+        added = crash_reports.merge_report(self.ledger, report, self.now)
         for digest in sorted(added):
-            self.log_suspicion(digest, len(digests) - 1)
+            self.log_suspicion(digest, len(report.digests) - 1)
+
+    def send_all(self, peer: link.Link) -> None:
+        """Report all crashes to a control member that has connected.
+
+        It may have restarted, or the link may have been down when they were
+        noticed.
+        """
+        for report in crash_reports.list_reports(self.ledger, self.now):
+            peer.send(report)
 
     def log_suspicion(self, digest: ids.ContentDigest, beside: int) -> None:
         """Log the crashes that a request is suspected of."""
--- a/src/hemlockkeel/_internal/relay/process.py
+++ b/src/hemlockkeel/_internal/relay/process.py
@@ -61,7 +61,7 @@
         self.entry = entry
 
     def on_connected(self, address: str, peer: link.Link) -> None:
-        return
+        self.entry.crashes.send_all(peer)
 
     def on_message(
         self, address: str, peer: link.Link, message: messages.AnyMessage
--- a/src/hemlockkeel/_internal/relay/target_registry.py
+++ b/src/hemlockkeel/_internal/relay/target_registry.py
@@ -4,11 +4,11 @@
 import collections.abc
 import dataclasses
 
+from hemlockkeel._internal.discovery import crash_ledger
 from hemlockkeel._internal.discovery import records
 from hemlockkeel._internal.links import messages
 from hemlockkeel._internal.models import ids
 from hemlockkeel._internal.orders import backlog
-from hemlockkeel._internal.relay import crash_ledger
 from hemlockkeel._internal.relay import header_codec
 from hemlockkeel._internal.relay import pool
 from hemlockkeel._internal.relay import target_selection
--- a/tests/unit/test_crash_ledger.py
+++ b/tests/unit/test_crash_ledger.py
@@ -6,9 +6,9 @@
 from hypothesis import settings
 from hypothesis import strategies
 
+from hemlockkeel._internal.discovery import crash_ledger
 from hemlockkeel._internal.discovery import records
 from hemlockkeel._internal.models import ids
-from hemlockkeel._internal.relay import crash_ledger
 
 BAD = ids.ContentDigest("bad")
 GOOD = ids.ContentDigest("good")
