Clear a suspicion only by a successful response

Callers saw a request end more targets than the quarantine allows after a target had once answered it with 500.

Cause: any response that was forwarded counted as completion, also a failure. A failing target gives one without running the request. Class of fault: the end of an exchange taken for proof that its work was done.

Evidence: test_failed_response_does_not_clear_a_suspicion ended 5 targets before, 3 now.

--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -209,7 +209,7 @@
                 result.verdict is outcomes.Verdict.NOT_RUN
             ):
                 finished_response = response
-            if isinstance(result, results.Completed):
+            if isinstance(result, results.Completed) and response.successful:
                 shared.crashes.report_success(self.context.digest)
             return result
         except exchange.InvalidResponseError as error:
@@ -272,15 +272,18 @@
                 results.Cause.TARGET_REFUSED,
                 f"target rejected the request with status {response.status}",
             )
-        success = 200 <= response.status < 300
-        if success and response.metadata.sealed and response.is_event_stream:
+        if (
+            response.successful
+            and response.metadata.sealed
+            and response.is_event_stream
+        ):
             return await self.relay_stream(
                 connection, response, pending_prefill
             )
         body = await exchange.read_body(connection)
         pending_prefill.complete()
         self.target.record_result(response.status >= 500, self.context.now)
-        if success and not response.metadata.sealed:
+        if response.successful and not response.metadata.sealed:
             return self.fail_unacceptable_response(
                 "successful response is not sealed"
             )
--- a/src/hemlockkeel/_internal/relay/exchange.py
+++ b/src/hemlockkeel/_internal/relay/exchange.py
@@ -45,6 +45,11 @@
         ]
         self.metadata = metadata
 
+    @property
+    def successful(self) -> bool:
+        """Return whether the status states success."""
+        return 200 <= self.status < 300
+
     @property
     def is_event_stream(self) -> bool:
         """Return whether the body is a stream of server-sent events."""
