Decide on a quarantine before each send, not only on arrival

Callers saw one request end as many targets as its route allows attempts.

Cause: the quarantine was looked up once, when a request arrived. Its later attempts, copies that waited for an adapter or a connection, and copies that targets had queued went on. Class of fault: a check that is not repeated where it takes effect.

Now it is looked up right before each send; a retry waits up to 50 ms for the probe of the target that lost the response, which is refused within a round trip if nothing listens there; and a request that becomes quarantined is aborted wherever it is in progress, as targets drop what they have queued.

--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -5,6 +5,7 @@
 from hemlockkeel._internal.links import link
 from hemlockkeel._internal.links import messages
 from hemlockkeel._internal.models import outcomes
+from hemlockkeel._internal.relay import crashes
 from hemlockkeel._internal.relay import events
 from hemlockkeel._internal.relay import exchange
 from hemlockkeel._internal.relay import header_codec
@@ -136,6 +137,11 @@
         if time_left_s < waits.MIN_USEFUL_S:
             target.pool.discard(connection)
             return self.fail_unsent(results.Cause.DEADLINE, "no time left")
+        if self.context.shared.crashes.is_quarantined(self.context.digest):
+            target.pool.discard(connection)
+            return self.fail_unsent(
+                results.Cause.QUARANTINED, crashes.QUARANTINE_REASON
+            )
         return await self.perform_exchange(
             connection, self.make_forwarding_metadata(time_left_s, version)
         )
@@ -185,6 +191,7 @@
             outcomes.Verdict.MAY_HAVE_RUN,
         )
         self.context.sends += 1
+        shared.crashes.add_copy(self.context.digest, connection)
         try:
             connection.send(
                 self.context.request.method,
@@ -231,6 +238,7 @@
             )
         finally:
             pending_prefill.complete()
+            shared.crashes.remove_copy(self.context.digest, connection)
             target.in_flight -= 1
             target.digests -= collections.Counter([self.context.digest])
             if finished_response is not None:
--- a/src/hemlockkeel/_internal/relay/crashes.py
+++ b/src/hemlockkeel/_internal/relay/crashes.py
@@ -25,6 +25,10 @@
 from hemlockkeel._internal.utils import instruments
 
 MAX_LOGGED_DIGESTS = 8
+# How long a retry waits for the probe of the target that lost the response: a
+# refused connection is reported within the time of a round trip.
+PROBE_WAIT_S = 0.05
+QUARANTINE_REASON = "request is quarantined because it crashed targets"
 # Announcements may arrive this late, so that one that is received sooner after
 # a crash does not show that the target still runs.
 ANNOUNCEMENT_DELAY_S = 3.0
@@ -54,8 +58,11 @@
         self.log = log
         self.instruments = metrics
         self.ledger = crash_ledger.CrashLedger()
-        self.probing: set[crash_ledger.CrashKey] = set()
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.probes: dict[crash_ledger.CrashKey, asyncio.Task[None]] = {}
+        # Connections on which requests are in progress, by content digest.
+        self.copies: dict[
+            ids.ContentDigest, set[exchange.TargetConnection]
+        ] = {}
 
     @property
     def now(self) -> float:
@@ -68,19 +75,47 @@
             self.ledger.get_suspicion(digest) is crash_ledger.Suspicion.BLAMED
         )
 
+    def add_copy(
+        self, digest: ids.ContentDigest, connection: exchange.TargetConnection
+    ) -> None:
+        """Record that a request is in progress on a connection."""
+        self.copies.setdefault(digest, set()).add(connection)
+
+    def remove_copy(
+        self, digest: ids.ContentDigest, connection: exchange.TargetConnection
+    ) -> None:
+        """Record the end of an exchange."""
+        copies = self.copies[digest]
+        copies.discard(connection)
+        if not copies:
+            del self.copies[digest]
+
+    def abort_copies(self, digest: ids.ContentDigest) -> None:
+        """Abort a request wherever it is in progress.
+
+        A target may have queued it, and drops it if the connection closes.
+        """
+        for connection in self.copies.get(digest, ()):
+            connection.abort()
+
     def start_probe(self, target: registry_module.Target) -> None:
         """Start a probe of a target whose responses broke off or stall.
 
         One probe runs for each target incarnation.
         """
         key = target.crash_key
-        if key in self.probing:
+        if key in self.probes:
             return
-        self.probing.add(key)
         target.probed_at = self.now
         task = asyncio.get_running_loop().create_task(self.probe(target))
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        self.probes[key] = task
+        task.add_done_callback(lambda _: self.probes.pop(key, None))
+
+    async def wait_for_probe(self, target: registry_module.Target) -> None:
+        """Wait for the outcome of a target's probe, if one runs."""
+        task = self.probes.get(target.crash_key)
+        if task is not None:
+            await asyncio.wait([task], timeout=PROBE_WAIT_S)
 
     def probe_silent_targets(
         self, targets: collections.abc.Iterable[registry_module.Target]
@@ -93,7 +128,6 @@
     async def probe(self, target: registry_module.Target) -> None:
         """Report a crash if the target accepts no new connection."""
         outcome = await probe_target(target.record.address)
-        self.probing.discard(target.crash_key)
         digests = target.list_unanswered(self.now)
         self.instruments.target_probes.labels(outcome.value).inc()
         self.log.write(
@@ -162,6 +196,8 @@
         added = crash_reports.merge_report(self.ledger, report, self.now)
         for digest in sorted(added):
             self.log_suspicion(digest, len(report.digests) - 1)
+            if self.is_quarantined(digest):
+                self.abort_copies(digest)
 
     def send_all(self, peer: link.Link) -> None:
         """Report all crashes to a control member that has connected.
--- a/src/hemlockkeel/_internal/relay/forwarder.py
+++ b/src/hemlockkeel/_internal/relay/forwarder.py
@@ -11,6 +11,7 @@
 from hemlockkeel._internal.models import outcomes
 from hemlockkeel._internal.relay import attempt
 from hemlockkeel._internal.relay import caller
+from hemlockkeel._internal.relay import crashes
 from hemlockkeel._internal.relay import request_context
 from hemlockkeel._internal.relay import results
 from hemlockkeel._internal.relay import shared_state
@@ -84,7 +85,7 @@
         if self.shared.crashes.is_quarantined(self.context.digest):
             self.context.refuse(
                 results.Cause.QUARANTINED,
-                "request is quarantined because it crashed targets",
+                crashes.QUARANTINE_REASON,
             )
             return
         try:
@@ -149,6 +150,7 @@
             if not self.should_try_another(route, result):
                 self.send_final_response(None)
                 return
+            await self.shared.crashes.wait_for_probe(target)
 
     def make_requirements(self) -> target_selection.Requirements:
         """Return what the request requires of a target."""
@@ -219,6 +221,8 @@
             return route.resumable
         if isinstance(result, results.BufferedResponse):
             return route.idempotent
+        if result.cause is results.Cause.QUARANTINED:
+            return False
         if not result.sent:
             self.unsent_attempts += 1
             return self.unsent_attempts < MAX_UNSENT_ATTEMPTS
--- a/tests/functional/test_crashing_requests.py
+++ b/tests/functional/test_crashing_requests.py
@@ -2,7 +2,9 @@
 
 import asyncio
 
+from hemlockkeel._internal.links import messages
 from hemlockkeel._internal.relay import crashes as crashes_module
+from hemlockkeel._internal.utils import digests
 from tests.lib import ending_target
 from tests.lib import relay_fleet
 
@@ -188,6 +190,26 @@
         await self.send_fatal(0, "idempotent")
         self.assertLessEqual(len(self.list_fatal_runs()), MAX_CRASHES)
 
+    async def test_copy_in_progress_is_aborted_by_the_quarantine(self) -> None:
+        await self.start_targets(
+            1, ending_target.EndMode.REFUSES, run_s=relay_fleet.WAIT_S
+        )
+        target = self.targets[0]
+        copy = asyncio.create_task(self.send(0, "once/fatal"))
+        await self.wait_for(lambda: target.fatal_runs)
+        digest = digests.digest_content(b"POST", b"/once/fatal", b"")
+        for number in range(MAX_CRASHES):
+            self.entries[1].crashes.broadcast(
+                messages.CrashReport(
+                    target=f"other-{number}",
+                    started_at_ms=1,
+                    digests=[digest],
+                )
+            )
+        async with asyncio.timeout(CONTACT_S):
+            response = await copy
+        self.assertTrue(response.startswith(b"HTTP/1.1 502"), response)
+
     async def test_callers_that_repeat_at_once_end_few_targets(self) -> None:
         await self.start_targets(
             2 * TARGET_COUNT, ending_target.EndMode.REFUSES, run_s=0.05
--- a/tests/functional/test_relay.py
+++ b/tests/functional/test_relay.py
@@ -372,7 +372,7 @@
     async def send_crashing_request(self) -> bytes:
         """Send the request and wait for the probe of the target."""
         response = await self.send_request("once", b"poison")
-        while self.entry.crashes.tasks:
+        while self.entry.crashes.probes:
             await asyncio.sleep(0)
         return response
 
--- a/tests/lib/relay_fleet.py
+++ b/tests/lib/relay_fleet.py
@@ -234,7 +234,7 @@
     async def settle(self) -> None:
         """Wait until the entries have probed and reported."""
         await self.wait_for(
-            lambda: not any(entry.crashes.tasks for entry in self.entries)
+            lambda: not any(entry.crashes.probes for entry in self.entries)
         )
         await asyncio.sleep(0.05)
 
