Try suspected requests one at a time and apart from each other

Callers saw a harmless request fail each time, because it was sent beside a fatal one again and again; and a request that callers repeated at once end 97 target incarnations in 6 s, before the first target had announced its return.

Cause: a suspect was sent like any other request. Two that had been in progress at one crash were both sent to the target with the least load, and any number of copies went out while the news of the crashes was on its way. Class of fault: suspicion that changes nothing until it is proof.

Now a suspect has one copy in progress at an entry, prefers targets without another suspect, and needs one once the next crash decides. Requests at exactly the same crashes are tried one after the other, each entry after a random time. A request that was lost three times within 3 s waits until the news must have arrived. All others are refused as not run, with a time to come back.

--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -5,7 +5,6 @@
 from hemlockkeel._internal.links import link
 from hemlockkeel._internal.links import messages
 from hemlockkeel._internal.models import outcomes
-from hemlockkeel._internal.relay import crashes
 from hemlockkeel._internal.relay import events
 from hemlockkeel._internal.relay import exchange
 from hemlockkeel._internal.relay import header_codec
@@ -137,11 +136,11 @@
         if time_left_s < waits.MIN_USEFUL_S:
             target.pool.discard(connection)
             return self.fail_unsent(results.Cause.DEADLINE, "no time left")
-        if self.context.shared.crashes.is_quarantined(self.context.digest):
+        hold = self.context.shared.crashes.find_hold(self.context.digest)
+        if hold is not None:
             target.pool.discard(connection)
-            return self.fail_unsent(
-                results.Cause.QUARANTINED, crashes.QUARANTINE_REASON
-            )
+            self.context.record_expected_wait(hold.wait_s)
+            return self.fail_unsent(hold.cause, hold.reason)
         return await self.perform_exchange(
             connection, self.make_forwarding_metadata(time_left_s, version)
         )
@@ -221,7 +220,7 @@
             return result
         except exchange.InvalidResponseError as error:
             target.record_result(True, self.context.now)
-            shared.crashes.start_probe(target)
+            shared.crashes.record_broken(target, self.context.digest)
             shared.instruments.attempts.labels("broken").inc()
             self.context.log_event(
                 "answer_broken",
--- a/src/hemlockkeel/_internal/relay/crashes.py
+++ b/src/hemlockkeel/_internal/relay/crashes.py
@@ -9,8 +9,11 @@
 """
 
 import asyncio
+import collections
 import collections.abc
 import enum
+import random
+import typing
 
 from hemlockkeel._internal.discovery import crash_ledger
 from hemlockkeel._internal.discovery import records
@@ -20,6 +23,7 @@
 from hemlockkeel._internal.links import messages
 from hemlockkeel._internal.models import ids
 from hemlockkeel._internal.relay import exchange
+from hemlockkeel._internal.relay import suspect_admission
 from hemlockkeel._internal.relay import target_registry as registry_module
 from hemlockkeel._internal.utils import event_log
 from hemlockkeel._internal.utils import instruments
@@ -28,7 +32,8 @@
 # How long a retry waits for the probe of the target that lost the response: a
 # refused connection is reported within the time of a round trip.
 PROBE_WAIT_S = 0.05
-QUARANTINE_REASON = "request is quarantined because it crashed targets"
+# Requests whose lost responses or trials are remembered.
+MAX_REMEMBERED = 4096
 # Announcements may arrive this late, so that one that is received sooner after
 # a crash does not show that the target still runs.
 ANNOUNCEMENT_DELAY_S = 3.0
@@ -53,16 +58,26 @@
         control: dialer.DialerSet,
         log: event_log.EventLog,
         metrics: instruments.Instruments,
+        rng: random.Random,
     ) -> None:
         self.control = control
         self.log = log
         self.instruments = metrics
+        self.rng = rng
         self.ledger = crash_ledger.CrashLedger()
         self.probes: dict[crash_ledger.CrashKey, asyncio.Task[None]] = {}
         # Connections on which requests are in progress, by content digest.
         self.copies: dict[
             ids.ContentDigest, set[exchange.TargetConnection]
         ] = {}
+        # Loop times of broken responses, by content digest.
+        self.losses: collections.OrderedDict[
+            ids.ContentDigest, collections.deque[float]
+        ] = collections.OrderedDict()
+        # Delays of contested requests, by digest and number of crashes.
+        self.trial_delays_s: collections.OrderedDict[
+            tuple[ids.ContentDigest, int], float
+        ] = collections.OrderedDict()
 
     @property
     def now(self) -> float:
@@ -75,6 +90,88 @@
             self.ledger.get_suspicion(digest) is crash_ledger.Suspicion.BLAMED
         )
 
+    def find_hold(
+        self, digest: ids.ContentDigest
+    ) -> suspect_admission.Hold | None:
+        """Return why a request must not be sent on now; None if it may be."""
+        suspicion = self.ledger.get_suspicion(digest)
+        losses = tuple(self.losses.get(digest, ()))
+        if suspicion is crash_ledger.Suspicion.NONE and not losses:
+            return None
+        crashes = self.ledger.list_crashes(digest)
+        state = suspect_admission.SuspectState(
+            suspicion,
+            max((crash.at for crash in crashes), default=0.0),
+            len(self.copies.get(digest, ())),
+            any(
+                self.ledger.get_suspicion(other)
+                is crash_ledger.Suspicion.CONTESTED
+                for other in self.copies
+                if other != digest
+            ),
+            losses,
+        )
+        delay_s = self.get_trial_delay_s(digest, len(crashes))
+        return suspect_admission.find_hold(state, delay_s, self.now)
+
+    def get_trial_delay_s(
+        self, digest: ids.ContentDigest, crashes: int
+    ) -> float:
+        """Return this entry's delay before it sends a contested request.
+
+        It is drawn once after each crash.
+        """
+        key = digest, crashes
+        if key not in self.trial_delays_s:
+            self.trial_delays_s[key] = self.rng.uniform(
+                *suspect_admission.TRIAL_DELAY_S
+            )
+            drop_oldest(self.trial_delays_s)
+        return self.trial_delays_s[key]
+
+    def find_shared_targets(
+        self,
+        digest: ids.ContentDigest,
+        targets: collections.abc.Iterable[registry_module.Target],
+    ) -> set[records.InstanceId]:
+        """Return the targets at which a request would be beside a suspect.
+
+        This is empty for a request that is not suspected itself.
+        """
+        if self.ledger.get_suspicion(digest) is crash_ledger.Suspicion.NONE:
+            return set()
+        return {
+            target.record.instance_id
+            for target in targets
+            if any(
+                self.ledger.get_suspicion(other)
+                for other in target.digests
+                if other != digest
+            )
+        }
+
+    def must_be_separate(self, digest: ids.ContentDigest) -> bool:
+        """Return whether the next crash decides about a request.
+
+        It then runs only where no other suspect does, so that a harmless one
+        does not share all crashes of the one to blame.
+        """
+        crashes = len(self.ledger.list_crashes(digest))
+        return crashes >= crash_ledger.BLAME_CRASHES - 1
+
+    def record_broken(
+        self, target: registry_module.Target, digest: ids.ContentDigest
+    ) -> None:
+        """Record a response that broke off, and probe its target."""
+        losses = self.losses.setdefault(
+            digest,
+            collections.deque(maxlen=suspect_admission.MAX_RECENT_LOSSES),
+        )
+        losses.append(self.now)
+        self.losses.move_to_end(digest)
+        drop_oldest(self.losses)
+        self.start_probe(target)
+
     def add_copy(
         self, digest: ids.ContentDigest, connection: exchange.TargetConnection
     ) -> None:
@@ -246,6 +343,14 @@
         self.ledger.expire(self.now)
 
 
+def drop_oldest(
+    remembered: collections.OrderedDict[typing.Any, typing.Any],
+) -> None:
+    """Limit the number of requests that are remembered."""
+    while len(remembered) > MAX_REMEMBERED:
+        remembered.popitem(last=False)
+
+
 async def probe_target(address: str) -> ProbeOutcome:
     """Open a connection to a target and close it."""
     try:
--- a/src/hemlockkeel/_internal/relay/forwarder.py
+++ b/src/hemlockkeel/_internal/relay/forwarder.py
@@ -11,7 +11,6 @@
 from hemlockkeel._internal.models import outcomes
 from hemlockkeel._internal.relay import attempt
 from hemlockkeel._internal.relay import caller
-from hemlockkeel._internal.relay import crashes
 from hemlockkeel._internal.relay import request_context
 from hemlockkeel._internal.relay import results
 from hemlockkeel._internal.relay import shared_state
@@ -23,6 +22,8 @@
 # Targets respond at the deadline themselves. The entry waits this much longer
 # for their response before it responds itself.
 DEADLINE_GRACE_S = 0.1
+# Causes for which no other target would be better.
+HELD_CAUSES = frozenset({results.Cause.QUARANTINED, results.Cause.SUSPECTED})
 # A request is refused after this many attempts that failed before it was sent.
 MAX_UNSENT_ATTEMPTS = 4
 
@@ -42,6 +43,8 @@
         )
         self.tried_targets: set[records.InstanceId] = set()
         self.unsent_attempts = 0
+        # Whether targets were left out because of suspected requests there.
+        self.held_back = False
         self.last_result: (
             results.AttemptFailed
             | results.BufferedResponse
@@ -82,11 +85,10 @@
             self.context.route.choose_service(self.shared.rng)
         ]
         self.shared.get_budget(service.name).record_request(self.context.now)
-        if self.shared.crashes.is_quarantined(self.context.digest):
-            self.context.refuse(
-                results.Cause.QUARANTINED,
-                crashes.QUARANTINE_REASON,
-            )
+        hold = self.shared.crashes.find_hold(self.context.digest)
+        if hold is not None:
+            self.context.record_expected_wait(hold.wait_s)
+            self.context.refuse(hold.cause, hold.reason)
             return
         try:
             async with asyncio.timeout_at(
@@ -131,8 +133,7 @@
                 self.send_final_response(
                     results.AttemptFailed(
                         outcomes.Verdict.NOT_RUN,
-                        results.Cause.NO_TARGET,
-                        "no target left",
+                        *self.explain_no_target(),
                         sent=False,
                     )
                 )
@@ -173,6 +174,7 @@
             self.context.now,
             self.tried_targets,
         )
+        candidates = self.separate_suspects(candidates)
         requirements = self.make_requirements()
         chosen = target_selection.select_target(
             requirements, candidates, shared.rng
@@ -196,6 +198,33 @@
         )
         return shared.registry.targets[chosen.record.instance_id]
 
+    def separate_suspects(
+        self, candidates: list[target_selection.Candidate]
+    ) -> list[target_selection.Candidate]:
+        """Leave out targets that run a suspected request, for another one."""
+        crashes = self.shared.crashes
+        shared_ids = crashes.find_shared_targets(
+            self.context.digest, self.shared.registry.targets.values()
+        )
+        separate = [
+            candidate
+            for candidate in candidates
+            if candidate.record.instance_id not in shared_ids
+        ]
+        if separate or not crashes.must_be_separate(self.context.digest):
+            return separate or candidates
+        self.held_back = bool(candidates)
+        return []
+
+    def explain_no_target(self) -> tuple[results.Cause, str]:
+        """Return why no target could be selected."""
+        if self.held_back:
+            return (
+                results.Cause.SUSPECTED,
+                "all targets run other requests that may crash them",
+            )
+        return results.Cause.NO_TARGET, "no target left"
+
     def may_retry(self, route: table.Route, service: table.Service) -> bool:
         """Return whether attempts, time and retry budget allow a retry."""
         if self.context.sends >= route.max_attempts:
@@ -221,7 +250,7 @@
             return route.resumable
         if isinstance(result, results.BufferedResponse):
             return route.idempotent
-        if result.cause is results.Cause.QUARANTINED:
+        if result.cause in HELD_CAUSES:
             return False
         if not result.sent:
             self.unsent_attempts += 1
--- a/src/hemlockkeel/_internal/relay/process.py
+++ b/src/hemlockkeel/_internal/relay/process.py
@@ -142,7 +142,7 @@
             hello, ControlListener(self), log
         )
         self.crashes = crashes.CrashMonitor(
-            self.control_links, log, self.instruments
+            self.control_links, log, self.instruments, random.Random()
         )
         self.registry.on_crashed = self.crashes.handle_replaced
         self.agent_listener = AgentListener(self)
--- a/src/hemlockkeel/_internal/relay/results.py
+++ b/src/hemlockkeel/_internal/relay/results.py
@@ -23,6 +23,7 @@
     BAD_ANSWER = "bad_answer"
     DEADLINE = "deadline"
     QUARANTINED = "quarantined"
+    SUSPECTED = "suspected"
     STOPPING = "stopping"
 
 
--- /dev/null
+++ b/src/hemlockkeel/_internal/relay/suspect_admission.py
@@ -0,0 +1,88 @@
+"""Whether a request that may crash targets is sent on now.
+
+Written for callers that repeat a fatal request at once and at several entries,
+beside harmless requests that were in progress at the same crashes. The
+functions have no side effects; times are loop times in seconds.
+"""
+
+import dataclasses
+
+from hemlockkeel._internal.discovery import crash_ledger
+from hemlockkeel._internal.relay import results
+
+# A request that was lost this often within the time is held back: the news
+# that its targets have returned may still be on its way.
+MAX_RECENT_LOSSES = 3
+LOSS_WINDOW_S = 3.0
+# Bounds of the time from a crash until an entry sends a contested request
+# again. Random, so that one entry is the first and the others learn the
+# outcome.
+TRIAL_DELAY_S = (0.5, 4.0)
+
+
+@dataclasses.dataclass(frozen=True)
+class Hold:
+    """Why a request is not sent on."""
+
+    cause: results.Cause
+    reason: str
+    # Time after which it may be sent, if known; otherwise 0. Seconds.
+    wait_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class SuspectState:
+    """What an entry knows of one request."""
+
+    suspicion: crash_ledger.Suspicion
+    # Time of the last crash at which it was in progress.
+    last_crash_at: float
+    # How often it is in progress through this entry.
+    copies: int
+    # Whether another contested request is in progress through this entry.
+    other_contested: bool
+    # Times of its latest lost responses at this entry, in order.
+    losses: tuple[float, ...]
+
+
+def find_hold(
+    state: SuspectState, trial_delay_s: float, now: float
+) -> Hold | None:
+    """Return why a request must not be sent on now; None if it may be.
+
+    ``trial_delay_s`` is this entry's draw from `TRIAL_DELAY_S`.
+    """
+    if state.suspicion is crash_ledger.Suspicion.BLAMED:
+        return Hold(
+            results.Cause.QUARANTINED,
+            "request is quarantined because it crashed targets",
+        )
+    recent = [at for at in state.losses if at > now - LOSS_WINDOW_S]
+    if len(recent) >= MAX_RECENT_LOSSES:
+        return Hold(
+            results.Cause.SUSPECTED,
+            "several targets lost this request a moment ago",
+            recent[-MAX_RECENT_LOSSES] + LOSS_WINDOW_S - now,
+        )
+    if state.suspicion is crash_ledger.Suspicion.NONE:
+        return None
+    if state.copies:
+        return Hold(
+            results.Cause.SUSPECTED,
+            "a target crashed with this request, and a copy is in progress",
+        )
+    if state.suspicion is crash_ledger.Suspicion.SUSPECTED:
+        return None
+    if state.other_contested:
+        return Hold(
+            results.Cause.SUSPECTED,
+            "another request that may have crashed targets is in progress",
+        )
+    wait_s = state.last_crash_at + trial_delay_s - now
+    if wait_s > 0.0:
+        return Hold(
+            results.Cause.SUSPECTED,
+            "targets crashed with this request or another one",
+            wait_s,
+        )
+    return None
--- a/tests/functional/test_crashing_requests.py
+++ b/tests/functional/test_crashing_requests.py
@@ -164,6 +164,34 @@
         response = await self.send(1, "once/slow", b"h")
         self.assertTrue(response.startswith(b"HTTP/1.1 200"), response)
 
+    async def test_harmless_request_at_another_entry_is_served(self) -> None:
+        await self.start_targets(1, ending_target.EndMode.RETURNS, run_s=0.05)
+        target = self.targets[0]
+        for number in range(MAX_CRASHES):
+            harmless = asyncio.create_task(self.send(0, "once/slow"))
+            await self.wait_for(
+                lambda n=number: len(target.server.received) == 2 * n + 1
+            )
+            await self.send_fatal(1)
+            await harmless
+            await self.wait_for(
+                lambda n=number: all(
+                    len(entry.crashes.ledger.crashes) == n + 1
+                    for entry in self.entries
+                )
+            )
+        target.released.set()
+        responses = [b""]
+        while not responses[-1].startswith(b"HTTP/1.1 200"):
+            responses.append(await self.send(0, "once/slow"))
+            await self.send_fatal(1)
+        for response in responses[1:-1]:
+            self.check_refused(response)
+        self.check_refused(await self.send_fatal(1))
+        self.assertLessEqual(
+            len(self.list_fatal_runs()), MAX_CRASHES + MAX_LATE_RUNS
+        )
+
     async def test_failed_response_does_not_clear_a_suspicion(self) -> None:
         await self.start_targets(TARGET_COUNT, ending_target.EndMode.REFUSES)
         for _ in range(2):
@@ -190,6 +218,22 @@
         await self.send_fatal(0, "idempotent")
         self.assertLessEqual(len(self.list_fatal_runs()), MAX_CRASHES)
 
+    async def test_repeats_before_the_return_is_announced_end_few_targets(
+        self,
+    ) -> None:
+        await self.start_targets(
+            4, ending_target.EndMode.RETURNS, announcement_delay_s=1.0
+        )
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + 2 * CONTACT_S
+        while loop.time() < ends_at:
+            for number in range(len(self.entries)):
+                await self.send(number, "once/fatal")
+        # Before the first announcement, each entry counts its own losses.
+        self.assertLessEqual(
+            len(self.list_fatal_runs()), MAX_CRASHES * len(self.entries)
+        )
+
     async def test_copy_in_progress_is_aborted_by_the_quarantine(self) -> None:
         await self.start_targets(
             1, ending_target.EndMode.REFUSES, run_s=relay_fleet.WAIT_S
