Send an agent's crash report until control has answered

While control had no leader the report was lost, the crash was not counted, and a fatal request went on to another target.

Now the report is repeated in the background; control counts it once. Runs still wait at most a second for it.

--- a/src/hemlockkeel/_internal/agent/crashes.py
+++ b/src/hemlockkeel/_internal/agent/crashes.py
@@ -1,6 +1,6 @@
-"""Reports an engine's crash to control, with the requests that were running.
+"""Reports a target's crash to control, with the requests that were running.
 
-All requests in the batch of a crashed engine are suspected of the crash.
+All requests that were running at a crash are suspected of it.
 """
 
 import concurrent.futures
@@ -13,14 +13,17 @@
 from hemlockkeel._internal.utils import logs
 
 REPORT_TIMEOUT_S = 1.0
+# Pause before a report that control did not answer is sent again.
+RETRY_INTERVAL_S = 0.5
 MAX_KNOWN_BOOTS = 64
 
 
 class CrashReporter:
-    """Commits at most one crash report per boot of the engine.
+    """Commits one crash report per boot of the target.
 
     Failed runs wait for the report, so that a request is already suspected
-    when its caller retries it.
+    when its caller retries it. While control does not answer, the report is
+    sent again in the background.
     """
 
     def __init__(
@@ -30,23 +33,29 @@
         self.target_id = target_id
         self.lock = threading.Lock()
         self.reports: dict[str, concurrent.futures.Future[None]] = {}
+        self.stopping = threading.Event()
+        self.executor = concurrent.futures.ThreadPoolExecutor(
+            1, "crash-report"
+        )
 
     def report(self, boot_id: str, digests: list[str]) -> None:
         """Report the crash of a boot, or wait for its report in progress."""
         with self.lock:
             future = self.reports.get(boot_id)
-            first = future is None
-            if future is None:
-                future = concurrent.futures.Future()
+            if future is None and not self.stopping.is_set():
+                future = self.executor.submit(
+                    self.commit_report, boot_id, digests
+                )
                 self.reports[boot_id] = future
                 self.drop_oldest_reports()
-        if not first:
+        if future is not None:
             concurrent.futures.wait([future], REPORT_TIMEOUT_S)
-            return
-        try:
-            self.commit_report(boot_id, digests)
-        finally:
-            future.set_result(None)
+
+    def stop(self) -> None:
+        """Stop; reports that control has not answered are lost."""
+        with self.lock:
+            self.stopping.set()
+        self.executor.shutdown(wait=False, cancel_futures=True)
 
     def drop_oldest_reports(self) -> None:
         """Limit the number of boots that are remembered."""
@@ -54,7 +63,10 @@
             self.reports.pop(next(iter(self.reports)))
 
     def commit_report(self, boot_id: str, digests: list[str]) -> None:
-        """Commit a crash report; if that fails, the crash is not counted."""
+        """Commit a crash report; repeat it until control answers.
+
+        Control counts a report that it receives twice only once.
+        """
         logs.log_event(
             "engine_crashed",
             target=self.target_id,
@@ -63,17 +75,21 @@
         )
         if not digests:
             return
-        try:
-            self.control.propose(
-                commands.ReportCrash(
-                    target_id=self.target_id,
-                    boot_id=boot_id,
-                    digests=digests,
-                ),
-                REPORT_TIMEOUT_S,
-            )
-        except (exceptions.ControlUnavailableError, ttypes.RpcFault) as error:
-            logs.log_error("crash_report_lost", reason=error)
+        command = commands.ReportCrash(
+            target_id=self.target_id, boot_id=boot_id, digests=digests
+        )
+        while True:
+            try:
+                self.control.propose(command, REPORT_TIMEOUT_S)
+                return
+            except ttypes.RpcFault as error:
+                logs.log_error("crash_report_lost", reason=error)
+                return
+            except exceptions.ControlUnavailableError as error:
+                logs.log_error("crash_report_delayed", reason=error)
+            if self.stopping.wait(RETRY_INTERVAL_S):
+                logs.log_error("crash_report_lost", reason="agent stopping")
+                return
 
     def clear_suspicion(self, digest: str) -> None:
         """Commit that a suspected request ran without a crash.
--- a/src/hemlockkeel/_internal/agent/engine_driver.py
+++ b/src/hemlockkeel/_internal/agent/engine_driver.py
@@ -137,6 +137,7 @@
         self.loader_wakeup.set()
         if self.monitor.is_alive():
             self.monitor.join(2.0)
+        self.reporter.stop()
         self.executor.shutdown(wait=False, cancel_futures=True)
 
     # Work
