Look up quarantine and suspicion when queued work starts, at agents

An agent looked up a request's digest once, when its order arrived. An order that was queued while its content became suspected ran beside others, so that its crash blamed nobody; one whose content became quarantined ran and ended the engine.

Now queued work is checked each time that work is started.

--- a/src/hemlockkeel/_internal/agent/engine_driver.py
+++ b/src/hemlockkeel/_internal/agent/engine_driver.py
@@ -175,15 +175,27 @@
     def schedule(self) -> None:
         """Start the queued work that can run now, and wake the loader.
 
-        Work past its deadline is refused. Work that is preempted, so that
+        Work past its deadline is refused, as is work whose content has been
+        quarantined while it was queued. Work that is preempted, so that
         starving work gets its adapter's slot, is refused as well; entries
         retry it on another target.
         """
         now = time.monotonic()
+        catalog = self.follower.catalog
+        wall = time.time()
         with self.lock:
+            quarantined = self.scheduler.take_quarantined(
+                lambda digest: catalog.is_quarantined(digest, wall)
+            )
+            self.scheduler.mark_suspects(catalog.is_suspect)
             expired = self.scheduler.take_expired(now)
             started = self.scheduler.start_ready(now)
             preempted = self.scheduler.preempt_for_starving(now)
+        self.fail_queued(
+            quarantined,
+            outcomes.RefusalCode.QUARANTINED,
+            "requests with the same content crashed several targets",
+        )
         self.fail_queued(
             expired,
             outcomes.RefusalCode.DEADLINE,
--- a/src/hemlockkeel/_internal/policy/scheduler.py
+++ b/src/hemlockkeel/_internal/policy/scheduler.py
@@ -7,6 +7,7 @@
 request ends exactly once.
 """
 
+import collections.abc
 import dataclasses
 import enum
 
@@ -169,6 +170,29 @@
             self.queue = [w for w in self.queue if w.deadline > now]
         return expired
 
+    def take_quarantined(
+        self, is_quarantined: collections.abc.Callable[[str], bool]
+    ) -> list[WorkItem]:
+        """Remove and return queued requests that are quarantined by now.
+
+        ``is_quarantined`` tells it by a request's digest.
+        """
+        taken = [work for work in self.queue if is_quarantined(work.digest)]
+        if taken:
+            self.queue = [work for work in self.queue if work not in taken]
+        return taken
+
+    def mark_suspects(
+        self, is_suspect: collections.abc.Callable[[str], bool]
+    ) -> None:
+        """Mark queued requests that are suspected by now."""
+        self.queue = [
+            dataclasses.replace(work, suspect=True)
+            if not work.suspect and is_suspect(work.digest)
+            else work
+            for work in self.queue
+        ]
+
     def remove_queued(self, request_id: str) -> WorkItem | None:
         """Remove and return a queued request; None if it is not queued."""
         for position, work in enumerate(self.queue):
