Report crashes of plain services, and run suspected requests alone there

The same class of fault in the product's own path: an agent beside a plain service never reported a crash and ran suspects beside others, so a request that ends plain services was sent on without end, and control's rule that one crash must have happened alone could not be met there.

Now a lost response makes the agent connect to the service; if that is refused, the crash is reported with all requests in progress, once for each start of the service. A suspected request waits until it is alone, later ones wait behind it, and quarantine is looked up when its turn comes. A service that falls silent, or listens again at once, is not noticed yet: it reports no start.

--- a/src/hemlockkeel/_internal/agent/plain_driver.py
+++ b/src/hemlockkeel/_internal/agent/plain_driver.py
@@ -1,18 +1,28 @@
-"""Driver for a plain HTTP service, to which requests are forwarded."""
+"""Driver for a plain HTTP service, to which requests are forwarded.
+
+A plain service does not report its starts. It has crashed if it refuses
+connections after a response was lost; the next request that it answers is
+taken for a new start.
+"""
 
 import concurrent.futures
 import contextlib
 import http.client
+import socket
 import threading
 import time
+import uuid
 
 from hemlockkeel._internal.agent import answers
+from hemlockkeel._internal.agent import batch
+from hemlockkeel._internal.agent import crashes
 from hemlockkeel._internal.agent import driver
 from hemlockkeel._internal.follower import follower
 from hemlockkeel._internal.models import members
 from hemlockkeel._internal.models import outcomes
 from hemlockkeel._internal.rpc.gen.hk import ttypes
 from hemlockkeel._internal.utils import digests
+from hemlockkeel._internal.utils import logs
 
 CONNECT_TIMEOUT_S = 2.0
 
@@ -28,6 +38,7 @@
         target_id: str,
         store: answers.AnswerStore,
         follower: follower.Follower,
+        reporter: crashes.CrashReporter,
         concurrent_calls: int = 16,
         max_queued: int = 256,
     ) -> None:
@@ -41,6 +52,11 @@
         self.max_queued = max_queued
         self.lock = threading.Lock()
         self.unfinished: dict[str, ttypes.WorkOrder] = {}
+        self.reporter = reporter
+        self.batch = batch.IsolatingBatch()
+        # Identifies the present start of the service in crash reports.
+        self.boot_id = str(uuid.uuid4())
+        self.crashed = False
         self.executor = concurrent.futures.ThreadPoolExecutor(
             concurrent_calls, "plain-call"
         )
@@ -57,6 +73,8 @@
         """Do nothing; a plain service needs no background work."""
 
     def stop(self) -> None:
+        self.reporter.stop()
+        self.batch.close()
         self.executor.shutdown(wait=False, cancel_futures=True)
 
     def submit(self, order: ttypes.WorkOrder) -> outcomes.Refused | None:
@@ -74,9 +92,21 @@
         return None
 
     def run(self, order: ttypes.WorkOrder, deadline: float) -> None:
-        """Forward one request and store its complete answer."""
+        """Forward one request and store its complete answer.
+
+        A suspected request is forwarded once no other one is in progress.
+        """
+        suspect = order.suspect or self.follower.catalog.is_suspect(
+            order.content_digest
+        )
         try:
-            frame = self.call_service(order, deadline)
+            if self.batch.enter(order.content_digest, suspect, deadline):
+                try:
+                    frame = self.call_service(order, deadline)
+                finally:
+                    self.batch.leave(order.content_digest)
+            else:
+                frame = make_expired_frame(order)
         finally:
             with self.lock:
                 self.unfinished.pop(order.request_id, None)
@@ -88,12 +118,15 @@
         """Return the frame with the service's response or the failure."""
         remaining = deadline - time.monotonic()
         if remaining <= 0:
+            return make_expired_frame(order)
+        catalog = self.follower.catalog
+        if catalog.is_quarantined(order.content_digest, time.time()):
             return answers.make_failure(
                 order.request_id,
                 order.attempt,
                 outcomes.refuse(
-                    outcomes.RefusalCode.DEADLINE,
-                    "the deadline passed before the request could start",
+                    outcomes.RefusalCode.QUARANTINED,
+                    "requests with the same content crashed several targets",
                 ),
             )
         connection = http.client.HTTPConnection(
@@ -123,6 +156,8 @@
             response = connection.getresponse()
             data = response.read()
         except (OSError, http.client.HTTPException) as error:
+            if verdict is outcomes.Verdict.MAY_HAVE_RUN:
+                self.check_crash(self.batch.list_members())
             refusal = outcomes.Refused(
                 outcomes.RefusalCode.LOST,
                 f"the service did not respond: {error}",
@@ -131,6 +166,9 @@
             return answers.make_failure(
                 order.request_id, order.attempt, refusal
             )
+        self.record_response()
+        if order.suspect and response.status < http.HTTPStatus.BAD_REQUEST:
+            self.reporter.clear_suspicion(order.content_digest)
         return ttypes.AnswerFrame(
             request_id=order.request_id,
             attempt=order.attempt,
@@ -147,6 +185,33 @@
             content_type=response.getheader("Content-Type", ""),
         )
 
+    def record_response(self) -> None:
+        """Record a complete response, the first one after a crash or not."""
+        with self.lock:
+            if self.crashed:
+                self.crashed = False
+                self.boot_id = str(uuid.uuid4())
+
+    def check_crash(self, digests: list[str]) -> None:
+        """Report a crash if the service refuses connections.
+
+        ``digests`` are those of the requests in progress when a response was
+        lost. Those that are lost at the same crash report it together.
+        """
+        with self.lock:
+            boot_id = self.boot_id
+        try:
+            with socket.create_connection(
+                (self.host, self.port), CONNECT_TIMEOUT_S
+            ):
+                return
+        except ConnectionRefusedError:
+            with self.lock:
+                self.crashed = True
+            self.reporter.report(boot_id, digests)
+        except OSError as error:
+            logs.log_error("crash_probe_failed", reason=error)
+
     def cancel(self, request_id: str, attempt: int) -> bool:
         # A request to a plain service cannot be cancelled once it is sent.
         return False
@@ -177,3 +242,15 @@
     def count_unfinished(self) -> int:
         with self.lock:
             return len(self.unfinished)
+
+
+def make_expired_frame(order: ttypes.WorkOrder) -> ttypes.AnswerFrame:
+    """Return the failure of an order whose deadline passed before its run."""
+    return answers.make_failure(
+        order.request_id,
+        order.attempt,
+        outcomes.refuse(
+            outcomes.RefusalCode.DEADLINE,
+            "the deadline passed before the request could start",
+        ),
+    )
--- a/src/hemlockkeel/_internal/agent/process.py
+++ b/src/hemlockkeel/_internal/agent/process.py
@@ -161,6 +161,7 @@
         :raises UnreachableError: when the target does not respond yet.
         """
         host, port = client.parse_address(self.settings.target_address)
+        reporter = crashes.CrashReporter(self.control, self.settings.target_id)
         if self.settings.kind is members.TargetKind.PLAIN:
             return plain_driver.PlainDriver(
                 host,
@@ -169,6 +170,7 @@
                 self.settings.target_id,
                 self.store,
                 self.follower,
+                reporter,
                 max_queued=self.settings.max_queued,
             )
         return engine_driver.EngineDriver(
@@ -177,7 +179,7 @@
             self.settings.target_id,
             self.store,
             self.follower,
-            crashes.CrashReporter(self.control, self.settings.target_id),
+            reporter,
             self.settings.eviction_policy,
             self.counters,
             self.settings.max_queued,
--- a/tests/unit/test_agent_crashes.py
+++ b/tests/unit/test_agent_crashes.py
@@ -11,12 +11,14 @@
 from hemlockkeel._internal.agent import answers
 from hemlockkeel._internal.agent import crashes
 from hemlockkeel._internal.agent import engine_driver
+from hemlockkeel._internal.agent import plain_driver
 from hemlockkeel._internal.engines import base
 from hemlockkeel._internal.models import outcomes
 from hemlockkeel._internal.policy import eviction
 from hemlockkeel._internal.rpc.gen.hk import ttypes
 from hemlockkeel._internal.state import commands
 from hemlockkeel._internal.utils import metrics
+from tests.lib import closing_server
 
 # Longest wait for a condition.
 WAIT_S = 10.0
@@ -236,3 +238,51 @@
             self.driver.scheduler.finish("r-a", time.monotonic())
         self.driver.schedule()
         self.assertNotIn("bad", self.engine.started)
+
+
+class TestPlainDriver(AgentCase):
+    """Crashes at a driver of a plain service."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.server = closing_server.ClosingServer()
+        self.addCleanup(self.server.close)
+        self.driver = plain_driver.PlainDriver(
+            "127.0.0.1",
+            self.server.port,
+            "s",
+            "t1",
+            self.store,
+            make_follower(self.catalog),
+            self.reporter,
+        )
+        self.addCleanup(self.driver.stop)
+
+    def test_crash_is_reported_with_all_requests_in_progress(self) -> None:
+        for body in ("bad", "good"):
+            self.submit(self.driver, body)
+        self.server.wait_for_requests(2)
+        self.server.crash()
+        self.assertTrue(self.control.reported.wait(WAIT_S))
+        self.assertEqual(self.control.reports[0].digests, ["bad", "good"])
+
+    def test_lost_response_of_a_service_that_listens_is_no_crash(self) -> None:
+        self.submit(self.driver, "x")
+        self.server.wait_for_requests(1)
+        self.server.drop_connections()
+        self.wait_for(lambda: not self.driver.unfinished)
+        self.assertEqual(self.control.reports, [])
+
+    def test_suspect_runs_alone(self) -> None:
+        self.submit(self.driver, "a")
+        self.server.wait_for_requests(1)
+        self.submit(self.driver, "bad", suspect=True)
+        self.wait_for(lambda: self.driver.batch.waiting_suspects)
+        self.submit(self.driver, "b")
+        self.assertFalse(self.server.wait_for_requests(2, 0.1))
+        self.server.drop_connections()
+        self.server.wait_for_requests(2)
+        self.assertEqual(self.server.bodies, ["a", "bad"])
+        self.server.drop_connections()
+        self.server.wait_for_requests(3)
+        self.assertEqual(self.server.bodies, ["a", "bad", "b"])
