Do not count the planned end of a leaving target as a crash

A caller whose long request was cut by the ends of three targets that had announced that they leave, as in a release, would have been refused for an hour.

Cause: a refused probe was taken for a crash whatever the target had announced. Found while looking for the class of fault 'a verdict from one observation'.

Evidence: test_end_of_a_leaving_target_is_no_crash failed before with a quarantined harmless request.

--- a/src/hemlockkeel/_internal/relay/crashes.py
+++ b/src/hemlockkeel/_internal/relay/crashes.py
@@ -235,7 +235,10 @@
             suspects=digests[:MAX_LOGGED_DIGESTS],
             suspect_count=len(digests),
         )
-        if outcome is not ProbeOutcome.ACCEPTED and digests:
+        if outcome is ProbeOutcome.ACCEPTED or not digests:
+            return
+        if target.record.state is records.TargetState.READY:
+            # The end of a target that leaves is planned.
             self.report_crash(target.record, digests, outcome.value)
 
     def handle_announcement(
--- a/tests/functional/test_crashing_requests.py
+++ b/tests/functional/test_crashing_requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from hemlockkeel._internal.discovery import records
 from hemlockkeel._internal.links import messages
 from hemlockkeel._internal.relay import crashes as crashes_module
 from hemlockkeel._internal.utils import digests
@@ -141,6 +142,27 @@
         response = await self.send(0, "once/slow")
         self.assertTrue(response.startswith(b"HTTP/1.1 200"), response)
 
+    async def test_end_of_a_leaving_target_is_no_crash(self) -> None:
+        for _ in range(MAX_CRASHES):
+            await self.start_targets(1, ending_target.EndMode.REFUSES)
+            target = self.targets[-1]
+            caller = asyncio.create_task(self.send(0, "once/slow"))
+            await self.wait_for(lambda t=target: t.server.received)
+            target.send_announcement(records.TargetState.LEAVING)
+            await self.wait_for(
+                lambda t=target: (
+                    self.entries[0].registry.targets[t.name].record.state
+                    is records.TargetState.LEAVING
+                )
+            )
+            await target.end()
+            await caller
+            await self.settle()
+        await self.start_targets(1, ending_target.EndMode.REFUSES)
+        self.targets[-1].released.set()
+        response = await self.send(0, "once/slow")
+        self.assertTrue(response.startswith(b"HTTP/1.1 200"), response)
+
 
 class TestHarmlessRequests(CrashingRequestCase):
     """Requests that were in progress beside a fatal one."""
--- a/tests/lib/ending_target.py
+++ b/tests/lib/ending_target.py
@@ -66,7 +66,9 @@
         await self.server.start()
         self.send_announcement()
 
-    def send_announcement(self) -> None:
+    def send_announcement(
+        self, state: records.TargetState = records.TargetState.READY
+    ) -> None:
         """Announce the present incarnation."""
         self.sequence += 1
         self.announce(
@@ -75,7 +77,7 @@
                 self.service,
                 self.server.address,
                 "dc1",
-                records.TargetState.READY,
+                state,
                 self.sequence,
                 self.started_at_ms,
                 self.slots,
