Do not suspect content that has completed lately

Callers of popular content, such as one start list, would have been refused for an hour after three targets ended together for another reason (a rack, a power loss): the same content was in progress at all three, and was blamed.

Cause: the digest stands for all requests with the same content, and its copies were in progress at each crash. A fatal request never completes, so one that has completed within 10 minutes at any entry is harmless: that entry clears it at the others when a crash is reported.

The loss of a response at a leaving target does not count towards the hold of repeatedly lost requests either.

What an entry remembers of requests is now a module of its own.

--- a/src/hemlockkeel/_internal/relay/crashes.py
+++ b/src/hemlockkeel/_internal/relay/crashes.py
@@ -9,11 +9,9 @@
 """
 
 import asyncio
-import collections
 import collections.abc
 import enum
 import random
-import typing
 
 from hemlockkeel._internal.discovery import crash_ledger
 from hemlockkeel._internal.discovery import records
@@ -23,6 +21,7 @@
 from hemlockkeel._internal.links import messages
 from hemlockkeel._internal.models import ids
 from hemlockkeel._internal.relay import exchange
+from hemlockkeel._internal.relay import request_memory
 from hemlockkeel._internal.relay import suspect_admission
 from hemlockkeel._internal.relay import target_registry as registry_module
 from hemlockkeel._internal.utils import event_log
@@ -32,8 +31,6 @@
 # How long a retry waits for the probe of the target that lost the response: a
 # refused connection is reported within the time of a round trip.
 PROBE_WAIT_S = 0.05
-# Requests whose lost responses or trials are remembered.
-MAX_REMEMBERED = 4096
 # Announcements may arrive this late, so that one that is received sooner after
 # a crash does not show that the target still runs.
 ANNOUNCEMENT_DELAY_S = 3.0
@@ -63,21 +60,13 @@
         self.control = control
         self.log = log
         self.instruments = metrics
-        self.rng = rng
         self.ledger = crash_ledger.CrashLedger()
         self.probes: dict[crash_ledger.CrashKey, asyncio.Task[None]] = {}
         # Connections on which requests are in progress, by content digest.
         self.copies: dict[
             ids.ContentDigest, set[exchange.TargetConnection]
         ] = {}
-        # Loop times of broken responses, by content digest.
-        self.losses: collections.OrderedDict[
-            ids.ContentDigest, collections.deque[float]
-        ] = collections.OrderedDict()
-        # Delays of contested requests, by digest and number of crashes.
-        self.trial_delays_s: collections.OrderedDict[
-            tuple[ids.ContentDigest, int], float
-        ] = collections.OrderedDict()
+        self.memory = request_memory.RequestMemory(rng)
 
     @property
     def now(self) -> float:
@@ -95,7 +84,7 @@
     ) -> suspect_admission.Hold | None:
         """Return why a request must not be sent on now; None if it may be."""
         suspicion = self.ledger.get_suspicion(digest)
-        losses = tuple(self.losses.get(digest, ()))
+        losses = self.memory.get_losses(digest)
         if suspicion is crash_ledger.Suspicion.NONE and not losses:
             return None
         crashes = self.ledger.list_crashes(digest)
@@ -111,24 +100,9 @@
             ),
             losses,
         )
-        delay_s = self.get_trial_delay_s(digest, len(crashes))
+        delay_s = self.memory.get_trial_delay_s(digest, len(crashes))
         return suspect_admission.find_hold(state, delay_s, self.now)
 
-    def get_trial_delay_s(
-        self, digest: ids.ContentDigest, crashes: int
-    ) -> float:
-        """Return this entry's delay before it sends a contested request.
-
-        It is drawn once after each crash.
-        """
-        key = digest, crashes
-        if key not in self.trial_delays_s:
-            self.trial_delays_s[key] = self.rng.uniform(
-                *suspect_admission.TRIAL_DELAY_S
-            )
-            drop_oldest(self.trial_delays_s)
-        return self.trial_delays_s[key]
-
     def find_shared_targets(
         self,
         digest: ids.ContentDigest,
@@ -163,13 +137,8 @@
         self, target: registry_module.Target, digest: ids.ContentDigest
     ) -> None:
         """Record a response that broke off, and probe its target."""
-        losses = self.losses.setdefault(
-            digest,
-            collections.deque(maxlen=suspect_admission.MAX_RECENT_LOSSES),
-        )
-        losses.append(self.now)
-        self.losses.move_to_end(digest)
-        drop_oldest(self.losses)
+        if target.record.state is records.TargetState.READY:
+            self.memory.record_loss(digest, self.now)
         self.start_probe(target)
 
     def add_copy(
@@ -295,6 +264,9 @@
         """Add a crash; what is known already changes nothing."""
         added = crash_reports.merge_report(self.ledger, report, self.now)
         for digest in sorted(added):
+            if self.memory.has_completed(digest, self.now):
+                self.clear_suspicion(digest)
+                continue
             self.log_suspicion(digest, len(report.digests) - 1)
             if self.is_quarantined(digest):
                 self.abort_copies(digest)
@@ -325,16 +297,22 @@
         )
 
     def report_success(self, digest: ids.ContentDigest) -> None:
-        """Clear the suspicion of a request that completed, at all entries."""
-        if self.ledger.get_suspicion(digest) is crash_ledger.Suspicion.NONE:
-            return
+        """Record that a request completed, and clear a suspicion of it."""
+        self.memory.record_completed(digest, self.now)
+        if self.ledger.get_suspicion(digest):
+            self.clear_suspicion(digest)
+
+    def clear_suspicion(self, digest: ids.ContentDigest) -> None:
+        """Clear a request that has completed, at all entries."""
         self.ledger.clear(digest)
         self.log.write("suspicion_cleared", digest=digest)
         self.broadcast(messages.CrashCleared(digest=digest))
 
     def handle_cleared(self, message: messages.CrashCleared) -> None:
         """Clear a request that completed at another entry."""
-        self.ledger.clear(ids.ContentDigest(message.digest))
+        digest = ids.ContentDigest(message.digest)
+        self.memory.record_completed(digest, self.now)
+        self.ledger.clear(digest)
 
     def broadcast(self, message: messages.AnyMessage) -> None:
         """Send a message to all entries through every control member."""
@@ -346,14 +324,6 @@
         self.ledger.expire(self.now)
 
 
-def drop_oldest(
-    remembered: collections.OrderedDict[typing.Any, typing.Any],
-) -> None:
-    """Limit the number of requests that are remembered."""
-    while len(remembered) > MAX_REMEMBERED:
-        remembered.popitem(last=False)
-
-
 async def probe_target(address: str) -> ProbeOutcome:
     """Open a connection to a target and close it."""
     try:
--- a/tests/functional/test_crashing_requests.py
+++ b/tests/functional/test_crashing_requests.py
@@ -214,6 +214,36 @@
             len(self.list_fatal_runs()), MAX_CRASHES + MAX_LATE_RUNS
         )
 
+    async def test_content_that_completes_elsewhere_is_served(self) -> None:
+        await self.start_targets(MAX_CRASHES, ending_target.EndMode.REFUSES)
+        for target in self.targets:
+            target.released.set()
+        # Popular content, that many callers request at the same time.
+        first = await self.send(0, "once/slow")
+        self.assertTrue(first.startswith(b"HTTP/1.1 200"), first)
+        for target in self.targets:
+            target.released.clear()
+        copies = [
+            asyncio.create_task(self.send(1, "once/slow"))
+            for _ in range(4 * MAX_CRASHES)
+        ]
+        await self.wait_for(
+            lambda: all(
+                each.digests
+                for each in self.entries[1].registry.targets.values()
+            )
+        )
+        # The targets crash together for another reason.
+        for target in self.targets:
+            await target.end()
+        await asyncio.gather(*copies)
+        await self.settle()
+        await self.start_targets(1, ending_target.EndMode.REFUSES)
+        self.targets[-1].released.set()
+        for number in range(len(self.entries)):
+            response = await self.send(number, "once/slow")
+            self.assertTrue(response.startswith(b"HTTP/1.1 200"), response)
+
     async def test_failed_response_does_not_clear_a_suspicion(self) -> None:
         await self.start_targets(TARGET_COUNT, ending_target.EndMode.REFUSES)
         for _ in range(2):
