Soak: callers that repeat requests that end every target

The stand-ins of the soak never ended under a request, so it could not find what the users reported. A further caller now repeats two such requests, to a plain service and to an engine, at any entry; their targets crash, and return at once or after a while. The check allows three executions later than 3 s after the third, of requests whose entry and control members had no fault.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -18,6 +18,7 @@
 REQUEST_TIMEOUT_S = 6.0
 CONNECT_TIMEOUT_S = 1.0
 REQUEST_INTERVAL_S = (0.0, 0.15)
+FATAL_INTERVAL_S = (0.1, 0.5)
 # Number of requests that a caller sends on one connection.
 REQUESTS_PER_CONNECTION = (1, 30)
 KINDS_BY_PATH = {
@@ -148,6 +149,8 @@
 class Caller:
     """Sends requests one after another and reuses its connections."""
 
+    request_interval_s = REQUEST_INTERVAL_S
+
     def __init__(
         self, name: str, system: soak_system.System, rng: random.Random
     ) -> None:
@@ -176,7 +179,7 @@
                 await self.exchange(connection, sent)
                 if self.stopping or not connection.is_reusable(sent):
                     break
-                await asyncio.sleep(self.rng.uniform(*REQUEST_INTERVAL_S))
+                await asyncio.sleep(self.rng.uniform(*self.request_interval_s))
             writer.transport.abort()
 
     def make_request(self, entry: str) -> history.SentRequest:
@@ -225,6 +228,21 @@
             sent.incarnation = -1
 
 
+class FatalCaller(Caller):
+    """Repeats requests that end every target that executes them."""
+
+    request_interval_s = FATAL_INTERVAL_S
+
+    def make_request(self, entry: str) -> history.SentRequest:
+        """Create the record of a request with one of the fatal contents."""
+        sent = super().make_request(entry)
+        sent.path = self.rng.choice(targets.FATAL_PATHS)
+        sent.kind = KINDS_BY_PATH[sent.path.replace("fatal", "x")]
+        # The same adapter each time, as the content names it.
+        sent.adapter = "a0" if sent.kind == "stream" else ""
+        return sent
+
+
 class Connection:
     """An HTTP/1.1 client connection."""
 
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -17,6 +17,10 @@
 DEPARTURE_TIMEOUT_S = 2.0
 STOP_GRACE_S = 8.0
 ROLLBACK_TOLERANCE_S = 0.25
+# Targets that a request may end before it must be refused, and executions that
+# are allowed after that.
+FATAL_EXECUTIONS = 3
+LATE_FATAL_EXECUTIONS = 3
 # Statuses that state that the request was not executed.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Share of the grace period of a graceful stop in which the entry must not
@@ -30,6 +34,7 @@
     for rule in (
         check_responses,
         check_executions,
+        check_fatal_requests,
         check_streams,
         check_configuration_applied,
         check_rollback,
@@ -126,6 +131,30 @@
             yield f"{request_id}: executed in spite of status {request.status}"
 
 
+def check_fatal_requests(
+    recorded: history.History,
+) -> collections.abc.Iterator[str]:
+    """Check that a request that ends targets is not sent on for ever."""
+    requests = {each.request_id: each for each in recorded.requests}
+    for path in targets.FATAL_PATHS:
+        runs = sorted(
+            (each for each in recorded.executions if each.path == path),
+            key=lambda execution: execution.started_at,
+        )
+        if len(runs) <= FATAL_EXECUTIONS:
+            continue
+        known_at = runs[FATAL_EXECUTIONS - 1].started_at + FAULT_FREE_MARGIN_S
+        late = [
+            each
+            for each in runs
+            if each.started_at > known_at
+            and each.request_id in requests
+            and do_time_limits_apply(recorded, requests[each.request_id])
+        ]
+        if len(late) > LATE_FATAL_EXECUTIONS:
+            yield f"{path}: {len(runs)} executions, {len(late)} of them late"
+
+
 def check_streams(recorded: history.History) -> collections.abc.Iterator[str]:
     """Check that events arrive in order, once each, and all before the end."""
     for request in recorded.requests:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -93,6 +93,10 @@
             )
             for number in range(CALLER_COUNT)
         ]
+        # Its own source of random numbers keeps the others' as they were.
+        self.callers.append(
+            callers.FatalCaller("fatal", self.system, random.Random(seed))
+        )
         self.fault_injector = faults.FaultInjector(
             self.system, random.Random(self.rng.random())
         )
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -29,6 +29,10 @@
 EVENT_INTERVAL_S = (0.01, 0.15)
 # Time from the stop of a target to its next start.
 DOWNTIME_S = (0.2, 2.0)
+# Requests to these paths end every target that executes them; some targets
+# then return at once.
+FATAL_PATHS = ("/once/fatal", "/stream/fatal")
+RETURN_AT_ONCE_RATIO = 0.4
 # Time for which a departing target continues to serve.
 DRAINING_DURATION_S = 3.0
 
@@ -84,6 +88,7 @@
         self.server: fake_target.FakeTarget | None = None
         self.executions: list[history.Execution] = []
         self.heartbeat_task: asyncio.Task[None] | None = None
+        self.restart_tasks: set[asyncio.Task[None]] = set()
 
     @property
     def start_id(self) -> str:
@@ -91,7 +96,12 @@
         return f"{self.instance_id}/{self.started_at_ms}"
 
     async def start(self, first: bool = False) -> None:
-        """Start; a later start keeps the instance id in half of the cases."""
+        """Start; a later start keeps the instance id in half of the cases.
+
+        Do nothing if the target runs already.
+        """
+        if self.server is not None:
+            return
         self.start_count += 1
         if first or self.rng.random() < 0.5:
             self.instance_id = f"{self.name}-{self.start_count}"
@@ -116,6 +126,13 @@
             self.server.abort_all()
         self.server = None
 
+    async def crash_and_restart(self) -> None:
+        """Stop abruptly, and start again at once or after a while."""
+        await self.stop_abruptly()
+        if self.rng.random() >= RETURN_AT_ONCE_RATIO:
+            await asyncio.sleep(self.rng.uniform(*DOWNTIME_S))
+        await self.start()
+
     async def leave(self, notice: bool) -> None:
         """Deregister and stop.
 
@@ -230,6 +247,11 @@
             adapter,
         )
         self.history.executions.append(execution)
+        if path in FATAL_PATHS:
+            task = asyncio.create_task(self.crash_and_restart())
+            self.restart_tasks.add(task)
+            task.add_done_callback(self.restart_tasks.discard)
+            return False
         self.executions.append(execution)
         self.engine.running_adapters.append(adapter)
         engine = self.engine
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -97,6 +97,36 @@
         self.assertEqual(self.find(recorded), ["check_executions"])
 
 
+class TestFatalRequests(CheckCase):
+    """The check of requests that end targets."""
+
+    def make_history(self, *times: float) -> history.History:
+        """Return a history with an execution at each time."""
+        recorded = history.History()
+        for number, at in enumerate(times):
+            sent = make_request(
+                "/once/fatal",
+                "unsafe",
+                request_id=f"r{number}",
+                sent_at=at,
+                ended_at=at,
+                complete=False,
+            )
+            run = make_execution(
+                "/once/fatal", request_id=f"r{number}", started_at=at
+            )
+            recorded.requests.append(sent)
+            recorded.executions.append(run)
+        return recorded
+
+    def test_executions_long_after_the_third_are_found(self) -> None:
+        recorded = self.make_history(1.0, 2.0, 3.0, 6.1, 6.2, 6.3, 6.4)
+        self.assertEqual(self.find(recorded), ["check_fatal_requests"])
+
+    def test_executions_while_entries_learn_of_it_are_allowed(self) -> None:
+        self.assert_clean(self.make_history(1.0, 2.0, 3.0, 4.0, 5.0, 5.9, 6.1))
+
+
 class TestStreams(CheckCase):
     """Checks of event streams."""
 
