Log and act on each change of the blame, also without a new crash

When a harmless request completed, the one that had been contested with it was quarantined without a log line, and its copies in progress went on.

Now each change of the ledger puts the quarantines into force and logs those that begin and end. The test for a contested request checks the line.

--- a/src/hemlockkeel/_internal/discovery/crash_ledger.py
+++ b/src/hemlockkeel/_internal/discovery/crash_ledger.py
@@ -131,9 +131,21 @@
 
     def get_suspicion(self, digest: ids.ContentDigest) -> Suspicion:
         """Return how strongly a request is suspected."""
+        return self.derive_suspicions().get(digest, Suspicion.NONE)
+
+    def list_blamed(self) -> frozenset[ids.ContentDigest]:
+        """Return the requests that are to blame for crashes."""
+        return frozenset(
+            digest
+            for digest, suspicion in self.derive_suspicions().items()
+            if suspicion is Suspicion.BLAMED
+        )
+
+    def derive_suspicions(self) -> dict[ids.ContentDigest, Suspicion]:
+        """Return the suspicion of each request that was at a crash."""
         if self.suspicions is None:
             self.suspicions = find_suspicions(self.list_crash_sets())
-        return self.suspicions.get(digest, Suspicion.NONE)
+        return self.suspicions
 
     def list_crash_sets(
         self,
--- a/src/hemlockkeel/_internal/relay/crashes.py
+++ b/src/hemlockkeel/_internal/relay/crashes.py
@@ -67,18 +67,13 @@
             ids.ContentDigest, set[exchange.TargetConnection]
         ] = {}
         self.memory = request_memory.RequestMemory(rng)
+        self.quarantined: frozenset[ids.ContentDigest] = frozenset()
 
     @property
     def now(self) -> float:
         """Return the time of the event loop in seconds."""
         return asyncio.get_running_loop().time()
 
-    def is_quarantined(self, digest: ids.ContentDigest) -> bool:
-        """Return whether requests with this content are refused for now."""
-        return (
-            self.ledger.get_suspicion(digest) is crash_ledger.Suspicion.BLAMED
-        )
-
     def find_hold(
         self, digest: ids.ContentDigest
     ) -> suspect_admission.Hold | None:
@@ -227,6 +222,7 @@
                 born_ms=key.started_at_ms,
                 sequence=target.record.sequence,
             )
+            self.apply_quarantines()
 
     def handle_replaced(self, target: registry_module.Target) -> None:
         """Report the crash of a target that has been replaced.
@@ -234,6 +230,7 @@
         Whatever a probe found, its end is certain now.
         """
         self.ledger.reinstate(target.crash_key)
+        self.apply_quarantines()
         digests = target.list_unanswered(self.now)
         if digests:
             self.report_crash(target.record, digests, "replaced")
@@ -267,9 +264,18 @@
             if self.memory.has_completed(digest, self.now):
                 self.clear_suspicion(digest)
                 continue
-            self.log_suspicion(digest, len(report.digests) - 1)
-            if self.is_quarantined(digest):
-                self.abort_copies(digest)
+            self.log_suspicion("request_suspected", digest)
+        self.apply_quarantines()
+
+    def apply_quarantines(self) -> None:
+        """Put a change of the blame into force."""
+        blamed = self.ledger.list_blamed()
+        for digest in sorted(blamed - self.quarantined):
+            self.log_suspicion("request_quarantined", digest)
+            self.abort_copies(digest)
+        for digest in sorted(self.quarantined - blamed):
+            self.log_suspicion("quarantine_ended", digest)
+        self.quarantined = blamed
 
     def send_all(self, peer: link.Link) -> None:
         """Report all crashes to a control member that has connected.
@@ -280,20 +286,18 @@
         for report in crash_reports.list_reports(self.ledger, self.now):
             peer.send(report)
 
-    def log_suspicion(self, digest: ids.ContentDigest, beside: int) -> None:
-        """Log the crashes that a request is suspected of."""
-        suspicion = self.ledger.get_suspicion(digest)
+    def log_suspicion(self, event: str, digest: ids.ContentDigest) -> None:
+        """Log how strongly a request is suspected, and of which crashes."""
+        crashes = self.ledger.list_crashes(digest)
         self.log.write(
-            "request_quarantined"
-            if suspicion is crash_ledger.Suspicion.BLAMED
-            else "request_suspected",
+            event,
             digest=digest,
-            suspicion=suspicion.name.lower(),
+            suspicion=self.ledger.get_suspicion(digest).name.lower(),
             crashes=[
                 f"{crash.key.target}/{crash.key.started_at_ms}"
-                for crash in self.ledger.list_crashes(digest)
+                for crash in crashes
             ],
-            beside=beside,
+            beside=[len(crash.digests) - 1 for crash in crashes],
         )
 
     def report_success(self, digest: ids.ContentDigest) -> None:
@@ -307,12 +311,15 @@
         self.ledger.clear(digest)
         self.log.write("suspicion_cleared", digest=digest)
         self.broadcast(messages.CrashCleared(digest=digest))
+        self.apply_quarantines()
 
     def handle_cleared(self, message: messages.CrashCleared) -> None:
         """Clear a request that completed at another entry."""
         digest = ids.ContentDigest(message.digest)
         self.memory.record_completed(digest, self.now)
-        self.ledger.clear(digest)
+        if self.ledger.clear(digest):
+            self.log.write("suspicion_cleared", digest=digest)
+            self.apply_quarantines()
 
     def broadcast(self, message: messages.AnyMessage) -> None:
         """Send a message to all entries through every control member."""
@@ -322,6 +329,7 @@
     def expire(self) -> None:
         """Drop old crashes."""
         self.ledger.expire(self.now)
+        self.apply_quarantines()
 
 
 async def probe_target(address: str) -> ProbeOutcome:
--- a/tests/functional/test_crashing_requests.py
+++ b/tests/functional/test_crashing_requests.py
@@ -210,6 +210,10 @@
         for response in responses[1:-1]:
             self.check_refused(response)
         self.check_refused(await self.send_fatal(1))
+        for entry in self.entries:
+            self.assertEqual(len(entry.crashes.quarantined), 1)
+            events = [event for event, _ in entry.log.lines]
+            self.assertIn("request_quarantined", events)
         self.assertLessEqual(
             len(self.list_fatal_runs()), MAX_CRASHES + MAX_LATE_RUNS
         )
