Index the crash ledger by request

Each report, also a repeated one, had the blame derived anew from all requests at all crashes of the last hour. Decisions are unchanged: the tests of the ledger, the property test among them, pass as before.

--- a/src/hemlockkeel/_internal/discovery/crash_ledger.py
+++ b/src/hemlockkeel/_internal/discovery/crash_ledger.py
@@ -11,7 +11,7 @@
 effects; callers pass the time of the event loop in seconds.
 """
 
-import collections
+import collections.abc
 import dataclasses
 import enum
 import typing
@@ -64,8 +64,10 @@
 
     def __init__(self) -> None:
         self.crashes: dict[CrashKey, Crash] = {}
-        # Derived from the crashes; None after a change.
-        self.suspicions: dict[ids.ContentDigest, Suspicion] | None = None
+        # The crashes that count, by the requests that are not cleared.
+        self.by_digest: dict[ids.ContentDigest, set[CrashKey]] = {}
+        # Derived from these; None after a change.
+        self.derived: Blame | None = None
 
     def merge(
         self,
@@ -83,16 +85,17 @@
         if crash is None:
             crash = self.crashes[key] = Crash(key, set(), at)
             while len(self.crashes) > MAX_CRASHES:
-                del self.crashes[next(iter(self.crashes))]
+                self.drop(next(iter(self.crashes)))
         if crash.withdrawn_at is not None:
             if at <= crash.withdrawn_at:
                 return set()
             crash.withdrawn_at = None
             crash.digests.clear()
-        crash.cleared |= set(cleared)
+        for digest in set(cleared) - crash.cleared:
+            self.clear_one(crash, digest)
         added = set(digests) - crash.digests - crash.cleared
-        crash.digests = (crash.digests | added) - crash.cleared
-        self.suspicions = None
+        crash.digests |= added
+        self.index(key, added)
         return added
 
     def withdraw(self, key: CrashKey, at: float) -> bool:
@@ -104,7 +107,7 @@
         if crash is None or crash.withdrawn_at is not None:
             return False
         crash.withdrawn_at = at
-        self.suspicions = None
+        self.unindex(key, crash.digests)
         return True
 
     def reinstate(self, key: CrashKey) -> None:
@@ -112,82 +115,112 @@
         crash = self.crashes.get(key)
         if crash is not None and crash.withdrawn_at is not None:
             crash.withdrawn_at = None
-            self.suspicions = None
+            self.index(key, crash.digests)
 
     def clear(self, digest: ids.ContentDigest) -> bool:
         """Clear a request that has completed; return whether it was suspected.
 
         It stays suspected of crashes that are reported later.
         """
-        found = False
-        for crash in self.crashes.values():
-            if digest in crash.digests:
-                crash.digests.discard(digest)
-                crash.cleared.add(digest)
-                found = True
-        if found:
-            self.suspicions = None
-        return found
+        keys = list(self.by_digest.get(digest, ()))
+        for key in keys:
+            self.clear_one(self.crashes[key], digest)
+        return bool(keys)
+
+    def clear_one(self, crash: Crash, digest: ids.ContentDigest) -> None:
+        """Clear a request of one crash."""
+        crash.cleared.add(digest)
+        crash.digests.discard(digest)
+        self.unindex(crash.key, [digest])
+
+    def drop(self, key: CrashKey) -> None:
+        """Remove a crash."""
+        self.unindex(key, self.crashes.pop(key).digests)
+
+    def expire(self, now: float) -> None:
+        """Drop old crashes."""
+        for key, crash in list(self.crashes.items()):
+            if crash.at + CRASH_RETENTION_S <= now:
+                self.drop(key)
+
+    def index(
+        self, key: CrashKey, digests: typing.Iterable[ids.ContentDigest]
+    ) -> None:
+        """Count a crash for some requests."""
+        for digest in digests:
+            self.by_digest.setdefault(digest, set()).add(key)
+            self.derived = None
+
+    def unindex(
+        self, key: CrashKey, digests: typing.Iterable[ids.ContentDigest]
+    ) -> None:
+        """Stop to count a crash for some requests."""
+        for digest in digests:
+            keys = self.by_digest.get(digest, set())
+            keys.discard(key)
+            if not keys:
+                self.by_digest.pop(digest, None)
+            self.derived = None
+
+    # Derived state
+
+    def get_blame(self) -> "Blame":
+        """Return which requests are blamed or contested."""
+        if self.derived is None:
+            self.derived = find_blame(self.by_digest)
+        return self.derived
 
     def get_suspicion(self, digest: ids.ContentDigest) -> Suspicion:
         """Return how strongly a request is suspected."""
-        return self.derive_suspicions().get(digest, Suspicion.NONE)
-
-    def list_blamed(self) -> frozenset[ids.ContentDigest]:
-        """Return the requests that are to blame for crashes."""
-        return frozenset(
-            digest
-            for digest, suspicion in self.derive_suspicions().items()
-            if suspicion is Suspicion.BLAMED
-        )
-
-    def derive_suspicions(self) -> dict[ids.ContentDigest, Suspicion]:
-        """Return the suspicion of each request that was at a crash."""
-        if self.suspicions is None:
-            self.suspicions = find_suspicions(self.list_crash_sets())
-        return self.suspicions
-
-    def list_crash_sets(
-        self,
-    ) -> dict[ids.ContentDigest, frozenset[CrashKey]]:
-        """Return the crashes that count, by request."""
-        by_digest = collections.defaultdict(set)
-        for crash in self.crashes.values():
-            if crash.withdrawn_at is None:
-                for digest in crash.digests:
-                    by_digest[digest].add(crash.key)
-        return {digest: frozenset(keys) for digest, keys in by_digest.items()}
+        keys = self.by_digest.get(digest)
+        if not keys:
+            return Suspicion.NONE
+        blame = self.get_blame()
+        if digest in blame.blamed:
+            return Suspicion.BLAMED
+        if digest in blame.contested:
+            return Suspicion.CONTESTED
+        if keys <= blame.explained:
+            return Suspicion.NONE
+        return Suspicion.SUSPECTED
 
     def list_crashes(self, digest: ids.ContentDigest) -> list[Crash]:
         """Return the crashes at which a request was in progress."""
         return [
-            crash
-            for crash in self.crashes.values()
-            if digest in crash.digests and crash.withdrawn_at is None
+            self.crashes[key] for key in sorted(self.by_digest.get(digest, ()))
         ]
 
-    def expire(self, now: float) -> None:
-        """Drop old crashes."""
-        for key in [
-            key
-            for key, crash in self.crashes.items()
-            if crash.at + CRASH_RETENTION_S <= now
-        ]:
-            del self.crashes[key]
-            self.suspicions = None
-
-
-def find_suspicions(
-    crash_sets: dict[ids.ContentDigest, frozenset[CrashKey]],
-) -> dict[ids.ContentDigest, Suspicion]:
-    """Return the suspicion of each request that was at a crash.
-
-    ``crash_sets`` has the crashes of each request. Requests that are blamed
-    or contested explain their crashes. Those with as many crashes as another,
-    some of them the same, cannot be told apart.
+
+@dataclasses.dataclass(frozen=True)
+class Blame:
+    """The requests that were at enough crashes to be to blame for them."""
+
+    blamed: frozenset[ids.ContentDigest]
+    # Requests that cannot be told apart from another one.
+    contested: frozenset[ids.ContentDigest]
+    # Their crashes, of which no other request is suspected.
+    explained: frozenset[CrashKey]
+
+
+def find_blame(
+    by_digest: collections.abc.Mapping[
+        ids.ContentDigest, collections.abc.Set[CrashKey]
+    ],
+) -> Blame:
+    """Return which requests are to blame, given the crashes of each.
+
+    The request with the most crashes explains them; then the one with the
+    most that remain, and so on. Requests with as many crashes as another,
+    some of them the same, are contested.
     """
-    suspicions: dict[ids.ContentDigest, Suspicion] = {}
-    remaining = dict(crash_sets)
+    remaining = {
+        digest: frozenset(keys)
+        for digest, keys in by_digest.items()
+        if len(keys) >= BLAME_CRASHES
+    }
+    blamed: set[ids.ContentDigest] = set()
+    contested: set[ids.ContentDigest] = set()
+    explained: frozenset[CrashKey] = frozenset()
     while remaining:
         most = max(len(keys) for keys in remaining.values())
         if most < BLAME_CRASHES:
@@ -195,15 +228,11 @@
         tied = {d: keys for d, keys in remaining.items() if len(keys) == most}
         first = min(tied)
         group = [d for d, keys in tied.items() if keys & tied[first]]
-        explained = frozenset().union(*(tied[digest] for digest in group))
-        blame = Suspicion.BLAMED if len(group) == 1 else Suspicion.CONTESTED
-        for digest in group:
-            suspicions[digest] = blame
+        (blamed if len(group) == 1 else contested).update(group)
+        explained = explained.union(*(tied[digest] for digest in group))
         remaining = {
             digest: keys - explained
             for digest, keys in remaining.items()
-            if digest not in suspicions and keys - explained
+            if digest not in group
         }
-    for digest in remaining:
-        suspicions[digest] = Suspicion.SUSPECTED
-    return suspicions
+    return Blame(frozenset(blamed), frozenset(contested), explained)
--- a/src/hemlockkeel/_internal/relay/crashes.py
+++ b/src/hemlockkeel/_internal/relay/crashes.py
@@ -269,7 +269,7 @@
 
     def apply_quarantines(self) -> None:
         """Put a change of the blame into force."""
-        blamed = self.ledger.list_blamed()
+        blamed = self.ledger.get_blame().blamed
         for digest in sorted(blamed - self.quarantined):
             self.log_suspicion("request_quarantined", digest)
             self.abort_copies(digest)
--- a/tests/functional/test_crashing_requests.py
+++ b/tests/functional/test_crashing_requests.py
@@ -136,7 +136,7 @@
             crash.at -= 2 * crashes_module.ANNOUNCEMENT_DELAY_S
         for target in self.targets:
             target.send_announcement()
-        await self.wait_for(lambda: not crashes.ledger.list_crash_sets())
+        await self.wait_for(lambda: not crashes.ledger.by_digest)
         await self.start_targets(1, ending_target.EndMode.REFUSES)
         self.targets[-1].released.set()
         response = await self.send(0, "once/slow")
