Count a request as lost, too, if its caller left a silent target

A request that callers repeated every 0.3 s ended 8 targets that fell silent before the third end was noticed, as only responses that break off counted towards the hold of repeatedly lost requests.

Without a suspected request, the targets are not filtered again.

--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -179,7 +179,9 @@
         ):
             length = str(len(self.context.request.body)).encode()
             request_headers.append((b"Content-Length", length))
-        target.record_sent(self.context.now)
+        sent_at = self.context.now
+        broken = False
+        target.record_sent(sent_at)
         target.in_flight += 1
         target.digests[self.context.digest] += 1
         target.in_flight_prefill_tokens += prefill_tokens
@@ -219,8 +221,9 @@
                 shared.crashes.report_success(self.context.digest)
             return result
         except exchange.InvalidResponseError as error:
+            broken = True
             target.record_result(True, self.context.now)
-            shared.crashes.record_broken(target, self.context.digest)
+            shared.crashes.start_probe(target)
             shared.instruments.attempts.labels("broken").inc()
             self.context.log_event(
                 "answer_broken",
@@ -245,7 +248,11 @@
                     connection, finished_response.headers, self.context.now
                 )
             else:
-                target.record_lost(self.context.digest, self.context.now)
+                shared.crashes.record_lost(
+                    target,
+                    self.context.digest,
+                    broken or target.heard_at < sent_at,
+                )
                 target.pool.discard(connection)
 
     def get_uncached_tokens(self) -> int:
--- a/src/hemlockkeel/_internal/relay/crashes.py
+++ b/src/hemlockkeel/_internal/relay/crashes.py
@@ -128,13 +128,20 @@
         crashes = len(self.ledger.list_crashes(digest))
         return crashes >= crash_ledger.BLAME_CRASHES - 1
 
-    def record_broken(
-        self, target: registry_module.Target, digest: ids.ContentDigest
+    def record_lost(
+        self,
+        target: registry_module.Target,
+        digest: ids.ContentDigest,
+        by_target: bool,
     ) -> None:
-        """Record a response that broke off, and probe its target."""
-        if target.record.state is records.TargetState.READY:
+        """Record a request that was sent but got no complete response.
+
+        ``by_target`` tells whether the target broke it off or has been silent
+        since; otherwise the caller left while the target was responding.
+        """
+        target.record_lost(digest, self.now)
+        if by_target and target.record.state is records.TargetState.READY:
             self.memory.record_loss(digest, self.now)
-        self.start_probe(target)
 
     def add_copy(
         self, digest: ids.ContentDigest, connection: exchange.TargetConnection
--- a/src/hemlockkeel/_internal/relay/forwarder.py
+++ b/src/hemlockkeel/_internal/relay/forwarder.py
@@ -206,6 +206,8 @@
         shared_ids = crashes.find_shared_targets(
             self.context.digest, self.shared.registry.targets.values()
         )
+        if not shared_ids:
+            return candidates
         separate = [
             candidate
             for candidate in candidates
--- a/src/hemlockkeel/_internal/relay/request_memory.py
+++ b/src/hemlockkeel/_internal/relay/request_memory.py
@@ -20,7 +20,7 @@
 
     def __init__(self, rng: random.Random) -> None:
         self.rng = rng
-        # Times of broken responses since the last success.
+        # Times of responses that targets lost since the last success.
         self.losses: collections.OrderedDict[
             ids.ContentDigest, collections.deque[float]
         ] = collections.OrderedDict()
@@ -33,7 +33,7 @@
         ] = collections.OrderedDict()
 
     def record_loss(self, digest: ids.ContentDigest, now: float) -> None:
-        """Record a response that broke off."""
+        """Record a response that a target lost."""
         losses = self.losses.setdefault(
             digest,
             collections.deque(maxlen=suspect_admission.MAX_RECENT_LOSSES),
--- a/tests/functional/test_crashing_requests.py
+++ b/tests/functional/test_crashing_requests.py
@@ -111,6 +111,8 @@
         runs = self.list_fatal_runs()
         late = [at for at in runs if at > runs[MAX_CRASHES - 1] + CONTACT_S]
         self.assertLessEqual(len(late), MAX_LATE_RUNS)
+        # Until the ends are noticed, each entry counts its own losses.
+        self.assertLessEqual(len(runs), 2 * MAX_CRASHES * len(self.entries))
 
 
 class TestTargetsThatStillRun(CrashingRequestCase):
