--- a/tests/functional/test_coordinator.py
+++ b/tests/functional/test_coordinator.py
@@ -7,17 +7,15 @@
 import tempfile
 import unittest
 
-from hemlockkeel._internal.consensus import core
 from hemlockkeel._internal.coordinator import process
-from hemlockkeel._internal.coordinator import settings as settings_module
 from hemlockkeel._internal.discovery import records
 from hemlockkeel._internal.links import configurations
 from hemlockkeel._internal.links import dialer
 from hemlockkeel._internal.links import link
 from hemlockkeel._internal.links import messages
 from hemlockkeel._internal.routes import table
-from hemlockkeel.platform import api
 from hemlockkeel.platform import configuration
+from tests.lib import control_members
 from tests.lib import logs
 from tests.lib import ports
 
@@ -94,23 +92,13 @@
         self, number: int, bootstrap: bool, disk: str = ""
     ) -> process.ControlProcess:
         """Start a member at 127.0.0.NUMBER, with its own disk or another."""
-        settings = settings_module.ControlSettings(
-            f"core-{number}",
-            f"dc{number}",
-            f"127.0.0.{number}",
-            self.api_port,
-            self.link_port,
-            self.folder / (disk or str(number)),
+        member = control_members.make_member(
+            self.folder,
+            number,
+            (self.api_port, self.link_port),
             self.seeds,
             bootstrap,
-            core.Timing(0.08, 0.4, 0.8),
-        )
-        member = process.ControlProcess(
-            settings,
-            self.folder / "settings",
-            lambda path: settings,
-            api.PlatformApiCodec(),
-            logs.make_log(),
+            disk,
         )
         await member.start()
         self.members[number] = member
--- a/tests/lib/relay_fleet.py
+++ b/tests/lib/relay_fleet.py
@@ -5,16 +5,14 @@
 import tempfile
 import unittest
 
-from hemlockkeel._internal.consensus import core
 from hemlockkeel._internal.coordinator import process as coordinator_process
-from hemlockkeel._internal.coordinator import settings as settings_module
 from hemlockkeel._internal.discovery import records
 from hemlockkeel._internal.relay import process as relay_process
 from hemlockkeel._internal.routes import budget
 from hemlockkeel._internal.routes import table
-from hemlockkeel.platform import api
 from hemlockkeel.platform import configuration
 from hemlockkeel.platform import headers
+from tests.lib import control_members
 from tests.lib import ending_target
 from tests.lib import logs
 from tests.lib import ports
@@ -56,23 +54,11 @@
 
     async def start_member(self, number: int) -> None:
         """Start a member that knows of no other one."""
-        settings = settings_module.ControlSettings(
-            f"core-{number}",
-            f"dc{number}",
-            f"127.0.0.{number}",
-            self.api_port,
-            self.link_port,
-            self.folder / str(number),
+        member = control_members.make_member(
+            self.folder,
+            number,
+            (self.api_port, self.link_port),
             frozenset({self.get_link_address(number)}),
-            True,
-            core.Timing(0.08, 0.4, 0.8),
-        )
-        member = coordinator_process.ControlProcess(
-            settings,
-            self.folder / "settings",
-            lambda path: settings,
-            api.PlatformApiCodec(),
-            logs.make_log(),
         )
         await member.start()
         self.members[number] = member
