Move a target's state out of the registry; bound the cost of the ledger

The ledger derives the blame from the requests that were at three crashes or more only, and keeps 400 crashes instead of 1,000. The parameter of the product's suspect table that only the relay had used is gone.

--- a/src/hemlockkeel/_internal/discovery/crash_ledger.py
+++ b/src/hemlockkeel/_internal/discovery/crash_ledger.py
@@ -24,7 +24,7 @@
 BLAME_CRASHES = 3
 CRASH_RETENTION_S = 3600.0
 # The oldest crashes are dropped beyond this.
-MAX_CRASHES = 1000
+MAX_CRASHES = 400
 
 
 class CrashKey(typing.NamedTuple):
@@ -66,6 +66,8 @@
         self.crashes: dict[CrashKey, Crash] = {}
         # The crashes that count, by the requests that are not cleared.
         self.by_digest: dict[ids.ContentDigest, set[CrashKey]] = {}
+        # Those of the requests that were at enough crashes to be blamed.
+        self.frequent: dict[ids.ContentDigest, set[CrashKey]] = {}
         # Derived from these; None after a change.
         self.derived: Blame | None = None
 
@@ -148,8 +150,11 @@
     ) -> None:
         """Count a crash for some requests."""
         for digest in digests:
-            self.by_digest.setdefault(digest, set()).add(key)
-            self.derived = None
+            keys = self.by_digest.setdefault(digest, set())
+            keys.add(key)
+            if len(keys) >= BLAME_CRASHES:
+                self.frequent[digest] = keys
+                self.derived = None
 
     def unindex(
         self, key: CrashKey, digests: typing.Iterable[ids.ContentDigest]
@@ -158,16 +163,19 @@
         for digest in digests:
             keys = self.by_digest.get(digest, set())
             keys.discard(key)
+            if digest in self.frequent:
+                self.derived = None
+            if len(keys) < BLAME_CRASHES:
+                self.frequent.pop(digest, None)
             if not keys:
                 self.by_digest.pop(digest, None)
-            self.derived = None
 
     # Derived state
 
     def get_blame(self) -> "Blame":
         """Return which requests are blamed or contested."""
         if self.derived is None:
-            self.derived = find_blame(self.by_digest)
+            self.derived = find_blame(self.frequent)
         return self.derived
 
     def get_suspicion(self, digest: ids.ContentDigest) -> Suspicion:
@@ -203,21 +211,19 @@
 
 
 def find_blame(
-    by_digest: collections.abc.Mapping[
+    frequent: collections.abc.Mapping[
         ids.ContentDigest, collections.abc.Set[CrashKey]
     ],
 ) -> Blame:
-    """Return which requests are to blame, given the crashes of each.
+    """Return which requests are to blame.
+
+    ``frequent`` has the crashes of those that were at enough of them.
 
     The request with the most crashes explains them; then the one with the
     most that remain, and so on. Requests with as many crashes as another,
     some of them the same, are contested.
     """
-    remaining = {
-        digest: frozenset(keys)
-        for digest, keys in by_digest.items()
-        if len(keys) >= BLAME_CRASHES
-    }
+    remaining = {digest: frozenset(keys) for digest, keys in frequent.items()}
     blamed: set[ids.ContentDigest] = set()
     contested: set[ids.ContentDigest] = set()
     explained: frozenset[CrashKey] = frozenset()
--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -11,7 +11,7 @@
 from hemlockkeel._internal.relay import headers
 from hemlockkeel._internal.relay import request_context
 from hemlockkeel._internal.relay import results
-from hemlockkeel._internal.relay import target_registry as registry_module
+from hemlockkeel._internal.relay import target as target_module
 from hemlockkeel._internal.relay import waits
 from hemlockkeel._internal.routes import table
 
@@ -28,7 +28,7 @@
         context: request_context.RequestContext,
         route: table.Route,
         service: table.Service,
-        target: registry_module.Target,
+        target: target_module.Target,
     ) -> None:
         self.context = context
         self.route = route
@@ -382,7 +382,7 @@
 class PendingPrefill:
     """Prompt tokens of one request that a target has not prefilled yet."""
 
-    def __init__(self, target: registry_module.Target, tokens: int) -> None:
+    def __init__(self, target: target_module.Target, tokens: int) -> None:
         self.target = target
         self.tokens = tokens
 
--- a/src/hemlockkeel/_internal/relay/crashes.py
+++ b/src/hemlockkeel/_internal/relay/crashes.py
@@ -23,7 +23,7 @@
 from hemlockkeel._internal.relay import exchange
 from hemlockkeel._internal.relay import request_memory
 from hemlockkeel._internal.relay import suspect_admission
-from hemlockkeel._internal.relay import target_registry as registry_module
+from hemlockkeel._internal.relay import target as target_module
 from hemlockkeel._internal.utils import event_log
 from hemlockkeel._internal.utils import instruments
 
@@ -101,7 +101,7 @@
     def find_shared_targets(
         self,
         digest: ids.ContentDigest,
-        targets: collections.abc.Iterable[registry_module.Target],
+        targets: collections.abc.Iterable[target_module.Target],
     ) -> set[records.InstanceId]:
         """Return the targets at which a request would be beside a suspect.
 
@@ -130,7 +130,7 @@
 
     def record_lost(
         self,
-        target: registry_module.Target,
+        target: target_module.Target,
         digest: ids.ContentDigest,
         by_target: bool,
     ) -> None:
@@ -166,7 +166,7 @@
         for connection in self.copies.get(digest, ()):
             connection.abort()
 
-    def start_probe(self, target: registry_module.Target) -> None:
+    def start_probe(self, target: target_module.Target) -> None:
         """Start a probe of a target whose responses broke off or stall.
 
         One probe runs for each target incarnation.
@@ -179,21 +179,21 @@
         self.probes[key] = task
         task.add_done_callback(lambda _: self.probes.pop(key, None))
 
-    async def wait_for_probe(self, target: registry_module.Target) -> None:
+    async def wait_for_probe(self, target: target_module.Target) -> None:
         """Wait for the outcome of a target's probe, if one runs."""
         task = self.probes.get(target.crash_key)
         if task is not None:
             await asyncio.wait([task], timeout=PROBE_WAIT_S)
 
     def probe_silent_targets(
-        self, targets: collections.abc.Iterable[registry_module.Target]
+        self, targets: collections.abc.Iterable[target_module.Target]
     ) -> None:
         """Probe targets that owe responses but have sent no data for long."""
         for target in targets:
             if target.is_silent(self.now):
                 self.start_probe(target)
 
-    async def probe(self, target: registry_module.Target) -> None:
+    async def probe(self, target: target_module.Target) -> None:
         """Report a crash if the target accepts no new connection."""
         outcome = await probe_target(target.record.address)
         digests = target.list_unanswered(self.now)
@@ -213,7 +213,7 @@
             self.report_crash(target.record, digests, outcome.value)
 
     def handle_announcement(
-        self, target: registry_module.Target, heard_at: float
+        self, target: target_module.Target, heard_at: float
     ) -> None:
         """Withdraw the crash of a target that still announces itself."""
         key = target.crash_key
@@ -231,7 +231,7 @@
             )
             self.apply_quarantines()
 
-    def handle_replaced(self, target: registry_module.Target) -> None:
+    def handle_replaced(self, target: target_module.Target) -> None:
         """Report the crash of a target that has been replaced.
 
         Whatever a probe found, its end is certain now.
--- a/src/hemlockkeel/_internal/relay/forwarder.py
+++ b/src/hemlockkeel/_internal/relay/forwarder.py
@@ -14,7 +14,7 @@
 from hemlockkeel._internal.relay import request_context
 from hemlockkeel._internal.relay import results
 from hemlockkeel._internal.relay import shared_state
-from hemlockkeel._internal.relay import target_registry as registry_module
+from hemlockkeel._internal.relay import target as target_module
 from hemlockkeel._internal.relay import target_selection
 from hemlockkeel._internal.relay import waits
 from hemlockkeel._internal.routes import table
@@ -165,7 +165,7 @@
 
     def select_target(
         self, service: table.Service
-    ) -> registry_module.Target | None:
+    ) -> target_module.Target | None:
         """Select and log the best target not tried yet; None without one."""
         shared = self.shared
         candidates = shared.registry.list_candidates(
--- a/src/hemlockkeel/_internal/state/suspects.py
+++ b/src/hemlockkeel/_internal/state/suspects.py
@@ -32,13 +32,9 @@
 
 
 class SuspectTable:
-    """Suspects by content digest.
+    """Suspects by content digest."""
 
-    A request is quarantined after ``quarantine_crashes`` crashes.
-    """
-
-    def __init__(self, quarantine_crashes: int = QUARANTINE_CRASHES) -> None:
-        self.quarantine_crashes = quarantine_crashes
+    def __init__(self) -> None:
         self.suspects: dict[str, Suspect] = {}
 
     def report(
@@ -73,9 +69,7 @@
         """
         crashes = [*(old.crashes if old else []), crash]
         alone_crashes = (old.alone_crashes if old else 0) + int(alone)
-        quarantined = (
-            len(crashes) >= self.quarantine_crashes and alone_crashes > 0
-        )
+        quarantined = len(crashes) >= QUARANTINE_CRASHES and alone_crashes > 0
         suspect = Suspect(
             digest,
             crashes,
