--- a/tests/run.py
+++ b/tests/run.py
@@ -14,7 +14,12 @@
 WORKERS = 4
 ROOT = pathlib.Path(__file__).parent.parent
 # Started first, as they take longest.
-SLOW_MODULES = ("test_control", "test_outcomes", "test_daemons")
+SLOW_MODULES = (
+    "test_control",
+    "test_crashing_requests",
+    "test_outcomes",
+    "test_daemons",
+)
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 
 
