Count each start of a plain service that crashes

An agent took the next response of a service for its new start. A service that crashed twice without a response between was counted once, so the request that ended it each time stayed a suspect.

Now the next connection that the service accepts is a new start.

Evidence: test_each_start_of_the_service_counts waited in vain for the second report before.

--- a/src/hemlockkeel/_internal/agent/plain_driver.py
+++ b/src/hemlockkeel/_internal/agent/plain_driver.py
@@ -1,7 +1,7 @@
 """Driver for a plain HTTP service, to which requests are forwarded.
 
 A plain service does not report its starts. It has crashed if it refuses
-connections after a response was lost; the next request that it answers is
+connections after a response was lost; the next connection that it accepts is
 taken for a new start.
 """
 
@@ -149,6 +149,7 @@
         verdict = outcomes.Verdict.NOT_RUN
         try:
             connection.connect()
+            self.record_connected()
             connection.sock.settimeout(remaining)
             verdict = outcomes.Verdict.MAY_HAVE_RUN
             headers = {"Content-Type": "application/json"}
@@ -166,7 +167,6 @@
             return answers.make_failure(
                 order.request_id, order.attempt, refusal
             )
-        self.record_response()
         if order.suspect and response.status < http.HTTPStatus.BAD_REQUEST:
             self.reporter.clear_suspicion(order.content_digest)
         return ttypes.AnswerFrame(
@@ -185,8 +185,8 @@
             content_type=response.getheader("Content-Type", ""),
         )
 
-    def record_response(self) -> None:
-        """Record a complete response, the first one after a crash or not."""
+    def record_connected(self) -> None:
+        """Record that the service listens, after a crash in a new start."""
         with self.lock:
             if self.crashed:
                 self.crashed = False
--- a/tests/lib/closing_server.py
+++ b/tests/lib/closing_server.py
@@ -10,19 +10,25 @@
     """Accepts connections in a thread until it is closed."""
 
     def __init__(self) -> None:
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.port: int = self.listener.getsockname()[1]
+        self.port = 0
         self.connections: list[socket.socket] = []
         self.bodies: list[str] = []
         self.changed = threading.Condition()
-        self.thread = threading.Thread(target=self.serve, daemon=True)
-        self.thread.start()
+        self.start()
 
-    def serve(self) -> None:
+    def start(self) -> None:
+        """Listen, after a crash at the same port as before."""
+        self.listener = socket.create_server(("127.0.0.1", self.port))
+        self.port = self.listener.getsockname()[1]
+        threading.Thread(
+            target=self.serve, args=(self.listener,), daemon=True
+        ).start()
+
+    def serve(self, listener: socket.socket) -> None:
         """Read one request from each connection."""
         while True:
             try:
-                connection, _ = self.listener.accept()
+                connection, _ = listener.accept()
             except OSError:
                 return
             threading.Thread(
--- a/tests/unit/test_agent_crashes.py
+++ b/tests/unit/test_agent_crashes.py
@@ -266,6 +266,20 @@
         self.assertTrue(self.control.reported.wait(WAIT_S))
         self.assertEqual(self.control.reports[0].digests, ["bad", "good"])
 
+    def test_each_start_of_the_service_counts(self) -> None:
+        for number in range(2):
+            order = make_order("bad", suspect=True)
+            order.request_id = f"r{number}"
+            self.assertIsNone(self.store.open(order))
+            self.assertIsNone(self.driver.submit(order))
+            self.server.wait_for_requests(number + 1)
+            self.server.crash()
+            self.wait_for(lambda n=number: len(self.control.reports) == n + 1)
+            self.wait_for(lambda: not self.driver.unfinished)
+            self.server.start()
+        boots = {report.boot_id for report in self.control.reports}
+        self.assertEqual(len(boots), 2)
+
     def test_lost_response_of_a_service_that_listens_is_no_crash(self) -> None:
         self.submit(self.driver, "x")
         self.server.wait_for_requests(1)
