--- a/src/hemlockkeel/_internal/relay/crashes.py
+++ b/src/hemlockkeel/_internal/relay/crashes.py
@@ -249,6 +249,7 @@
         evidence: str,
     ) -> None:
         """Count a crash and report it to all entries."""
+        self.instruments.events.labels("target_crashed").inc()
         self.log.write(
             "target_crashed",
             target=record.instance_id,
@@ -278,6 +279,7 @@
         """Put a change of the blame into force."""
         blamed = self.ledger.get_blame().blamed
         for digest in sorted(blamed - self.quarantined):
+            self.instruments.events.labels("request_quarantined").inc()
             self.log_suspicion("request_quarantined", digest)
             self.abort_copies(digest)
         for digest in sorted(self.quarantined - blamed):
