--- a/tests/lib/ending_target.py
+++ b/tests/lib/ending_target.py
@@ -52,14 +52,12 @@
         self.sequence = 0
         # Loop times at which fatal requests began to run.
         self.fatal_runs: list[float] = []
-        self.served: list[bytes] = []
         # Responds to slow requests once this is set.
         self.released = asyncio.Event()
         self.fails_next = False
         self.silent = False
         self.server = fake_target.FakeTarget(self.handle)
         self.fillers: list[socket.socket] = []
-        self.tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Listen and announce the first incarnation."""
@@ -111,7 +109,6 @@
             if incarnation != self.started_at_ms:
                 return False
         await self.wait_if_silent()
-        self.served.append(request.body)
         writer.write(fake_target.make_response(request, b"done"))
         return True
 
