Tell callers the verdict on all attempts, not only on the last one

Traced: the first attempt of an idempotent request was lost when its engine restarted, the next one was refused as quarantined, as the content had been running at two restarts; the entry passed the verdict of the last attempt on.

Evidence: test_refusal_after_a_lost_attempt_may_have_run failed before with not_run.

--- a/src/hemlockkeel/_internal/entry/runs.py
+++ b/src/hemlockkeel/_internal/entry/runs.py
@@ -1,5 +1,6 @@
 """Runs one request: attempts on targets, retries and resumed streams."""
 
+import dataclasses
 import time
 
 from hemlockkeel._internal.entry import attempts
@@ -76,6 +77,7 @@
                     return
                 failure = result
             if not self.should_retry(failure):
+                failure = self.combine_verdicts(failure)
                 yield context.FailureEvent(self.record_failure(failure))
                 return
 
@@ -158,6 +160,17 @@
             recorder.wait_for_earlier_requests(self.request)
         self.preferred_target = recorder.find_session_target(self.request)
 
+    def combine_verdicts(self, last: outcomes.Refused) -> outcomes.Refused:
+        """Return the last attempt's failure with the verdict on all of them.
+
+        An attempt that was refused says nothing of one that was lost before.
+        """
+        if last.verdict is outcomes.Verdict.NOT_RUN and self.lost_attempts:
+            return dataclasses.replace(
+                last, verdict=outcomes.Verdict.MAY_HAVE_RUN
+            )
+        return last
+
     def record_failure(self, failure: outcomes.Refused) -> outcomes.Refused:
         """Commit the failure of a recorded request and return it."""
         if self.recorded_attempt == 0:
--- a/tests/unit/test_entry.py
+++ b/tests/unit/test_entry.py
@@ -2,6 +2,7 @@
 
 import types
 import unittest
+import unittest.mock
 
 from hemlockkeel._internal.entry import attempts
 from hemlockkeel._internal.entry import context
@@ -143,3 +144,37 @@
         text, _, failure = self.follow_attempt()
         self.assertIsNone(failure)
         self.assertEqual(TOKENS[2], text)
+
+
+class TestVerdict(unittest.TestCase):
+    """The verdict that callers get after several attempts."""
+
+    def test_refusal_after_a_lost_attempt_may_have_run(self) -> None:
+        request = context.RequestContext(
+            "r", context.RequestKind.COMPLETION, b"", "caller", 0.0, 1e12
+        )
+        request.idempotent = True
+        shared = types.SimpleNamespace(
+            follower=None,
+            target_links=None,
+            counters=metrics.Metrics(),
+            spend_retry=lambda: True,
+        )
+        run = runs.RequestRun(shared, request)
+        failures = [
+            outcomes.Refused(
+                outcomes.RefusalCode.LOST,
+                "lost",
+                outcomes.Verdict.MAY_HAVE_RUN,
+            ),
+            outcomes.refuse(outcomes.RefusalCode.QUARANTINED, "quarantined"),
+        ]
+        with unittest.mock.patch.object(
+            run, "start_attempt", side_effect=failures
+        ):
+            events = list(run.run())
+        self.assertEqual(1, len(events))
+        assert isinstance(events[0], context.FailureEvent)
+        final = events[0].refusal
+        self.assertIs(outcomes.RefusalCode.QUARANTINED, final.code)
+        self.assertIs(outcomes.Verdict.MAY_HAVE_RUN, final.verdict)
