Stop sending to targets that leave or ask for a pause

Cause: a target's responses may say that it leaves (DRAIN) and a 503 may name a time for which it wants nothing (BUDGET). Neither header was read.

Change: both are a state of the target incarnation, checked when a target is chosen, when a request is about to be written, and while a request waits at the agent. A pause with all targets held gives callers the time of its end, at once and spread. An agent sees that its engine leaves in the next report, grants and loads nothing more, and tells all entries in its load update; it pauses its own calls after a 503 with Retry-After.

Ruled out: telling the other entries through control members. The target's announcement is as early, and a pause concerns only the entry refused.

--- a/src/hemlockkeel/_internal/links/messages.py
+++ b/src/hemlockkeel/_internal/links/messages.py
@@ -212,6 +212,9 @@
     can_load: bool
     # Prompt tokens that the engine has probably not prefilled yet.
     pending_prefill_tokens: int = 0
+    # Start of the target's process, milliseconds since the epoch, if the
+    # target has said in a response that it is leaving; otherwise 0.
+    leaving_started_at_ms: int = 0
 
 
 AnyMessage = (
--- a/src/hemlockkeel/_internal/orders/adapter_manager.py
+++ b/src/hemlockkeel/_internal/orders/adapter_manager.py
@@ -107,6 +107,8 @@
         """Return a refusal if an adapter cannot be loaded now, or None."""
         if self.engine_unreachable:
             return make_refusal("the engine does not answer")
+        if self.is_leaving:
+            return make_refusal("the engine is leaving")
         state = self.get_engine_state()
         if state is None:
             return None
@@ -292,9 +294,13 @@
         if self.started_at_ms not in (None, report.started_at_ms):
             self.log.write("engine_restarted", born_ms=report.started_at_ms)
             self.requests.reset()
+        if report.leaving and not self.is_leaving:
+            self.log.write("engine_leaving", born_ms=report.started_at_ms)
         self.started_at_ms = report.started_at_ms
         self.engine_unreachable = False
         self.report = report
+        if report.leaving:
+            self.refuse_all("the engine is leaving")
         self.reported_at = self.now
         self.unacknowledged_unloads = {
             key: count
@@ -310,13 +316,22 @@
         """Discard the engine's report and refuse all waiting requests."""
         self.report = None
         self.engine_unreachable = True
+        self.refuse_all("the engine does not answer")
+
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether the engine has said that it is leaving."""
+        return self.report is not None and self.report.leaving
+
+    def refuse_all(self, reason: str) -> None:
+        """Refuse all waiting requests, which may try another target."""
         for waiter in list(self.requests.waiters):
-            self.requests.refuse(waiter, "the engine does not answer")
+            self.requests.refuse(waiter, reason)
 
     def choose_order(self) -> engine.Order | None:
         """Return the next order; None if none is due or allowed."""
         state = self.get_engine_state()
-        if state is None or not self.can_order:
+        if state is None or not self.can_order or self.is_leaving:
             return None
         assert self.report is not None
         if not state.models:
--- a/src/hemlockkeel/_internal/orders/engine.py
+++ b/src/hemlockkeel/_internal/orders/engine.py
@@ -79,6 +79,8 @@
     loading: tuple[tuple[str, str], ...]
     # Start of the process, milliseconds since the epoch; None if not given.
     started_at_ms: int | None = None
+    # Whether the engine is leaving and wants no new work.
+    leaving: bool = False
 
 
 class EngineClient(abc.ABC):
--- a/src/hemlockkeel/_internal/orders/http_client.py
+++ b/src/hemlockkeel/_internal/orders/http_client.py
@@ -1,11 +1,15 @@
 """Sends requests to an engine over HTTP with keep-alive connections."""
 
 import asyncio
+import dataclasses
+import http
+import time
 
 from hemlockkeel._internal.orders import engine
 from hemlockkeel._internal.relay import exchange
 from hemlockkeel._internal.relay import header_codec
 from hemlockkeel._internal.relay import pool
+from hemlockkeel._internal.relay import retry_after
 
 # An engine runs on the instance of its agent and responds within
 # milliseconds. An order without a response in time may still be carried out.
@@ -13,39 +17,25 @@
 ORDER_TIMEOUT_S = 0.15
 
 
-class IgnoredHeaders(header_codec.HeaderCodec):
-    """Ignores all headers, as only status and body are needed."""
-
-    def read_request(
-        self, headers: header_codec.Headers
-    ) -> header_codec.RequestMetadata:
-        return header_codec.RequestMetadata("")
-
-    def make_request_headers(
-        self,
-        headers: header_codec.Headers,
-        forwarding: header_codec.ForwardingMetadata,
-    ) -> header_codec.Headers:
-        return headers
-
-    def read_response(
-        self, status: int, headers: header_codec.Headers
-    ) -> header_codec.ResponseMetadata:
-        return header_codec.ResponseMetadata("", sealed=False, not_run=False)
-
-
 class HttpEngineClient(engine.EngineClient):
     """Sends requests to the engine at an address."""
 
-    def __init__(self, address: str, codec: engine.EngineCodec) -> None:
+    def __init__(
+        self,
+        address: str,
+        codec: engine.EngineCodec,
+        headers: header_codec.HeaderCodec,
+    ) -> None:
         self.address = address
         self.codec = codec
         self.connections = pool.TargetPool(address)
-        self.header_codec = IgnoredHeaders()
+        self.header_codec = headers
+        # Loop time until which the engine wants no requests of this agent.
+        self.held_until = float("-inf")
 
     async def read_report(self) -> engine.Report:
         try:
-            status, body = await self.send_request(
+            head, body = await self.send_request(
                 self.codec.encode_report_request(), REPORT_TIMEOUT_S
             )
         except (
@@ -53,13 +43,17 @@
             exchange.InvalidResponseError,
         ) as error:
             raise OSError(str(error)) from error
-        if status != 200:
-            raise ValueError(f"report request failed with status {status}")
-        return self.codec.decode_report(body)
+        if head.status != http.HTTPStatus.OK:
+            raise ValueError(
+                f"report request failed with status {head.status}"
+            )
+        return dataclasses.replace(
+            self.codec.decode_report(body), leaving=head.metadata.leaving
+        )
 
     async def send_order(self, order: engine.FencedOrder) -> engine.Reply:
         try:
-            status, _ = await self.send_request(
+            head, _ = await self.send_request(
                 self.codec.encode_order(order), ORDER_TIMEOUT_S
             )
         except (
@@ -68,20 +62,23 @@
             TimeoutError,
         ):
             return engine.Reply.UNKNOWN
-        return self.codec.decode_order_reply(status)
+        return self.codec.decode_order_reply(head.status)
 
     async def send_request(
         self, request: engine.HttpRequest, timeout_s: float
-    ) -> tuple[int, bytes]:
-        """Send a request and return the status and body of the response.
+    ) -> tuple[exchange.ResponseHead, bytes]:
+        """Send a request and return the head and body of the response.
 
-        :raises ConnectFailedError: when the connection cannot be opened.
+        :raises ConnectFailedError: when the connection cannot be opened, or
+            the engine has asked for a pause that has not ended.
         :raises InvalidResponseError: when the response is incomplete or
             malformed.
         :raises TimeoutError: when the response takes longer than
             ``timeout_s``.
         """
         loop = asyncio.get_running_loop()
+        if loop.time() < self.held_until:
+            raise exchange.ConnectFailedError("the engine asked for a pause")
         connection = self.connections.acquire_idle(loop.time(), True)
         if connection is None:
             connection = await self.connections.connect()
@@ -99,7 +96,8 @@
                 )
                 head = await connection.read_head(self.header_codec, "")
                 body = await exchange.read_body(connection)
-                return head.status, body
+                self.update_hold(head)
+                return head, body
         except BaseException:
             head = None
             raise
@@ -108,3 +106,12 @@
                 self.connections.discard(connection)
             else:
                 self.connections.release(connection, head.headers, loop.time())
+
+    def update_hold(self, head: exchange.ResponseHead) -> None:
+        """Send the engine nothing for as long as a refusal asks for."""
+        if head.status != http.HTTPStatus.SERVICE_UNAVAILABLE:
+            return
+        requested = retry_after.read(head.headers, time.time())
+        if requested.delay_s is not None:
+            ends_at = asyncio.get_running_loop().time() + requested.delay_s
+            self.held_until = max(self.held_until, ends_at)
--- a/src/hemlockkeel/_internal/orders/process.py
+++ b/src/hemlockkeel/_internal/orders/process.py
@@ -275,12 +275,17 @@
                 for rank in range(orders_requests.PRIORITY_RANKS)
             ],
             # Adapters cannot be loaded before their model.
-            can_load=self.manager.can_order and bool(state.models),
+            can_load=self.manager.can_order
+            and bool(state.models)
+            and not report.leaving,
             pending_prefill_tokens=int(
                 self.manager.backlog.get(self.manager.now)
                 // PREFILL_STEP_TOKENS
                 * PREFILL_STEP_TOKENS
             ),
+            leaving_started_at_ms=(report.started_at_ms or 0)
+            if report.leaving
+            else 0,
         )
 
 
--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -1,16 +1,20 @@
 """One attempt to get a response to a request from one target."""
 
 import collections
+import http
+import time
 
 from hemlockkeel._internal.links import link
 from hemlockkeel._internal.links import messages
 from hemlockkeel._internal.models import outcomes
+from hemlockkeel._internal.relay import availability
 from hemlockkeel._internal.relay import events
 from hemlockkeel._internal.relay import exchange
 from hemlockkeel._internal.relay import header_codec
 from hemlockkeel._internal.relay import headers
 from hemlockkeel._internal.relay import request_context
 from hemlockkeel._internal.relay import results
+from hemlockkeel._internal.relay import retry_after
 from hemlockkeel._internal.relay import target as target_module
 from hemlockkeel._internal.relay import waits
 from hemlockkeel._internal.routes import table
@@ -18,6 +22,8 @@
 # Statuses that tell callers that a request has not run. Callers then repeat
 # even a request that must not run twice.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+# Characters of an invalid header value that are logged.
+MAX_LOGGED_VALUE = 40
 
 
 class Attempt:
@@ -55,10 +61,14 @@
                 "no adapter slot is expected to be free in time",
             )
         try:
-            grant = await client.acquire(
-                self.target.record.address, self.make_adapter_request()
-            )
+            async with self.target.availability.interruptible():
+                grant = await client.acquire(
+                    self.target.record.address, self.make_adapter_request()
+                )
         except (link.LinkClosedError, TimeoutError) as error:
+            unavailable = self.find_unavailability()
+            if unavailable is not None:
+                return unavailable
             return self.fail_unsent(
                 results.Cause.NO_ADAPTER, f"call to the agent failed: {error}"
             )
@@ -110,6 +120,20 @@
             outcomes.Verdict.NOT_RUN, cause, reason, sent=False
         )
 
+    def find_unavailability(self) -> results.AttemptFailed | None:
+        """Return the failure if the target accepts no requests any more."""
+        match self.target.availability.find_refusal(self.context.now):
+            case availability.Refusal.LEAVING:
+                return self.fail_unsent(
+                    results.Cause.TARGET_LEAVING, "the target is leaving"
+                )
+            case availability.Refusal.HELD:
+                return self.fail_unsent(
+                    results.Cause.TARGET_HELD,
+                    "the target asked for a pause",
+                )
+        return None
+
     async def send(self, version: int | None) -> results.AttemptResult:
         """Send the request on an idle connection or a new one.
 
@@ -136,6 +160,10 @@
         if time_left_s < waits.MIN_USEFUL_S:
             target.pool.discard(connection)
             return self.fail_unsent(results.Cause.DEADLINE, "no time left")
+        unavailable = self.find_unavailability()
+        if unavailable is not None:
+            target.pool.discard(connection)
+            return unavailable
         hold = self.context.shared.crashes.find_hold(self.context.digest)
         if hold is not None:
             target.pool.discard(connection)
@@ -206,6 +234,7 @@
             target.heard_at = self.context.now
             if response.metadata.load is not None:
                 target.update_load(response.metadata.load, self.context.now)
+            self.update_availability(response)
             result = await self.handle_response(
                 connection, response, pending_prefill
             )
@@ -243,7 +272,9 @@
             shared.crashes.remove_copy(self.context.digest, connection)
             target.in_flight -= 1
             target.digests -= collections.Counter([self.context.digest])
-            if finished_response is not None:
+            if finished_response is not None and target.availability.leaving:
+                target.pool.discard(connection)
+            elif finished_response is not None:
                 target.pool.release(
                     connection, finished_response.headers, self.context.now
                 )
@@ -255,6 +286,42 @@
                 )
                 target.pool.discard(connection)
 
+    def update_availability(self, response: exchange.ResponseHead) -> None:
+        """Record whether the target still wants requests."""
+        if response.metadata.leaving and self.target.mark_leaving():
+            self.context.shared.instruments.events.labels(
+                "target_leaving"
+            ).inc()
+            self.context.log_event(
+                "target_leaving",
+                target=self.target.record.instance_id,
+                born_ms=self.target.record.started_at_ms,
+                status=response.status,
+            )
+        if response.status == http.HTTPStatus.SERVICE_UNAVAILABLE:
+            self.hold_target(retry_after.read(response.headers, time.time()))
+
+    def hold_target(self, requested: retry_after.RetryAfter) -> None:
+        """Send the target nothing for as long as its refusal asks for."""
+        for value in requested.invalid:
+            self.context.log_event(
+                "retry_after_invalid",
+                target=self.target.record.instance_id,
+                value=value[:MAX_LOGGED_VALUE],
+            )
+        if requested.delay_s is None:
+            return
+        now = self.context.now
+        if not self.target.availability.hold(now + requested.delay_s, now):
+            return
+        self.context.shared.instruments.events.labels("target_held").inc()
+        self.context.log_event(
+            "target_held",
+            target=self.target.record.instance_id,
+            born_ms=self.target.record.started_at_ms,
+            seconds=round(requested.delay_s, 3),
+        )
+
     def get_uncached_tokens(self) -> int:
         """Return the prompt tokens missing from the target's cache."""
         cached = self.target.get_cached_tokens(
--- /dev/null
+++ b/src/hemlockkeel/_internal/relay/availability.py
@@ -0,0 +1,76 @@
+"""Whether a target accepts new requests, according to its own responses.
+
+A target that is leaving says so in its responses, also before it announces
+it. A target that is overloaded refuses a request and names a time until which
+it wants no other one.
+"""
+
+import asyncio
+import collections.abc
+import contextlib
+import enum
+
+
+class Refusal(enum.Enum):
+    """Why a target accepts no new requests. The values appear in logs."""
+
+    LEAVING = "leaving"
+    HELD = "held"
+
+
+class Availability:
+    """What one target incarnation has said about new requests."""
+
+    def __init__(self) -> None:
+        # Final: the incarnation does not accept requests again.
+        self.leaving = False
+        # Loop time until which the target wants no requests.
+        self.held_until = float("-inf")
+        # Waits of requests that have chosen the target.
+        self.waits: set[asyncio.Timeout] = set()
+
+    def find_refusal(self, now: float) -> Refusal | None:
+        """Return why a request must not be sent now; None if it may be."""
+        if self.leaving:
+            return Refusal.LEAVING
+        if now < self.held_until:
+            return Refusal.HELD
+        return None
+
+    def mark_leaving(self) -> bool:
+        """Record that the target leaves; return whether this is news."""
+        if self.leaving:
+            return False
+        self.leaving = True
+        self.interrupt_waits()
+        return True
+
+    def hold(self, until: float, now: float) -> bool:
+        """Record that the target wants no requests until a loop time.
+
+        A hold is never shortened. Returns whether it is the start of one.
+        """
+        is_new = self.held_until <= now < until
+        self.held_until = max(self.held_until, until)
+        if is_new:
+            self.interrupt_waits()
+        return is_new
+
+    def interrupt_waits(self) -> None:
+        """Make `interruptible` blocks raise TimeoutError."""
+        now = asyncio.get_running_loop().time()
+        for wait in self.waits:
+            wait.reschedule(now)
+
+    @contextlib.asynccontextmanager
+    async def interruptible(self) -> collections.abc.AsyncIterator[None]:
+        """End a wait at once if the target stops accepting requests.
+
+        :raises TimeoutError: when it does.
+        """
+        async with asyncio.timeout(None) as wait:
+            self.waits.add(wait)
+            try:
+                yield
+            finally:
+                self.waits.discard(wait)
--- a/src/hemlockkeel/_internal/relay/forwarder.py
+++ b/src/hemlockkeel/_internal/relay/forwarder.py
@@ -130,16 +130,10 @@
         while True:
             target = self.select_target(service)
             if target is None:
-                self.send_final_response(
-                    results.AttemptFailed(
-                        outcomes.Verdict.NOT_RUN,
-                        *self.explain_no_target(),
-                        sent=False,
-                    )
-                )
+                self.send_final_response(service)
                 return
             if self.context.sends and not self.may_retry(route, service):
-                self.send_final_response(None)
+                self.send_final_response(service)
                 return
             self.tried_targets.add(target.record.instance_id)
             result = await attempt.Attempt(
@@ -149,7 +143,7 @@
                 return
             self.last_result = result
             if not self.should_try_another(route, result):
-                self.send_final_response(None)
+                self.send_final_response(service)
                 return
             await self.shared.crashes.wait_for_probe(target)
 
@@ -218,6 +212,14 @@
         self.held_back = bool(candidates)
         return []
 
+    def record_hold(self, service: table.Service) -> None:
+        """Record when callers may return if all targets asked for a pause."""
+        ends_at = self.shared.registry.find_hold_end(
+            service.name, self.context.now
+        )
+        if ends_at is not None:
+            self.context.hold_s = max(0.0, ends_at - self.context.now)
+
     def explain_no_target(self) -> tuple[results.Cause, str]:
         """Return why no target could be selected."""
         if self.held_back:
@@ -225,6 +227,11 @@
                 results.Cause.SUSPECTED,
                 "all targets run other requests that may crash them",
             )
+        if self.context.hold_s is not None:
+            return (
+                results.Cause.TARGET_HELD,
+                "all targets asked for a pause",
+            )
         return results.Cause.NO_TARGET, "no target left"
 
     def may_retry(self, route: table.Route, service: table.Service) -> bool:
@@ -261,14 +268,10 @@
             return True
         return route.idempotent or route.resumable
 
-    def send_final_response(
-        self, fallback: results.AttemptFailed | None
-    ) -> None:
-        """Send the response, or end the stream, after the last attempt.
-
-        ``fallback`` is the failure to report when no attempt was made.
-        """
-        last = self.last_result or fallback
+    def send_final_response(self, service: table.Service) -> None:
+        """Send the response, or end the stream, after the last attempt."""
+        self.record_hold(service)
+        last = self.last_result
         if isinstance(last, results.BufferedResponse):
             self.context.forward_response(last)
             return
@@ -277,7 +280,7 @@
             self.context.connection.abort()
             return
         if last is None:
-            self.context.refuse(results.Cause.NO_TARGET, "no target")
+            self.context.refuse(*self.explain_no_target())
             return
         if self.context.connection.response_started:
             self.context.log_event("stream_broken_off", reason=last.reason)
--- a/src/hemlockkeel/_internal/relay/header_codec.py
+++ b/src/hemlockkeel/_internal/relay/header_codec.py
@@ -71,6 +71,8 @@
     # Whether the target declares that it did not run the request.
     not_run: bool
     load: TargetLoad | None = None
+    # Whether the target is leaving and wants no further requests.
+    leaving: bool = False
 
 
 class HeaderCodec(abc.ABC):
--- a/src/hemlockkeel/_internal/relay/request_context.py
+++ b/src/hemlockkeel/_internal/relay/request_context.py
@@ -19,6 +19,9 @@
 RETRY_AFTER_S = (0.15, 0.6)
 # The same while a started entry has not received its configuration.
 RETRY_AFTER_START_S = (0.8, 1.6)
+# Retry-After while all targets have asked for a pause: its end plus a random
+# part of the rest of it, of this many seconds at least.
+MIN_HOLD_SPREAD_S = 0.5
 # The same for a quarantined request.
 RETRY_AFTER_QUARANTINE_S = (30.0, 60.0)
 
@@ -53,6 +56,8 @@
         self.slot_wait_s = 0.0
         # Shortest expected wait for which an attempt was given up, if any.
         self.expected_wait_s: float | None = None
+        # Time until a target accepts requests again, if all asked for a pause.
+        self.hold_s: float | None = None
 
     @property
     def now(self) -> float:
@@ -101,6 +106,9 @@
         bounds = RETRY_AFTER_S
         if self.expected_wait_s is not None:
             bounds = (self.expected_wait_s / 2, self.expected_wait_s * 3 / 2)
+        if self.hold_s is not None:
+            spread_s = max(MIN_HOLD_SPREAD_S, self.hold_s / 2)
+            bounds = (self.hold_s, self.hold_s + spread_s)
         if cause is results.Cause.QUARANTINED:
             bounds = RETRY_AFTER_QUARANTINE_S
         if cause is results.Cause.NO_CONFIGURATION:
--- a/src/hemlockkeel/_internal/relay/results.py
+++ b/src/hemlockkeel/_internal/relay/results.py
@@ -18,6 +18,8 @@
     NO_TARGET = "no_target"
     TARGETS_BUSY = "targets_busy"
     TARGET_REFUSED = "target_refused"
+    TARGET_LEAVING = "target_leaving"
+    TARGET_HELD = "target_held"
     NO_ADAPTER = "no_adapter"
     BROKEN_ANSWER = "broken_answer"
     BAD_ANSWER = "bad_answer"
--- a/src/hemlockkeel/_internal/relay/target.py
+++ b/src/hemlockkeel/_internal/relay/target.py
@@ -7,6 +7,7 @@
 from hemlockkeel._internal.discovery import records
 from hemlockkeel._internal.models import ids
 from hemlockkeel._internal.orders import backlog
+from hemlockkeel._internal.relay import availability as availability_module
 from hemlockkeel._internal.relay import header_codec
 from hemlockkeel._internal.relay import pool
 from hemlockkeel._internal.relay import target_selection
@@ -41,6 +42,9 @@
 
     record: records.TargetRecord
     pool: pool.TargetPool
+    availability: availability_module.Availability = dataclasses.field(
+        default_factory=availability_module.Availability
+    )
     in_flight: int = 0
     # Content digests of this entry's requests in progress, with their number.
     digests: collections.Counter[ids.ContentDigest] = dataclasses.field(
@@ -81,6 +85,13 @@
         self.slots = load.slots
         self.load_reported_at = now
 
+    def mark_leaving(self) -> bool:
+        """Record that the target leaves; return whether this is news."""
+        if not self.availability.mark_leaving():
+            return False
+        self.pool.close()
+        return True
+
     def record_result(self, failed: bool, now: float) -> None:
         """Add a result to the moving average of failures."""
         decayed = self.get_failure_share(now)
--- a/src/hemlockkeel/_internal/relay/target_registry.py
+++ b/src/hemlockkeel/_internal/relay/target_registry.py
@@ -5,6 +5,7 @@
 
 from hemlockkeel._internal.discovery import records
 from hemlockkeel._internal.links import messages
+from hemlockkeel._internal.relay import availability
 from hemlockkeel._internal.relay import header_codec
 from hemlockkeel._internal.relay import pool
 from hemlockkeel._internal.relay import target as target_module
@@ -177,6 +178,8 @@
         )
         target.running, target.waiting = load.running, load.queued
         target.load_reported_at = now
+        if load.leaving_started_at_ms == target.record.started_at_ms != 0:
+            target.mark_leaving()
 
     def mark_agent_down(self, address: str) -> None:
         """Record that no agent can load adapters at a target for now."""
@@ -205,6 +208,8 @@
             if record.instance_id in excluded:
                 continue
             target = self.targets[record.instance_id]
+            if target.availability.find_refusal(now) is not None:
+                continue
             fresh = now - target.load_reported_at < LOAD_REPORT_MAX_AGE_S
             silence_s = (
                 self.contact_s - self.table.last_heard_at[record.instance_id]
@@ -227,6 +232,25 @@
             )
         return candidates
 
+    def find_hold_end(
+        self, service: records.ServiceName, now: float
+    ) -> float | None:
+        """Return when the first target of a service accepts requests again.
+
+        None if one accepts them now, or no target is held.
+        """
+        ends = []
+        for record in self.table.find_usable(
+            service, self.contact_s, self.max_silence_s
+        ):
+            available = self.targets[record.instance_id].availability
+            match available.find_refusal(now):
+                case availability.Refusal.HELD:
+                    ends.append(available.held_until)
+                case None:
+                    return None
+        return min(ends, default=None)
+
     def get_connection_limit(self, max_connections: int) -> int:
         """Return how many connections this entry may have to a target.
 
--- a/src/hemlockkeel/platform/__main__.py
+++ b/src/hemlockkeel/platform/__main__.py
@@ -54,11 +54,14 @@
     from hemlockkeel._internal.orders import process
     from hemlockkeel.platform import configuration
     from hemlockkeel.platform import engine
+    from hemlockkeel.platform import headers
     from hemlockkeel.platform import settings
 
     values = settings.read_agent(path)
     client = http_client.HttpEngineClient(
-        values.engine_address, engine.PlatformEngineCodec()
+        values.engine_address,
+        engine.PlatformEngineCodec(),
+        headers.PlatformHeaderCodec(),
     )
     return process.AgentProcess(
         values,
--- a/src/hemlockkeel/platform/headers.py
+++ b/src/hemlockkeel/platform/headers.py
@@ -78,6 +78,7 @@
             # Status 421 (Misdirected Request) means the same as the header.
             b"x-not-executed" in values or status == 421,
             read_load(values.get(b"x-server-load")),
+            values.get(b"server-leaving", "").strip() == "1",
         )
 
 
--- /dev/null
+++ b/tests/functional/test_engine_client.py
@@ -0,0 +1,71 @@
+"""An agent's HTTP client and responses of an engine in trouble."""
+
+import asyncio
+import unittest
+
+from hemlockkeel._internal.orders import http_client
+from hemlockkeel.platform import engine
+from hemlockkeel.platform import headers
+from tests.lib import fake_target
+
+REPORT = b'{"models": [], "busy": false, "sequence": 0, "born": 7}'
+REFUSED = b"503 Service Unavailable"
+
+
+class EngineClientCase(unittest.IsolatedAsyncioTestCase):
+    """Base of the tests: an engine whose responses a test writes."""
+
+    async def start(
+        self, handler: fake_target.RequestHandler
+    ) -> http_client.HttpEngineClient:
+        """Start an engine; return a client of it."""
+        self.engine = fake_target.FakeTarget(handler)
+        await self.engine.start()
+        self.addAsyncCleanup(self.engine.stop)
+        client = http_client.HttpEngineClient(
+            self.engine.address,
+            engine.PlatformEngineCodec(),
+            headers.PlatformHeaderCodec(),
+        )
+        self.addCleanup(client.connections.close)
+        return client
+
+    async def start_responding(
+        self, status: bytes, extra: bytes = b""
+    ) -> http_client.HttpEngineClient:
+        """Start an engine that always responds in the same way."""
+
+        async def respond(target, request, writer) -> bool:  # type: ignore
+            writer.write(
+                fake_target.make_response(request, REPORT, status, extra)
+            )
+            return True
+
+        return await self.start(respond)
+
+
+class TestAvailability(EngineClientCase):
+    """Responses that say that the engine leaves or wants a pause."""
+
+    async def test_report_says_that_the_engine_leaves(self) -> None:
+        client = await self.start_responding(
+            b"200 OK", b"Server-Leaving: 1\r\n"
+        )
+        report = await client.read_report()
+        self.assertTrue(report.leaving)
+        self.assertEqual(report.started_at_ms, 7)
+
+    async def test_engine_gets_nothing_in_a_pause_it_asks_for(self) -> None:
+        client = await self.start_responding(REFUSED, b"Retry-After: 9\r\n")
+        for _ in range(5):
+            with self.assertRaises((OSError, ValueError)):
+                await client.read_report()
+        self.assertEqual(len(self.engine.received), 1)
+        client.held_until = asyncio.get_running_loop().time()
+        with self.assertRaises(ValueError):
+            await client.read_report()
+        self.assertEqual(len(self.engine.received), 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/unit/test_adapter_orders.py
+++ b/tests/unit/test_adapter_orders.py
@@ -88,6 +88,7 @@
         self.evicted_in_use: list[str] = []
         self.in_use: set[str] = set()
         self.unreachable = False
+        self.leaving = False
 
     async def read_report(self) -> engine.Report:
         if self.unreachable:
@@ -107,6 +108,7 @@
             0,
             1000,
             tuple(("m", name) for name in self.loading),
+            leaving=self.leaving,
         )
 
     async def send_order(self, order: engine.FencedOrder) -> engine.Reply:
@@ -428,6 +430,20 @@
         await self.run_cycles(manager, 4)
         self.assertTrue((await task).granted)
 
+    async def test_engine_that_leaves_gets_no_more_work(self) -> None:
+        client = FakeEngine(random.Random(1))
+        manager = make_manager(client)
+        await manager.refresh()
+        task = asyncio.create_task(self.ensure(manager, "e", 1, "a"))
+        await asyncio.sleep(0)
+        client.leaving = True
+        await self.run_cycles(manager, 4)
+        refused = await asyncio.wait_for(task, 1.0)
+        self.assertIn("leaving", refused.reason)
+        again = await asyncio.wait_for(self.ensure(manager, "e", 2, "b"), 1.0)
+        self.assertIn("leaving", again.reason)
+        self.assertEqual(client.count, 0)
+
     async def test_mean_load_time_is_measured(self) -> None:
         requests = make_manager(FakeEngine(random.Random(1))).requests
         key = ("m", "a")
