Bound what is read from peers and not passed on

Cause: a target may send interim responses, responses to other requests or the body of a refusal until the entry closes the connection. Nothing counted them: the head reader skipped interim responses for ever, skipped bodies had no limit, and http.client limits neither interim responses nor trailers nor the time of a whole response.

Change: one budget an exchange, in bytes (512 KiB), messages (16) and time (0.5 s), for all that is read and not forwarded; bodies that are buffered share 48 MiB; tasks yield after 8 pieces; callers' chunk framing is bounded; calls with http.client are bounded at the socket's file.

Ruled out: counting the bytes of each read() only, since 384 KiB of one-byte chunks are handled between two reads (504 after 1.5 s).

--- a/src/hemlockkeel/_internal/agent/plain_driver.py
+++ b/src/hemlockkeel/_internal/agent/plain_driver.py
@@ -21,6 +21,7 @@
 from hemlockkeel._internal.models import members
 from hemlockkeel._internal.models import outcomes
 from hemlockkeel._internal.rpc.gen.hk import ttypes
+from hemlockkeel._internal.utils import bounded_http
 from hemlockkeel._internal.utils import digests
 from hemlockkeel._internal.utils import logs
 
@@ -129,9 +130,10 @@
                     "requests with the same content crashed several targets",
                 ),
             )
-        connection = http.client.HTTPConnection(
-            self.host, self.port, timeout=CONNECT_TIMEOUT_S
+        connection = bounded_http.Connection(
+            self.host, self.port, CONNECT_TIMEOUT_S
         )
+        connection.set_limits(remaining, remaining)
         with contextlib.closing(connection):
             return self.send_call(order, connection, remaining)
 
--- a/src/hemlockkeel/_internal/cli/operator_client.py
+++ b/src/hemlockkeel/_internal/cli/operator_client.py
@@ -8,10 +8,13 @@
 import urllib.parse
 
 from hemlockkeel._internal import exceptions
+from hemlockkeel._internal.utils import bounded_http
 
 SOCKET_TIMEOUT_S = 30.0
 RETRY_DELAY_S = 0.1
 CALL_TIMEOUT_S = 10.0
+# A backup is the largest reply.
+MAX_REPLY_BYTES = 256 * 1024 * 1024
 # Returned by a control member that does not lead or cannot commit now.
 RETRYABLE_STATUS = 503
 
@@ -69,8 +72,11 @@
         The reply is bytes unless its content type is JSON.
         """
         parts = urllib.parse.urlsplit(url)
-        connection = http.client.HTTPConnection(
-            parts.hostname or "", parts.port, timeout=SOCKET_TIMEOUT_S
+        connection = bounded_http.Connection(
+            parts.hostname or "",
+            parts.port,
+            SOCKET_TIMEOUT_S,
+            MAX_REPLY_BYTES,
         )
         data = None if body is None else json.dumps(body).encode()
         headers = {"Authorization": f"Bearer {self.token}"}
--- a/src/hemlockkeel/_internal/commands/request.py
+++ b/src/hemlockkeel/_internal/commands/request.py
@@ -10,6 +10,7 @@
 
 from hemlockkeel._internal.cli import exit_codes
 from hemlockkeel._internal.cli import options
+from hemlockkeel._internal.utils import bounded_http
 
 app = typer.Typer(add_completion=False)
 TIMEOUT_S = 300.0
@@ -48,8 +49,11 @@
         headers["Idempotency-Key"] = key
     path, body = make_request(prompt, model, service, max_tokens, as_json)
     parts = urllib.parse.urlsplit(entry_url)
-    connection = http.client.HTTPConnection(
-        parts.hostname or "", parts.port, timeout=TIMEOUT_S
+    connection = bounded_http.Connection(
+        parts.hostname or "",
+        parts.port,
+        TIMEOUT_S,
+        bounded_http.MAX_STREAM_BYTES,
     )
     with contextlib.closing(connection):
         try:
--- a/src/hemlockkeel/_internal/engines/http_engine.py
+++ b/src/hemlockkeel/_internal/engines/http_engine.py
@@ -12,6 +12,7 @@
 from hemlockkeel._internal.models import adapters
 from hemlockkeel._internal.models import ids
 from hemlockkeel._internal.models import outcomes
+from hemlockkeel._internal.utils import bounded_http
 
 ORDER_TIMEOUT_S = 60.0
 PROBE_TIMEOUT_S = 2.0
@@ -62,9 +63,13 @@
 
         :raises RunFailedError: with the verdict NOT_RUN when that fails.
         """
-        connection = http.client.HTTPConnection(
-            self.host, self.port, timeout=CONNECT_TIMEOUT_S
+        connection = bounded_http.Connection(
+            self.host,
+            self.port,
+            CONNECT_TIMEOUT_S,
+            bounded_http.MAX_STREAM_BYTES,
         )
+        connection.set_limits(STREAM_READ_TIMEOUT_S, None)
         try:
             connection.connect()
         except OSError as error:
@@ -232,12 +237,15 @@
         These requests are idempotent or fenced, so it is safe to repeat one
         that failed because the engine had closed the idle connection.
         """
-        connection: http.client.HTTPConnection | None
+        connection: bounded_http.Connection | None
         connection = getattr(self.thread_local, "connection", None)
         if connection is None:
-            connection = http.client.HTTPConnection(self.host, self.port)
+            connection = bounded_http.Connection(
+                self.host, self.port, timeout_s
+            )
             self.thread_local.connection = connection
         connection.timeout = timeout_s
+        connection.set_limits(timeout_s, timeout_s)
         if connection.sock is not None:
             connection.sock.settimeout(timeout_s)
         return connection
@@ -299,7 +307,9 @@
         without the event that marks its end.
     """
     while True:
-        line = response.readline()
+        line = response.readline(bounded_http.MAX_LINE_BYTES)
+        if len(line) == bounded_http.MAX_LINE_BYTES:
+            raise ValueError("a line of the event stream is too long")
         if not line:
             raise ValueError("the event stream has no end event")
         if not line.startswith(DATA_PREFIX):
--- a/src/hemlockkeel/_internal/orders/http_client.py
+++ b/src/hemlockkeel/_internal/orders/http_client.py
@@ -95,7 +95,8 @@
                     request.method, request.path, headers, request.body
                 )
                 head = await connection.read_head(self.header_codec, "")
-                body = await exchange.read_body(connection)
+                async with exchange.within_budget(connection):
+                    body = await exchange.read_body(connection)
                 self.update_hold(head)
                 return head, body
         except BaseException:
--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -341,7 +341,7 @@
         forwarded, so that another target can be tried.
         """
         if response.metadata.not_run or response.status == 421:
-            await exchange.read_body(connection)
+            await exchange.skip_body(connection)
             self.context.shared.instruments.attempts.labels("refused").inc()
             self.context.log_event(
                 "target_refused",
@@ -361,33 +361,43 @@
             return await self.relay_stream(
                 connection, response, pending_prefill
             )
-        body = await exchange.read_body(connection)
-        pending_prefill.complete()
-        self.target.record_result(response.status >= 500, self.context.now)
-        if response.successful and not response.metadata.sealed:
-            return self.fail_unacceptable_response(
-                "successful response is not sealed"
-            )
-        if response.status in NOT_RUN_STATUSES:
-            return self.fail_unacceptable_response(
-                f"status {response.status} without proof that the request "
-                "did not run"
-            )
-        if self.context.connection.response_started:
-            return self.fail_unacceptable_response(
-                f"status {response.status} when resuming a stream"
-            )
-        buffered = results.BufferedResponse(response, body)
+        reason = self.find_reason_not_to_forward(response)
+        if reason:
+            await exchange.skip_body(connection)
+            return self.fail_unacceptable_response(reason)
         if response.status < 500 or not self.route.idempotent:
-            self.context.forward_response(buffered)
+            body = await exchange.read_body(connection)
+            pending_prefill.complete()
+            self.target.record_result(response.status >= 500, self.context.now)
+            self.context.forward_response(
+                results.BufferedResponse(response, body)
+            )
             return results.Completed()
+        async with exchange.within_budget(connection):
+            body = await exchange.read_body(connection)
+        self.target.record_result(True, self.context.now)
         self.context.shared.instruments.attempts.labels("failed").inc()
         self.context.log_event(
             "target_failed",
             target=self.target.record.instance_id,
             status=response.status,
         )
-        return buffered
+        return results.BufferedResponse(response, body)
+
+    def find_reason_not_to_forward(
+        self, response: exchange.ResponseHead
+    ) -> str:
+        """Return why callers could misunderstand a response; "" if not."""
+        if response.successful and not response.metadata.sealed:
+            return "successful response is not sealed"
+        if response.status in NOT_RUN_STATUSES:
+            return (
+                f"status {response.status} without proof that the request "
+                "did not run"
+            )
+        if self.context.connection.response_started:
+            return f"status {response.status} when resuming a stream"
+        return ""
 
     def fail_unacceptable_response(self, reason: str) -> results.AttemptFailed:
         """Log and return the failure of a response that is not forwarded.
--- a/src/hemlockkeel/_internal/relay/caller.py
+++ b/src/hemlockkeel/_internal/relay/caller.py
@@ -17,6 +17,10 @@
 # response.
 LINGER_S = 0.5
 LINGER_BYTES = 4 * 1024 * 1024
+# Bytes that may frame the chunks of a body, besides `FRAMING_RATIO` times the
+# body itself: each chunk takes time, however small it is.
+MAX_FRAMING_BYTES = 64 * 1024
+FRAMING_RATIO = 2
 
 
 @dataclasses.dataclass
@@ -68,6 +72,8 @@
         self.handler = handler
         limits = handler.get_limits()
         self.protocol = h11.Connection(h11.SERVER, limits.header_bytes)
+        # Bytes received since the head of the current request.
+        self.received_bytes = 0
         self.idle = True
         self.request_task: asyncio.Task[None] | None = None
         # Whether the head of the response has been sent.
@@ -185,6 +191,7 @@
 
         :raises RequestRejectedError: when they violate the protocol.
         """
+        self.received_bytes += len(data)
         try:
             self.protocol.receive_data(data)
         except h11.RemoteProtocolError as error:
@@ -197,6 +204,7 @@
 
         :raises RequestRejectedError: when the caller violates the protocol.
         """
+        await self.channel.take_turn()
         while True:
             try:
                 event = self.protocol.next_event()
@@ -227,6 +235,7 @@
                 "request body too large",
             )
         body = bytearray()
+        self.received_bytes = 0
         while True:
             try:
                 async with asyncio.timeout(limits.idle_timeout_s):
@@ -243,6 +252,12 @@
                     "caller closed before the body ended"
                 )
             body += event.data
+            framing_bytes = self.received_bytes - len(body)
+            if framing_bytes > MAX_FRAMING_BYTES + FRAMING_RATIO * len(body):
+                raise RequestRejectedError(
+                    http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                    "request body in too small chunks",
+                )
             if len(body) > limits.body_bytes:
                 raise RequestRejectedError(
                     http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
--- a/src/hemlockkeel/_internal/relay/channel.py
+++ b/src/hemlockkeel/_internal/relay/channel.py
@@ -9,6 +9,8 @@
 # TCP_USER_TIMEOUT of a connection: the kernel closes it when sent data stays
 # unacknowledged for this long.
 DEFAULT_USER_TIMEOUT_MS = 5000
+# Pieces of received data that an owner handles before other tasks run.
+PIECES_PER_TURN = 8
 
 
 class Channel(asyncio.Protocol):
@@ -29,6 +31,7 @@
         self.read_waiter: asyncio.Future[None] | None = None
         self.drain_waiter: asyncio.Future[None] | None = None
         self.writable = True
+        self.pieces_in_turn = 0
 
     # Called by the event loop
 
@@ -119,6 +122,17 @@
             raise ConnectionResetError(str(self.error)) from self.error
         return b""
 
+    async def take_turn(self) -> None:
+        """Let other tasks run after each `PIECES_PER_TURN` calls.
+
+        `read` does not wait while data is there, so a peer that sends many
+        small pieces would keep the event loop from them.
+        """
+        self.pieces_in_turn += 1
+        if self.pieces_in_turn > PIECES_PER_TURN:
+            self.pieces_in_turn = 0
+            await asyncio.sleep(0)
+
     def write(self, data: bytes) -> None:
         """Queue bytes; drop them if the connection is closing."""
         if self.transport is not None and not self.transport.is_closing():
--- a/src/hemlockkeel/_internal/relay/exchange.py
+++ b/src/hemlockkeel/_internal/relay/exchange.py
@@ -1,6 +1,8 @@
 """HTTP/1.1 client side of a connection to a target."""
 
 import asyncio
+import collections.abc
+import contextlib
 import socket
 
 import h11
@@ -8,6 +10,7 @@
 from hemlockkeel._internal.relay import channel
 from hemlockkeel._internal.relay import header_codec
 from hemlockkeel._internal.relay import headers
+from hemlockkeel._internal.relay import read_budget
 
 CONNECT_TIMEOUT_S = 1.0
 # TCP_USER_TIMEOUT: the kernel closes a connection to a target that
@@ -60,8 +63,14 @@
 class TargetConnection:
     """A connection to a target, for one exchange at a time."""
 
-    def __init__(self, bytes_channel: channel.Channel) -> None:
+    def __init__(
+        self, bytes_channel: channel.Channel, memory: read_budget.BodyMemory
+    ) -> None:
         self.channel = bytes_channel
+        self.memory = memory
+        self.budget = read_budget.ReadBudget()
+        # Whether what is read counts against the budget.
+        self.budgeted = False
         self.protocol = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         self.used = False
         self.idle_since = 0.0
@@ -77,6 +86,7 @@
         body: bytes,
     ) -> None:
         """Send a request with its complete body."""
+        self.budget = read_budget.ReadBudget()
         self.request = h11.Request(method=method, target=target, headers=head)
         self.body = body
         self.channel.write(self.encode_request())
@@ -94,8 +104,11 @@
         """Return the next event of the HTTP parser.
 
         :raises InvalidResponseError: when the response is truncated or
-            malformed.
+            malformed, or too much was read that is no response.
         """
+        await self.channel.take_turn()
+        if self.budgeted:
+            self.check_budget(self.budget.check_duration)
         while True:
             try:
                 event = self.protocol.next_event()
@@ -105,14 +118,44 @@
                 return event
             try:
                 data = await self.channel.read()
+                if self.budgeted:
+                    self.budget.add_bytes(len(data), self.now)
                 if not data and self.protocol.their_state is h11.SEND_RESPONSE:
                     raise InvalidResponseError(
                         "connection closed without a response"
                     )
                 self.protocol.receive_data(data)
-            except (ConnectionError, h11.RemoteProtocolError) as error:
+            except (
+                ConnectionError,
+                h11.RemoteProtocolError,
+                read_budget.BudgetExhaustedError,
+            ) as error:
                 raise InvalidResponseError(str(error)) from error
 
+    @property
+    def now(self) -> float:
+        """Return the time of the event loop in seconds."""
+        return asyncio.get_running_loop().time()
+
+    def count_unforwarded(self) -> None:
+        """Count a message that is not forwarded.
+
+        :raises InvalidResponseError: when there are too many.
+        """
+        self.check_budget(self.budget.add_message)
+
+    def check_budget(
+        self, check: collections.abc.Callable[[float], None]
+    ) -> None:
+        """Apply one of the budget's checks at the present time.
+
+        :raises InvalidResponseError: when the budget is exhausted.
+        """
+        try:
+            check(self.now)
+        except read_budget.BudgetExhaustedError as error:
+            raise InvalidResponseError(str(error)) from error
+
     async def read_head(
         self, codec: header_codec.HeaderCodec, request_id: str
     ) -> ResponseHead:
@@ -124,9 +167,11 @@
         :raises InvalidResponseError: when no response to the request is
             received.
         """
+        self.budgeted = True
         for _ in range(MAX_MISMATCHED_RESPONSES):
             event = await self.next_event()
             while isinstance(event, h11.InformationalResponse):
+                self.count_unforwarded()
                 event = await self.next_event()
             if not isinstance(event, h11.Response):
                 raise InvalidResponseError("no response head received")
@@ -135,7 +180,9 @@
                 event, codec.read_response(event.status_code, raw)
             )
             if response.metadata.request_id in ("", request_id):
+                self.budgeted = False
                 return response
+            self.count_unforwarded()
             await self.skip_mismatched_response()
         raise InvalidResponseError("received only responses to other requests")
 
@@ -207,9 +254,13 @@
     sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, TARGET_USER_TIMEOUT_MS)
 
 
-async def connect(address: str) -> TargetConnection:
+async def connect(
+    address: str, memory: read_budget.BodyMemory | None = None
+) -> TargetConnection:
     """Open a connection to a target.
 
+    Response bodies are read into ``memory``, if given.
+
     :raises ConnectFailedError: when it is refused or times out, or the address
         is malformed.
     """
@@ -225,20 +276,55 @@
             f"{address}: {error or type(error).__name__}"
         ) from error
     enable_keepalive(transport.get_extra_info("socket"))
-    return TargetConnection(bytes_channel)
+    return TargetConnection(bytes_channel, memory or read_budget.BodyMemory())
 
 
 async def read_body(connection: TargetConnection) -> bytes:
     """Return the complete body of a response.
 
-    :raises InvalidResponseError: when it ends early or exceeds
-        `MAX_BUFFERED_BODY_BYTES`.
+    :raises InvalidResponseError: when it ends early, or exceeds
+        `MAX_BUFFERED_BODY_BYTES` or the memory for bodies.
     """
     body = bytearray()
-    while True:
-        data = await connection.read_data()
-        if data is None:
-            return bytes(body)
-        body += data
-        if len(body) > MAX_BUFFERED_BODY_BYTES:
-            raise InvalidResponseError("response body too large")
+    try:
+        while True:
+            data = await connection.read_data()
+            if data is None:
+                return bytes(body)
+            connection.memory.acquire(len(data))
+            body += data
+            if len(body) > MAX_BUFFERED_BODY_BYTES:
+                raise InvalidResponseError("response body too large")
+    except read_budget.BudgetExhaustedError as error:
+        raise InvalidResponseError(str(error)) from error
+    finally:
+        connection.memory.release(len(body))
+
+
+@contextlib.asynccontextmanager
+async def within_budget(
+    connection: TargetConnection,
+) -> collections.abc.AsyncIterator[None]:
+    """Apply the budget to a body that is probably not forwarded.
+
+    :raises InvalidResponseError: when it is exhausted.
+    """
+    connection.count_unforwarded()
+    connection.budgeted = True
+    try:
+        async with asyncio.timeout(read_budget.ReadBudget.MAX_DURATION_S):
+            yield
+    except TimeoutError as error:
+        raise InvalidResponseError("body not received in time") from error
+    finally:
+        connection.budgeted = False
+
+
+async def skip_body(connection: TargetConnection) -> None:
+    """Read and drop the body of a response that is not forwarded.
+
+    :raises InvalidResponseError: when it ends early or exceeds the budget.
+    """
+    async with within_budget(connection):
+        while await connection.read_data() is not None:
+            continue
--- a/src/hemlockkeel/_internal/relay/pool.py
+++ b/src/hemlockkeel/_internal/relay/pool.py
@@ -7,6 +7,7 @@
 from hemlockkeel._internal.relay import exchange
 from hemlockkeel._internal.relay import header_codec
 from hemlockkeel._internal.relay import headers
+from hemlockkeel._internal.relay import read_budget
 
 # Idle time up to which a connection is reused if the target announces no
 # timeout: targets may close idle connections without notice.
@@ -21,8 +22,11 @@
 class TargetPool:
     """Idle connections to one target incarnation, and a count of used ones."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, memory: read_budget.BodyMemory | None = None
+    ) -> None:
         self.address = address
+        self.memory = memory or read_budget.BodyMemory()
         self.idle: collections.deque[exchange.TargetConnection] = (
             collections.deque()
         )
@@ -55,7 +59,7 @@
         """
         self.in_use += 1
         try:
-            return await exchange.connect(self.address)
+            return await exchange.connect(self.address, self.memory)
         except (exchange.ConnectFailedError, asyncio.CancelledError):
             self.in_use -= 1
             raise
--- a/src/hemlockkeel/_internal/relay/target_registry.py
+++ b/src/hemlockkeel/_internal/relay/target_registry.py
@@ -8,6 +8,7 @@
 from hemlockkeel._internal.relay import availability
 from hemlockkeel._internal.relay import header_codec
 from hemlockkeel._internal.relay import pool
+from hemlockkeel._internal.relay import read_budget
 from hemlockkeel._internal.relay import target as target_module
 from hemlockkeel._internal.relay import target_selection
 
@@ -40,6 +41,7 @@
             superseded_after_s=heartbeat_s * SUPERSEDED_AFTER_HEARTBEATS,
         )
         self.targets: dict[records.InstanceId, target_module.Target] = {}
+        self.body_memory = read_budget.BodyMemory()
         self.entry_count = 1
         # Time in contact with control members, seconds. The silence of targets
         # is measured in it, since an entry without contact gets no
@@ -80,7 +82,7 @@
         is_new = target is None
         if target is None:
             target = target_module.Target(
-                record, pool.TargetPool(record.address)
+                record, pool.TargetPool(record.address, self.body_memory)
             )
             self.targets[record.instance_id] = target
         target.record = record
--- /dev/null
+++ b/src/hemlockkeel/_internal/utils/bounded_http.py
@@ -0,0 +1,116 @@
+"""HTTP client connections that bound what a server may send.
+
+`http.client` reads interim responses, trailers and bodies without a limit, and
+its timeout applies to each read on its own. A server that always sends a
+little more would never be given up.
+"""
+
+import http.client
+import io
+import socket
+import time
+import typing
+
+# Head and body of a response that is not a stream.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# All events of a stream.
+MAX_STREAM_BYTES = 256 * 1024 * 1024
+# A line of an event stream.
+MAX_LINE_BYTES = 1024 * 1024
+
+
+class ResponseTooLongError(http.client.HTTPException):
+    """The server has sent more, or for longer, than is read from it."""
+
+
+class BoundedSocketFile(io.RawIOBase):
+    """Reads a limited number of bytes from a socket within a time limit."""
+
+    def __init__(self, source: io.RawIOBase, max_bytes: int) -> None:
+        self.source = source
+        self.remaining = max_bytes
+        # Monotonic time, seconds; None without a limit.
+        self.ends_at: float | None = None
+
+    def readable(self) -> bool:
+        return True
+
+    def readinto(self, buffer: typing.Any) -> int | None:
+        """Read into a buffer; return the number of bytes.
+
+        :raises ResponseTooLongError: when a limit is exceeded.
+        """
+        if self.ends_at is not None and time.monotonic() > self.ends_at:
+            raise ResponseTooLongError("response not complete in time")
+        count = self.source.readinto(buffer)
+        self.remaining -= count or 0
+        if self.remaining < 0:
+            raise ResponseTooLongError("response too long")
+        return count
+
+    def close(self) -> None:
+        self.source.close()
+        super().close()
+
+
+class BoundedResponse(http.client.HTTPResponse):
+    """A response whose size and time are limited.
+
+    ``max_s`` limits the time from the request to the end of the response, and
+    ``head_max_s`` that to the end of its head.
+    """
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        method: str | None,
+        max_bytes: int,
+        head_max_s: float,
+        max_s: float | None,
+    ) -> None:
+        super().__init__(sock, method=method)
+        self.fp.close()
+        now = time.monotonic()
+        self.file = BoundedSocketFile(
+            sock.makefile("rb", buffering=0), max_bytes
+        )
+        self.file.ends_at = now + head_max_s
+        self.body_ends_at = None if max_s is None else now + max_s
+        self.fp = io.BufferedReader(self.file)
+
+    def begin(self) -> None:
+        super().begin()
+        self.file.ends_at = self.body_ends_at
+
+
+class Connection(http.client.HTTPConnection):
+    """A connection whose responses are limited.
+
+    The limits may be changed between requests.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int | None,
+        timeout_s: float,
+        max_bytes: int = MAX_RESPONSE_BYTES,
+    ) -> None:
+        super().__init__(host, port, timeout=timeout_s)
+        self.max_bytes = max_bytes
+        # From the request to the end of the head, and of the response.
+        self.head_max_s = timeout_s
+        self.max_s: float | None = timeout_s
+
+    def response_class(  # type: ignore[override]
+        self, sock: socket.socket, method: str | None = None
+    ) -> BoundedResponse:
+        """Return a response that is to be read from a socket."""
+        return BoundedResponse(
+            sock, method, self.max_bytes, self.head_max_s, self.max_s
+        )
+
+    def set_limits(self, head_max_s: float, max_s: float | None) -> None:
+        """Limit the time of the next response; None for no limit."""
+        self.head_max_s = head_max_s
+        self.max_s = max_s
--- a/tests/functional/test_engine_client.py
+++ b/tests/functional/test_engine_client.py
@@ -1,6 +1,7 @@
 """An agent's HTTP client and responses of an engine in trouble."""
 
 import asyncio
+import time
 import unittest
 
 from hemlockkeel._internal.orders import http_client
@@ -67,5 +68,41 @@
         self.assertEqual(len(self.engine.received), 2)
 
 
+class TestEndlessResponses(EngineClientCase):
+    """Bytes that go on until the client closes the connection."""
+
+    async def test_endless_responses_are_broken_off(self) -> None:
+        for name, start, piece in (
+            ("interim responses", b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+            ("header", b"HTTP/1.1 200 OK\r\nX-A: ", b"a" * 1000),
+            ("headers", b"HTTP/1.1 200 OK\r\n", b"X-A: a\r\n" * 100),
+            ("no HTTP", b"", b"\0" * 1000),
+            ("body", b"HTTP/1.1 200 OK\r\n\r\n", b" " * 1000),
+        ):
+            with self.subTest(name):
+                await self.check_broken_off(start, piece)
+
+    async def check_broken_off(self, start: bytes, piece: bytes) -> None:
+        sent = 0
+
+        async def respond(target, request, writer) -> bool:  # type: ignore
+            nonlocal sent
+            writer.write(start)
+            while not writer.is_closing():
+                writer.write(piece)
+                sent += len(piece)
+                await writer.drain()
+                await asyncio.sleep(0)
+            return False
+
+        client = await self.start(respond)
+        begun = time.monotonic()
+        with self.assertRaises((OSError, ValueError, TimeoutError)):
+            await client.read_report()
+        self.assertLess(time.monotonic() - begun, 1.0)
+        await asyncio.wait_for(self.engine.closed.wait(), 1.0)
+        self.assertLess(sent, 16 * 1024 * 1024)
+
+
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/tests/unit/test_bounded_http.py
@@ -0,0 +1,110 @@
+"""Responses without end, read with `http.client`."""
+
+import http.client
+import socket
+import threading
+import time
+import unittest
+
+from hemlockkeel._internal import exceptions
+from hemlockkeel._internal.engines import base
+from hemlockkeel._internal.engines import http_engine
+from hemlockkeel._internal.utils import bounded_http
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+# What is sent once and then repeated.
+ENDLESS = {
+    "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "head": (HEAD + b"X-A: ", b"a" * 1000),
+    "body": (HEAD + b"\r\n", b"a" * 1000),
+    "chunks": (CHUNKED, b"1\r\nx\r\n"),
+    "trailers": (CHUNKED + b"0\r\n", b"X-A: a\r\n"),
+    "no HTTP": (b"", b"\0" * 1000),
+}
+TIMEOUT_S = 0.3
+MAX_BYTES = 1024 * 1024
+
+
+class EndlessServer:
+    """Sends a piece without end to each client, in a thread."""
+
+    def __init__(self, start: bytes, piece: bytes, pause_s: float) -> None:
+        self.start = start
+        self.piece = piece
+        self.pause = threading.Event()
+        self.pause_s = pause_s
+        self.socket = socket.create_server(("127.0.0.1", 0))
+        self.port: int = self.socket.getsockname()[1]
+        self.thread = threading.Thread(target=self.serve, daemon=True)
+        self.thread.start()
+
+    def serve(self) -> None:
+        repeated = self.piece * (1 if self.pause_s else 20)
+        while True:
+            try:
+                client, _ = self.socket.accept()
+            except OSError:
+                return
+            with client:
+                try:
+                    client.recv(65536)
+                    client.sendall(self.start)
+                    while not self.pause.wait(self.pause_s):
+                        client.sendall(repeated)
+                except OSError:
+                    continue
+
+    def stop(self) -> None:
+        """Close the sockets and end the thread."""
+        self.pause.set()
+        self.socket.shutdown(socket.SHUT_RDWR)
+        self.socket.close()
+        self.thread.join()
+
+
+class TestBoundedHttp(unittest.TestCase):
+    """Limits of size and time."""
+
+    def start(self, name: str, pause_s: float = 0.0) -> EndlessServer:
+        server = EndlessServer(*ENDLESS[name], pause_s)
+        self.addCleanup(server.stop)
+        return server
+
+    def read(self, server: EndlessServer) -> None:
+        """Read a response; raise an error if it is too long."""
+        connection = bounded_http.Connection(
+            "127.0.0.1", server.port, TIMEOUT_S, MAX_BYTES
+        )
+        self.addCleanup(connection.close)
+        connection.request("GET", "/")
+        connection.getresponse().read()
+
+    def test_endless_responses_are_broken_off(self) -> None:
+        for pause_s in (0.0, TIMEOUT_S / 10):
+            for name in ENDLESS:
+                with self.subTest(name, pause_s=pause_s):
+                    begun = time.monotonic()
+                    with self.assertRaises(
+                        (http.client.HTTPException, OSError)
+                    ):
+                        self.read(self.start(name, pause_s))
+                    # One read more than the time limit.
+                    self.assertLess(time.monotonic() - begun, 3 * TIMEOUT_S)
+
+    def test_engine_call_fails_as_unreachable(self) -> None:
+        engine = http_engine.HttpEngine("127.0.0.1", self.start("body").port)
+        with self.assertRaises(exceptions.UnreachableError):
+            engine.call("GET", "/engine/report", TIMEOUT_S)
+
+    def test_endless_line_of_an_event_stream_is_broken_off(self) -> None:
+        engine = http_engine.HttpEngine("127.0.0.1", self.start("body").port)
+        connection = engine.open_run_connection()
+        self.addCleanup(connection.close)
+        connection.request("POST", "/v1/completions")
+        with self.assertRaises(base.RunFailedError):
+            list(engine.read_events(connection))
+
+
+if __name__ == "__main__":
+    unittest.main()
