Use the retry reserve only while the share is certain

Cause: entries took equal parts of the reserve by the number of entries that their control members had announced last. Members that have just restarted announce only the entries that are back; entries that are cut off keep their share while the others' grow.

Change: a pure module computes the share. It is valid while a majority of the members announces, uses the largest number of the window, prolonged where announcements were missed, and waits a window after a longer loss of contact.

Ruled out: attempts beyond the route's, later deadlines, waits between the decision and the write (read, and each is decided right before the write).

--- a/src/hemlockkeel/_internal/relay/forwarder.py
+++ b/src/hemlockkeel/_internal/relay/forwarder.py
@@ -241,7 +241,7 @@
         if self.context.deadline_at - self.context.now < waits.MIN_USEFUL_S:
             return False
         allowed = self.shared.get_budget(service.name).try_spend(
-            self.context.now, self.shared.registry.entry_count
+            self.context.now, self.shared.get_reserve_share()
         )
         if not allowed:
             self.context.log_event("retry_budget_empty", service=service.name)
--- a/src/hemlockkeel/_internal/relay/process.py
+++ b/src/hemlockkeel/_internal/relay/process.py
@@ -20,7 +20,9 @@
 from hemlockkeel._internal.relay import target_registry as registry_module
 from hemlockkeel._internal.routes import budget
 from hemlockkeel._internal.routes import codec
+from hemlockkeel._internal.routes import reserve_share
 from hemlockkeel._internal.routes import table
+from hemlockkeel._internal.utils import clock
 from hemlockkeel._internal.utils import event_log
 from hemlockkeel._internal.utils import event_process
 from hemlockkeel._internal.utils import http_service
@@ -81,7 +83,7 @@
                 self.entry.crashes.handle_cleared(message)
 
     def on_disconnected(self, address: str) -> None:
-        self.entry.entry_counts.pop(address, None)
+        self.entry.shared.reserve_share.forget_member(address)
 
 
 class AgentListener(dialer.Listener):
@@ -130,7 +132,6 @@
             )
         )
         self.stopping = False
-        self.entry_counts: dict[str, int] = {}
         self.control_addresses: frozenset[str] = frozenset()
         self.registry = registry_module.TargetRegistry(settings.heartbeat_s)
         hello = messages.Hello(
@@ -160,7 +161,8 @@
             random.Random(),
             settings.data_centre,
             settings.retry_limits,
-            asyncio.get_running_loop().time(),
+            reserve_share.ReserveShare(settings.retry_limits.window_s),
+            clock.SuspendAwareClock(),
         )
         self.caller_listener = http_service.HttpListener(self)
         self.ready_listener = http_service.HttpListener(
@@ -234,13 +236,15 @@
     def on_members_update(
         self, address: str, message: messages.MembersUpdate
     ) -> None:
-        """Store the control members and the number of entries.
-
-        Members may report different numbers; the largest one counts, so that
-        this entry's shares are not too large.
-        """
-        self.entry_counts[address] = message.entries
-        self.registry.entry_count = max(1, *self.entry_counts.values())
+        """Store the control members and the number of entries."""
+        share = self.shared.reserve_share
+        share.record_announcement(
+            address,
+            message.entries,
+            len(message.addresses),
+            self.shared.clock.monotonic(),
+        )
+        self.registry.entry_count = share.get_entry_count()
         addresses = frozenset(message.addresses)
         if addresses != self.control_addresses:
             self.control_addresses = addresses
--- a/src/hemlockkeel/_internal/relay/shared_state.py
+++ b/src/hemlockkeel/_internal/relay/shared_state.py
@@ -8,7 +8,9 @@
 from hemlockkeel._internal.relay import header_codec
 from hemlockkeel._internal.relay import target_registry as registry_module
 from hemlockkeel._internal.routes import budget
+from hemlockkeel._internal.routes import reserve_share
 from hemlockkeel._internal.routes import table
+from hemlockkeel._internal.utils import clock
 from hemlockkeel._internal.utils import event_log
 from hemlockkeel._internal.utils import instruments
 
@@ -26,7 +28,10 @@
     rng: random.Random
     data_centre: str
     retry_limits: budget.RetryBudgetLimits
-    started_at: float
+    reserve_share: reserve_share.ReserveShare
+    # Counts the time for which the instance is suspended; the event loop's
+    # clock may not.
+    clock: clock.Clock
     configuration: table.Configuration | None = None
     # Loop time at which the process ends; set during a shutdown once the
     # balancer has had time to move callers to other entries.
@@ -35,12 +40,14 @@
         default_factory=dict
     )
 
+    def get_reserve_share(self) -> float:
+        """Return the share of the retry reserve that may be used now."""
+        return self.reserve_share.get(self.clock.monotonic())
+
     def get_budget(self, service: str) -> budget.RetryBudget:
         """Return the retry budget of a service, creating it if needed."""
         retry_budget = self.budgets.get(service)
         if retry_budget is None:
-            retry_budget = budget.RetryBudget(
-                self.retry_limits, self.started_at
-            )
+            retry_budget = budget.RetryBudget(self.retry_limits)
             self.budgets[service] = retry_budget
         return retry_budget
--- a/src/hemlockkeel/_internal/routes/budget.py
+++ b/src/hemlockkeel/_internal/routes/budget.py
@@ -2,16 +2,14 @@
 
 In any sliding window, all entries together may send at most a ratio of the
 service's requests, plus a reserve, as retries. Each entry applies the ratio
-to its own requests and uses an equal part of the reserve, according to the
-number of entries that the control members announce.
+to its own requests and uses its share of the reserve.
 """
 
 import collections
 import dataclasses
 
 # Entries use only this part of the budget, so that together they stay below
-# it although some learn of a change in the number of entries up to a second
-# later than others.
+# it although some learn of a new entry up to a second later than others.
 SAFE_SHARE = 0.75
 
 
@@ -30,9 +28,8 @@
 class RetryBudget:
     """Counts one service's requests and retries at one entry."""
 
-    def __init__(self, limits: RetryBudgetLimits, started_at: float) -> None:
+    def __init__(self, limits: RetryBudgetLimits) -> None:
         self.limits = limits
-        self.started_at = started_at
         self.requests: collections.deque[float] = collections.deque()
         self.retries: collections.deque[float] = collections.deque()
 
@@ -48,14 +45,14 @@
             while times and times[0] < horizon:
                 times.popleft()
 
-    def try_spend(self, now: float, entries: int) -> bool:
-        """Count a retry if the budget allows it; return whether it does."""
+    def try_spend(self, now: float, reserve_share: float) -> bool:
+        """Count a retry if the budget allows it; return whether it does.
+
+        ``reserve_share`` is this entry's share of the reserve, from 0 to 1.
+        """
         self.expire(now)
         allowed = len(self.requests) * self.limits.ratio * SAFE_SHARE
-        if now - self.started_at >= self.limits.window_s:
-            # In the first window after a start, retries of the previous
-            # process at this entry may have used up the reserve.
-            allowed += self.limits.reserve * SAFE_SHARE / max(1, entries)
+        allowed += self.limits.reserve * SAFE_SHARE * reserve_share
         if len(self.retries) + 1 > allowed:
             return False
         self.retries.append(now)
--- a/tests/functional/test_relay.py
+++ b/tests/functional/test_relay.py
@@ -15,6 +15,7 @@
 from hemlockkeel.platform import headers
 from tests.lib import fake_target
 from tests.lib import logs
+from tests.lib import shares
 
 SERVICE = records.ServiceName("s")
 
@@ -66,8 +67,7 @@
             configuration.JsonConfigurationCodec(),
             self.log,
         )
-        # The retry budget's reserve is available one window after the start.
-        self.entry.shared.started_at -= 100.0
+        self.entry.shared.reserve_share = shares.WholeReserve()
         await self.entry.start()
         self.addCleanup(self.entry.housekeeping_task.cancel)
         server = self.entry.caller_listener.server
--- a/tests/lib/ending_target.py
+++ b/tests/lib/ending_target.py
@@ -55,6 +55,7 @@
         # Responds to slow requests once this is set.
         self.released = asyncio.Event()
         self.fails_next = False
+        self.always_fails = False
         self.silent = False
         self.server = fake_target.FakeTarget(self.handle)
         self.fillers: list[socket.socket] = []
@@ -89,7 +90,7 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         """Respond, or end if the request is fatal."""
-        if self.fails_next:
+        if self.fails_next or self.always_fails:
             self.fails_next = False
             writer.write(
                 fake_target.make_response(
--- a/tests/lib/relay_fleet.py
+++ b/tests/lib/relay_fleet.py
@@ -16,6 +16,7 @@
 from tests.lib import ending_target
 from tests.lib import logs
 from tests.lib import ports
+from tests.lib import shares
 
 SERVICE = records.ServiceName("s")
 # Longest wait for a condition; a test continues as soon as it holds.
@@ -37,6 +38,8 @@
         self.targets: list[ending_target.EndingTarget] = []
         self.announced: list[records.TargetRecord] = []
         self.route_changes: dict[str, object] = {}
+        self.retry_limits = budget.RetryBudgetLimits(1.0, 10.0, 100.0)
+        self.make_reserve_share = shares.WholeReserve
 
     async def asyncTearDown(self) -> None:
         for entry in self.entries:
@@ -88,7 +91,7 @@
             1,
             HEARTBEAT_S,
             1.0,
-            budget.RetryBudgetLimits(1.0, 10.0, 100.0),
+            self.retry_limits,
         )
         entry = relay_process.EntryProcess(
             settings,
@@ -98,8 +101,7 @@
             configuration.JsonConfigurationCodec(),
             logs.make_log(),
         )
-        # The retry budget's reserve is available one window after the start.
-        entry.shared.started_at -= 100.0
+        entry.shared.reserve_share = self.make_reserve_share()
         entry.apply_configuration(self.make_configuration())
         await entry.start()
         self.entries.append(entry)
--- a/tests/unit/test_routes.py
+++ b/tests/unit/test_routes.py
@@ -9,6 +9,7 @@
 from hemlockkeel._internal.discovery import records
 from hemlockkeel._internal.routes import budget
 from hemlockkeel._internal.routes import catalogue
+from hemlockkeel._internal.routes import reserve_share
 from hemlockkeel._internal.routes import table
 
 
@@ -116,33 +117,119 @@
 
     def test_all_entries_together_stay_below_the_limit(self) -> None:
         for entries in (1, 5, 28):
-            budgets = [
-                budget.RetryBudget(self.LIMITS, started_at=-100.0)
-                for _ in range(entries)
-            ]
+            budgets = [budget.RetryBudget(self.LIMITS) for _ in range(entries)]
             retries = 0
             for retry_budget in budgets:
                 for number in range(200):
                     retry_budget.record_request(number * 0.05)
-                while retry_budget.try_spend(10.0, entries):
+                while retry_budget.try_spend(10.0, 1.0 / entries):
                     retries += 1
             limit = 0.2 * 200 * entries + 58
             self.assertLessEqual(retries, limit)
             self.assertGreater(retries, 0.5 * 0.2 * 200 * entries)
 
     def test_new_entry_does_not_use_the_reserve(self) -> None:
-        retry_budget = budget.RetryBudget(self.LIMITS, started_at=0.0)
-        self.assertFalse(retry_budget.try_spend(1.0, 5))
+        share = reserve_share.ReserveShare(self.LIMITS.window_s)
+        share.record_announcement("c", 5, 1, 0.5)
+        retry_budget = budget.RetryBudget(self.LIMITS)
+        self.assertFalse(retry_budget.try_spend(1.0, share.get(1.0)))
         for _ in range(100):
             retry_budget.record_request(1.0)
         retries = 0
-        while retry_budget.try_spend(1.0, 5):
+        while retry_budget.try_spend(1.0, share.get(1.0)):
             retries += 1
         self.assertLessEqual(retries, 20)
 
     def test_retries_leave_the_window_after_its_length(self) -> None:
-        retry_budget = budget.RetryBudget(self.LIMITS, started_at=-100.0)
-        while retry_budget.try_spend(0.0, 1):
+        retry_budget = budget.RetryBudget(self.LIMITS)
+        while retry_budget.try_spend(0.0, 1.0):
             continue
-        self.assertFalse(retry_budget.try_spend(9.9, 1))
-        self.assertTrue(retry_budget.try_spend(10.1, 1))
+        self.assertFalse(retry_budget.try_spend(9.9, 1.0))
+        self.assertTrue(retry_budget.try_spend(10.1, 1.0))
+
+
+class SharingEntry:
+    """An entry in a world of control members that announce each second."""
+
+    def __init__(self, limits: budget.RetryBudgetLimits) -> None:
+        self.share = reserve_share.ReserveShare(limits.window_s)
+        self.budget = budget.RetryBudget(limits)
+        # Members that it reaches, and until when it is paused.
+        self.reached: set[int] = set()
+        self.paused_until = 0.0
+
+
+class TestReserveShare(unittest.TestCase):
+    """The reserve is not exceeded while entries come, go, pause and return.
+
+    Members that have just restarted announce a few entries, and entries that
+    were cut off know an old number.
+    """
+
+    LIMITS = TestRetryBudget.LIMITS
+    MEMBERS = range(3)
+    STEP_S = 0.5
+    STEPS = 240
+
+    def test_random_faults(self) -> None:
+        for seed in range(60):
+            with self.subTest(seed=seed):
+                self.play(random.Random(seed))
+
+    def play(self, rng: random.Random) -> None:
+        entries = [SharingEntry(self.LIMITS) for _ in range(5)]
+        for entry in entries:
+            entry.reached = set(self.MEMBERS)
+        spent: list[float] = []
+        best = 0
+        for step in range(self.STEPS):
+            now = step * self.STEP_S
+            self.inject_fault(entries, rng, now)
+            running = [e for e in entries if e.paused_until <= now]
+            for entry in running:
+                self.announce(entry, running, now)
+                while entry.budget.try_spend(now, entry.share.get(now)):
+                    spent.append(now)
+            recent = [at for at in spent if at > now - self.LIMITS.window_s]
+            self.assertLessEqual(len(recent), self.LIMITS.reserve)
+            best = max(best, len(recent))
+        self.assertGreater(best, self.LIMITS.reserve / 2)
+
+    def inject_fault(
+        self, entries: list[SharingEntry], rng: random.Random, now: float
+    ) -> None:
+        """Cut, heal, pause or restart something, now and then."""
+        if now < 2 * self.LIMITS.window_s or rng.random() < 0.8:
+            return
+        entry = rng.choice(entries)
+        match rng.randrange(5):
+            case 0:
+                # A partition leaves the same members to all that it cuts off.
+                for other in rng.sample(entries, rng.randrange(1, 5)):
+                    other.reached = set()
+            case 1:
+                for other in entries:
+                    other.reached = set(self.MEMBERS)
+            case 2:
+                entry.paused_until = now + rng.uniform(0.5, 20.0)
+            case 3:
+                entry.share = reserve_share.ReserveShare(self.LIMITS.window_s)
+                entry.budget = budget.RetryBudget(self.LIMITS)
+            case 4:
+                # All members restart, and entries return one by one.
+                for other in entries:
+                    other.reached = set()
+                entry.reached = set(self.MEMBERS)
+
+    def announce(
+        self, entry: SharingEntry, running: list[SharingEntry], now: float
+    ) -> None:
+        """Send an entry the announcements of the members it reaches."""
+        for member in self.MEMBERS:
+            if member not in entry.reached:
+                entry.share.forget_member(str(member))
+                continue
+            count = sum(member in other.reached for other in running)
+            entry.share.record_announcement(
+                str(member), count, len(self.MEMBERS), now
+            )
