--- a/src/hemlockkeel/_internal/coordinator/process.py
+++ b/src/hemlockkeel/_internal/coordinator/process.py
@@ -36,6 +36,8 @@
 JOIN_INTERVAL_S = 0.5
 # A member without contact to a majority for this long asks to join again.
 REJOIN_AFTER_S = 2.0
+# A part of the time for which a target may be silent.
+RECORDS_INTERVAL_S = 0.3
 MEMBERS_INTERVAL_S = 1.0
 EXIT_DISK_FAILED = 4
 DISK_PROBE_INTERVAL_S = 0.5
@@ -121,6 +123,7 @@
             self.loop.create_task(self.run_leader_loop()),
             self.loop.create_task(self.run_join_loop()),
             self.loop.create_task(self.run_members_loop()),
+            self.loop.create_task(self.run_records_loop()),
         ]
         self.log.write(
             "control_member",
@@ -256,6 +259,12 @@
         self.sender.cluster_id = cluster_id
         self.log.write("cluster_joined", cluster=cluster_id)
 
+    async def run_records_loop(self) -> None:
+        """Send subscribers the repeated announcements of targets."""
+        while True:
+            await asyncio.sleep(RECORDS_INTERVAL_S)
+            self.subscribers.flush_records(self.loop.time())
+
     async def run_members_loop(self) -> None:
         """Send subscribers the members and expire targets periodically."""
         while True:
--- a/src/hemlockkeel/_internal/coordinator/subscribers.py
+++ b/src/hemlockkeel/_internal/coordinator/subscribers.py
@@ -1,5 +1,6 @@
 """Publishes changes to entries and agents."""
 
+import collections
 import zlib
 
 from hemlockkeel._internal.discovery import records
@@ -18,6 +19,16 @@
     )
 
 
+def make_records_update(
+    announced: list[tuple[records.TargetRecord, float]], now: float
+) -> messages.RecordsUpdate:
+    """Return the message with records and the times since they were heard."""
+    return messages.RecordsUpdate(
+        records=[record for record, _ in announced],
+        ages_s=[now - heard_at for _, heard_at in announced],
+    )
+
+
 class Subscribers:
     """Links of entries and agents, and the state last published to them."""
 
@@ -35,6 +46,10 @@
             version=0, compressed_body=b""
         )
         self.pushed_versions: dict[tuple[str, str], int] = {}
+        # Records to be sent, with the loop time of their announcement.
+        self.queued_records: dict[
+            records.InstanceId, tuple[records.TargetRecord, float]
+        ] = {}
 
     def add(
         self, peer: link.Link, known: records.TargetTable, now: float
@@ -57,7 +72,7 @@
         ]
         ages_s = known.get_ages(wanted, now)
         peer.send(messages.RecordsUpdate(records=wanted, ages_s=ages_s))
-        self.send_to_all(self.make_members_update())
+        peer.send(self.make_members_update())
 
     def remove(self, peer: link.Link) -> None:
         """Remove a subscriber; do nothing if it is not one."""
@@ -111,21 +126,44 @@
 
     def send_to_all(self, message: messages.AnyMessage) -> None:
         """Send a message to every subscriber."""
-        for peer in self.links:
-            peer.send(message)
+        link.send_to_all(self.links, message)
 
     def send_to_entries(self, message: messages.AnyMessage) -> None:
         """Send a message to every subscribed entry."""
-        for peer in self.links:
-            if peer.role == "entry":
-                peer.send(message)
+        entries = (peer for peer in self.links if peer.role == "entry")
+        link.send_to_all(entries, message)
 
-    def send_record(self, record: records.TargetRecord) -> None:
+    def send_record(self, record: records.TargetRecord, now: float) -> None:
         """Send a target's record to the subscribers of its address."""
-        update = messages.RecordsUpdate(records=[record], ages_s=[0.0])
+        self.queue_record(record, now)
+        self.flush_records(now)
+
+    def queue_record(self, record: records.TargetRecord, now: float) -> None:
+        """Send a record with the next `flush_records`.
+
+        A target repeats its announcement about once a second, and entries
+        get the age of each, so that a short delay changes nothing there.
+        """
+        self.queued_records[record.instance_id] = (record, now)
+
+    def flush_records(self, now: float) -> None:
+        """Send the queued records in one message to each subscriber."""
+        queued = list(self.queued_records.values())
+        self.queued_records.clear()
+        if not queued:
+            return
+        link.send_to_all(
+            (peer for peer in self.links if not peer.target_address),
+            make_records_update(queued, now),
+        )
+        by_address = collections.defaultdict(list)
+        for record, heard_at in queued:
+            by_address[record.address].append((record, heard_at))
         for peer in self.links:
-            if peer.target_address in ("", record.address):
-                peer.send(update)
+            if peer.target_address in by_address:
+                peer.send(
+                    make_records_update(by_address[peer.target_address], now)
+                )
 
     def make_members_update(self) -> messages.MembersUpdate:
         """Return the update with the members and the number of entries."""
--- a/src/hemlockkeel/_internal/coordinator/targets.py
+++ b/src/hemlockkeel/_internal/coordinator/targets.py
@@ -59,7 +59,7 @@
         members knows it.
         """
         gone = self.table.mark_gone(instance_id, self.now)
-        self.subscribers.send_record(gone)
+        self.subscribers.send_record(gone, self.now)
         self.log_record(gone)
         return await self.share_with_majority(gone)
 
@@ -68,9 +68,15 @@
         known = self.table.by_id.get(record.instance_id)
         if not self.table.merge(record, self.now):
             return
-        self.subscribers.send_record(record)
-        if known is None or known.state is not record.state:
-            self.log_record(record)
+        if (
+            known is not None
+            and known.state is record.state
+            and known.started_at_ms == record.started_at_ms
+        ):
+            self.subscribers.queue_record(record, self.now)
+            return
+        self.subscribers.send_record(record, self.now)
+        self.log_record(record)
 
     def log_record(self, record: records.TargetRecord) -> None:
         """Log the state of a target."""
--- a/src/hemlockkeel/_internal/discovery/records.py
+++ b/src/hemlockkeel/_internal/discovery/records.py
@@ -115,6 +115,17 @@
         self.superseded_after_s = superseded_after_s
         self.by_id: dict[InstanceId, TargetRecord] = {}
         self.last_heard_at: dict[InstanceId, float] = {}
+        # Instances that were ever announced at an address. It may have ids
+        # that are dropped or have moved.
+        self.ids_by_address: dict[str, set[InstanceId]] = {}
+
+    def find_by_address(self, address: str) -> list[TargetRecord]:
+        """Return the records of an address."""
+        found = [
+            self.by_id.get(instance_id)
+            for instance_id in self.ids_by_address.get(address, ())
+        ]
+        return [r for r in found if r is not None and r.address == address]
 
     def merge(self, record: TargetRecord, heard_at: float) -> bool:
         """Store an announcement; return whether it changed the table."""
@@ -128,6 +139,9 @@
         if known is not None and not record.is_newer_than(known):
             return False
         self.by_id[record.instance_id] = record
+        self.ids_by_address.setdefault(record.address, set()).add(
+            record.instance_id
+        )
         self.last_heard_at[record.instance_id] = heard_at
         return True
 
@@ -160,8 +174,12 @@
             if now - at > self.expire_after_s
         ]
         for instance_id in expired:
-            del self.by_id[instance_id]
+            address = self.by_id.pop(instance_id).address
             del self.last_heard_at[instance_id]
+            same_address = self.ids_by_address.get(address, set())
+            same_address.discard(instance_id)
+            if not same_address:
+                self.ids_by_address.pop(address, None)
         return expired
 
     def find_usable(
@@ -185,9 +203,8 @@
         """Return whether a newer instance uses the record's address."""
         return any(
             self.supersedes(other, record)
-            for other in self.by_id.values()
-            if other.address == record.address
-            and other.instance_id != record.instance_id
+            for other in self.find_by_address(record.address)
+            if other.instance_id != record.instance_id
         )
 
     def supersedes(self, other: TargetRecord, record: TargetRecord) -> bool:
--- a/src/hemlockkeel/_internal/links/dialer.py
+++ b/src/hemlockkeel/_internal/links/dialer.py
@@ -2,6 +2,9 @@
 
 import abc
 import asyncio
+import collections.abc
+
+import msgspec
 
 from hemlockkeel._internal.links import link
 from hemlockkeel._internal.links import messages
@@ -12,8 +15,17 @@
 # about a second.
 REDIAL_DELAY_S = 0.2
 PING_INTERVAL_S = 0.5
-# A connection is considered dead after three pings without a message.
-RECEIVE_TIMEOUT_S = 1.6
+# The same for each of more than `MANY_LINKS` links, most of which are idle.
+MANY_LINKS = 16
+MANY_LINKS_PING_INTERVAL_S = 1.2
+
+
+def get_receive_timeout_s(ping_interval_s: float) -> float:
+    """Return the time without a message after which a link is dead.
+
+    That is three pings, and a little more.
+    """
+    return 3 * ping_interval_s + 0.1
 
 
 class Listener(abc.ABC):
@@ -61,8 +73,10 @@
         hello: messages.Hello,
         listener: Listener,
         log: event_log.EventLog,
+        get_ping_interval_s: collections.abc.Callable[[], float],
     ) -> None:
         self.address = address
+        self.get_ping_interval_s = get_ping_interval_s
         self.hello = hello
         self.listener = listener
         self.log = log
@@ -97,13 +111,19 @@
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             reader, writer = await asyncio.open_connection(host, int(port))
         self.link = peer = link.Link(reader, writer)
-        peer.send(self.hello)
+        interval_s = self.get_ping_interval_s()
+        peer.send(
+            msgspec.structs.replace(self.hello, ping_interval_s=interval_s)
+        )
         self.log.write("dependency_up", peer=self.address)
         self.listener.on_connected(self.address, peer)
-        pings = asyncio.get_running_loop().create_task(self.send_pings(peer))
+        pings = asyncio.get_running_loop().create_task(
+            self.send_pings(peer, interval_s)
+        )
+        timeout_s = get_receive_timeout_s(interval_s)
         try:
             while True:
-                async with asyncio.timeout(RECEIVE_TIMEOUT_S):
+                async with asyncio.timeout(timeout_s):
                     message = await peer.receive()
                 if isinstance(message, messages.Pong):
                     continue
@@ -113,10 +133,10 @@
         finally:
             pings.cancel()
 
-    async def send_pings(self, peer: link.Link) -> None:
+    async def send_pings(self, peer: link.Link, interval_s: float) -> None:
         """Send pings until the task is cancelled."""
         while True:
-            await asyncio.sleep(PING_INTERVAL_S)
+            await asyncio.sleep(interval_s)
             peer.send(messages.Ping())
 
     def close_link(self) -> None:
@@ -152,9 +172,19 @@
             self.dialers.pop(address).stop()
         for address in addresses - set(self.dialers):
             self.dialers[address] = Dialer(
-                address, self.hello, self.listener, self.log
+                address,
+                self.hello,
+                self.listener,
+                self.log,
+                self.get_ping_interval_s,
             )
 
+    def get_ping_interval_s(self) -> float:
+        """Return how often a link that connects now is pinged."""
+        if len(self.dialers) > MANY_LINKS:
+            return MANY_LINKS_PING_INTERVAL_S
+        return PING_INTERVAL_S
+
     def get(self, address: str) -> link.Link | None:
         """Return the link to an address; None if it is down or unknown."""
         dialer = self.dialers.get(address)
--- a/src/hemlockkeel/_internal/links/link.py
+++ b/src/hemlockkeel/_internal/links/link.py
@@ -1,6 +1,7 @@
 """TCP connection that carries length-prefixed messages in both directions."""
 
 import asyncio
+import collections.abc
 import socket
 import struct
 
@@ -17,6 +18,8 @@
 # Time after which the kernel closes a connection whose sent data is not
 # acknowledged.
 TCP_USER_TIMEOUT_MS = 2000
+# Interval of the pings of a peer that has not said hello yet.
+DEFAULT_PING_INTERVAL_S = 0.5
 
 
 class LinkClosedError(Exception):
@@ -39,6 +42,7 @@
         self.name = ""
         self.data_centre = ""
         self.target_address = ""
+        self.ping_interval_s = DEFAULT_PING_INTERVAL_S
         self.last_call_id = 0
         self.pending_calls: dict[int, asyncio.Future[messages.AnyMessage]] = {}
         sock = writer.get_extra_info("socket")
@@ -53,14 +57,17 @@
         Closes the link when too much data is queued. On a link that is
         closing, the message is dropped.
         """
+        self.send_frame(encode_frame(message))
+
+    def send_frame(self, frame: bytes) -> None:
+        """Queue an encoded message, as `send` does."""
         if self.writer.is_closing():
             return
         transport = self.writer.transport
         if transport.get_write_buffer_size() > MAX_SEND_BUFFER_BYTES:
             transport.abort()
             return
-        data = messages.ENCODER.encode(message)
-        self.writer.write(FRAME_LENGTH.pack(len(data)) + data)
+        self.writer.write(frame)
 
     async def receive(self) -> messages.AnyMessage:
         """Wait for the next message and return it.
@@ -126,3 +133,18 @@
             if not future.done():
                 future.set_exception(LinkClosedError("closed"))
         self.pending_calls.clear()
+
+
+def encode_frame(message: messages.AnyMessage) -> bytes:
+    """Return a message as it is sent, which may go to several links."""
+    data = messages.ENCODER.encode(message)
+    return FRAME_LENGTH.pack(len(data)) + data
+
+
+def send_to_all(
+    peers: collections.abc.Iterable[Link], message: messages.AnyMessage
+) -> None:
+    """Send a message to several links."""
+    frame = encode_frame(message)
+    for peer in peers:
+        peer.send_frame(frame)
--- a/src/hemlockkeel/_internal/links/messages.py
+++ b/src/hemlockkeel/_internal/links/messages.py
@@ -40,6 +40,8 @@
     # Subscribe only to announcements of the target at this address; empty
     # for all targets.
     target_address: str = ""
+    # Interval of the sender's pings, seconds.
+    ping_interval_s: float = 0.5
 
 
 class RaftBatch(Message, frozen=True, tag=True, kw_only=True):
--- a/src/hemlockkeel/_internal/links/server.py
+++ b/src/hemlockkeel/_internal/links/server.py
@@ -70,7 +70,8 @@
         self.links.add(peer)
         try:
             while True:
-                async with asyncio.timeout(dialer.RECEIVE_TIMEOUT_S):
+                timeout_s = dialer.get_receive_timeout_s(peer.ping_interval_s)
+                async with asyncio.timeout(timeout_s):
                     message = await peer.receive()
                 self.handle_message(peer, message)
         except (TimeoutError, link.LinkClosedError) as error:
@@ -100,6 +101,7 @@
             peer.role, peer.name = message.role, message.name
             peer.data_centre = message.data_centre
             peer.target_address = message.target_address
+            peer.ping_interval_s = message.ping_interval_s
             self.service.on_hello(peer)
             return
         if not message.call_id:
--- a/src/hemlockkeel/_internal/relay/target_registry.py
+++ b/src/hemlockkeel/_internal/relay/target_registry.py
@@ -22,6 +22,9 @@
 EXPIRE_AFTER_HEARTBEATS = 20
 # Age beyond which a load report is ignored.
 LOAD_REPORT_MAX_AGE_S = 0.5
+# The same for reports of agents, which send a new one only after a change and
+# to entries that do not use the engine only once a second.
+AGENT_REPORT_MAX_AGE_S = 2.0
 # Share of a target's connection limit that all entries together may use.
 CONNECTION_SHARE = 0.9
 
@@ -140,9 +143,9 @@
     def find_by_address(self, address: str) -> target_module.Target | None:
         """Return the newest incarnation at an address; None without one."""
         candidates = [
-            target
-            for target in self.targets.values()
-            if target.record.address == address
+            self.targets[record.instance_id]
+            for record in self.table.find_by_address(address)
+            if record.instance_id in self.targets
         ]
         return max(candidates, key=self.get_recency_key, default=None)
 
@@ -212,7 +215,12 @@
             target = self.targets[record.instance_id]
             if target.availability.find_refusal(now) is not None:
                 continue
-            fresh = now - target.load_reported_at < LOAD_REPORT_MAX_AGE_S
+            max_age_s = (
+                LOAD_REPORT_MAX_AGE_S
+                if target.engine is None
+                else AGENT_REPORT_MAX_AGE_S
+            )
+            fresh = now - target.load_reported_at < max_age_s
             silence_s = (
                 self.contact_s - self.table.last_heard_at[record.instance_id]
             )
