--- a/src/hemlockkeel/_internal/discovery/records.py
+++ b/src/hemlockkeel/_internal/discovery/records.py
@@ -201,6 +201,8 @@
 
     def is_superseded(self, record: TargetRecord) -> bool:
         """Return whether a newer instance uses the record's address."""
+        if len(self.ids_by_address.get(record.address, ())) < 2:
+            return False
         return any(
             self.supersedes(other, record)
             for other in self.find_by_address(record.address)
--- a/src/hemlockkeel/_internal/orders/process.py
+++ b/src/hemlockkeel/_internal/orders/process.py
@@ -16,6 +16,7 @@
 from hemlockkeel._internal.links import server
 from hemlockkeel._internal.orders import adapter_manager
 from hemlockkeel._internal.orders import engine
+from hemlockkeel._internal.orders import publications
 from hemlockkeel._internal.orders import requests as orders_requests
 from hemlockkeel._internal.orders import slots
 from hemlockkeel._internal.routes import catalogue
@@ -26,12 +27,6 @@
 
 # Interval between load updates to entries.
 LOAD_UPDATE_INTERVAL_S = 0.15
-# The same for entries that do not use the engine, if there are more than
-# `FEW_ENTRIES` in all.
-IDLE_UPDATE_INTERVAL_S = 1.05
-FEW_ENTRIES = 8
-# Time for which an entry counts as using the engine after its last call.
-USE_RETENTION_S = 1.0
 # Values in load updates are rounded down to multiples of these, so that
 # insignificant changes cause no update: running requests, a share of the KV
 # cache, and prompt tokens.
@@ -61,22 +56,6 @@
     engine_enforces_fencing: bool
 
 
-@dataclasses.dataclass
-class Publication:
-    """What an entry was told last; loop times in seconds."""
-
-    # The last call of the entry, or when it connected.
-    used_at: float
-    sent: messages.LoadUpdate | None = None
-    sent_at: float = float("-inf")
-
-    def is_due(self, now: float) -> bool:
-        """Return whether an entry without a grant gets a changed update."""
-        if now - self.used_at < USE_RETENTION_S:
-            return True
-        return now - self.sent_at >= IDLE_UPDATE_INTERVAL_S
-
-
 class AgentProcess(event_process.EventProcess, server.Service):
     """Loads adapters at one engine for the requests of entries."""
 
@@ -96,8 +75,9 @@
             configurations, log, self.apply_configuration
         )
         self.entries: set[link.Link] = set()
-        self.last_update: messages.LoadUpdate | None = None
-        self.publications: dict[link.Link, Publication] = {}
+        self.publications: publications.LoadPublications[link.Link] = (
+            publications.LoadPublications()
+        )
         self.control_addresses: frozenset[str] = frozenset()
         self.manager = adapter_manager.AdapterManager(
             client, settings.name, log
@@ -236,15 +216,13 @@
 
     def on_hello(self, peer: link.Link) -> None:
         self.entries.add(peer)
-        self.publications[peer] = Publication(
-            self.manager.now, self.last_update
-        )
-        if self.last_update is not None:
-            peer.send(self.last_update)
+        self.publications.add_entry(peer, self.manager.now)
+        if self.publications.latest is not None:
+            peer.send(self.publications.latest)
 
     def on_disconnected(self, peer: link.Link) -> None:
         self.entries.discard(peer)
-        self.publications.pop(peer, None)
+        self.publications.remove_entry(peer)
         self.manager.release_all(peer)
 
     def on_message(
@@ -259,8 +237,7 @@
         if not isinstance(message, messages.EnsureAdapter):
             peer.send(messages.Outcome(call_id=message.call_id, done=False))
             return
-        if peer in self.publications:
-            self.publications[peer].used_at = self.manager.now
+        self.publications.record_use(peer, self.manager.now)
         grant = await self.manager.ensure_adapter(peer, message)
         if peer not in self.entries:
             self.manager.release(peer, message.call_id)
@@ -272,38 +249,17 @@
         while True:
             update = self.make_load_update()
             if update is not None:
-                self.publish_load_update(update)
+                grants = self.manager.requests.grants
+                link.send_to_all(
+                    self.publications.choose_entries(
+                        update,
+                        {peer for peer, _ in grants},
+                        self.manager.now,
+                    ),
+                    update,
+                )
             await asyncio.sleep(LOAD_UPDATE_INTERVAL_S)
 
-    def publish_load_update(self, update: messages.LoadUpdate) -> None:
-        """Send an update to the entries that need it now.
-
-        Those that use the engine get each change, the others fewer ones, so
-        that the number of messages follows the requests and not the number
-        of entries times that of engines.
-        """
-        now = self.manager.now
-        is_urgent = self.last_update is None or (
-            update.can_load != self.last_update.can_load
-            or update.leaving_started_at_ms
-            != self.last_update.leaving_started_at_ms
-        )
-        self.last_update = update
-        in_use = {peer for peer, _ in self.manager.requests.grants}
-        due = []
-        for peer, publication in self.publications.items():
-            if publication.sent == update:
-                continue
-            if (
-                is_urgent
-                or len(self.publications) <= FEW_ENTRIES
-                or peer in in_use
-                or publication.is_due(now)
-            ):
-                publication.sent, publication.sent_at = update, now
-                due.append(peer)
-        link.send_to_all(due, update)
-
     def make_load_update(self) -> messages.LoadUpdate | None:
         """Return the engine's load and adapters; None if unknown."""
         if self.manager.engine_unreachable:
--- a/src/hemlockkeel/_internal/relay/target_selection.py
+++ b/src/hemlockkeel/_internal/relay/target_selection.py
@@ -77,6 +77,10 @@
     # Whether the agent can load adapters at the engine now.
     can_load: bool = False
 
+    def has_adapter(self, adapter: str) -> bool:
+        """Return whether an adapter is loaded or loading."""
+        return adapter in self.loaded or adapter in self.loading
+
 
 @dataclasses.dataclass(slots=True)
 class Candidate:
@@ -127,8 +131,7 @@
         return None
     loaded_anywhere = any(
         candidate.engine is not None
-        and requirements.adapter
-        in candidate.engine.loaded | candidate.engine.loading
+        and candidate.engine.has_adapter(requirements.adapter)
         for candidate in candidates
     )
     return min(
@@ -248,10 +251,7 @@
     This is 0 if the request needs no adapter, the adapter is loaded or
     loading, or the agent has given no estimates.
     """
-    if (
-        not requirements.adapter
-        or requirements.adapter in engine.loaded | engine.loading
-    ):
+    if not requirements.adapter or engine.has_adapter(requirements.adapter):
         return 0.0
     if not engine.slot_waits_s:
         return 0.0
