Soak: targets that leave by a header or ask for pauses; check retries

Targets refuse half of their refusals with Retry-After and say in all successful responses that they leave; arrivals are recorded, and three checks are added: pauses, leaving, and retries of both entries in each window.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -7,6 +7,7 @@
 
 import collections
 import collections.abc
+import math
 
 from tests.soak import history
 from tests.soak import targets
@@ -21,6 +22,14 @@
 # are allowed after that.
 FATAL_EXECUTIONS = 3
 LATE_FATAL_EXECUTIONS = 3
+# Time in which an entry learns of a pause that a target asks for, and requests
+# that it may send there until the end of it.
+PAUSE_NOTICE_S = 0.5
+MAX_PAUSE_REQUESTS = 2
+# Limits on retries, as in the settings of the processes.
+RETRY_WINDOW_S = 10.0
+RETRY_RATIO = 0.2
+RETRY_RESERVE = 58.0
 # Statuses that state that the request was not executed.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Share of the grace period of a graceful stop in which the entry must not
@@ -40,6 +49,8 @@
         check_rollback,
         check_configuration_reads,
         check_departures,
+        check_withdrawals,
+        check_retries,
         check_graceful_stops,
     ):
         violations += [f"{rule.__name__}: {text}" for text in rule(recorded)]
@@ -291,6 +302,71 @@
             )
 
 
+def check_withdrawals(
+    recorded: history.History,
+) -> collections.abc.Iterator[str]:
+    """Check that entries obey responses that say that a target withdraws.
+
+    A target that leaves gets nothing after the limit, one that asked for a
+    pause at most a few requests after the first half second.
+    """
+    requests = {each.request_id: each for each in recorded.requests}
+    arrivals = collections.defaultdict(list)
+    for arrival in recorded.arrivals:
+        if arrival.request_id in requests:
+            entry = requests[arrival.request_id].entry
+            arrivals[arrival.target, entry].append(arrival)
+    for each in recorded.withdrawals:
+        if each.request_id not in requests:
+            continue
+        entry = requests[each.request_id].entry
+        leaving = each.ends_at == math.inf
+        begun_at = each.at + (
+            DEPARTURE_TIMEOUT_S if leaving else PAUSE_NOTICE_S
+        )
+        late = [
+            arrival
+            for arrival in arrivals[each.target, entry]
+            if begun_at < arrival.at < each.ends_at
+            and is_fault_free(
+                recorded,
+                {entry, each.target.rpartition("-")[0]},
+                each.at - FAULT_FREE_MARGIN_S,
+                arrival.at,
+            )
+        ]
+        if len(late) > (0 if leaving else MAX_PAUSE_REQUESTS):
+            yield (
+                f"{each.target}: {len(late)} requests of {entry} after"
+                f" {each.request_id} was told {each.ends_at - each.at:.2f} s"
+            )
+
+
+def check_retries(recorded: history.History) -> collections.abc.Iterator[str]:
+    """Check the arrivals beyond the first of each request in any window."""
+    seen = set()
+    repeats = collections.defaultdict(list)
+    firsts = collections.defaultdict(list)
+    for arrival in sorted(recorded.arrivals, key=lambda each: each.at):
+        service = arrival.target[:1]
+        times = repeats if arrival.request_id in seen else firsts
+        times[service].append(arrival.at)
+        seen.add(arrival.request_id)
+    for service, times in repeats.items():
+        for end in times:
+            begin = end - RETRY_WINDOW_S
+            count = sum(begin < at <= end for at in times)
+            sent = max(
+                sum(
+                    begin - shift < at <= end - shift for at in firsts[service]
+                )
+                for shift in (0.0, RETRY_WINDOW_S / 2, RETRY_WINDOW_S)
+            )
+            if count > RETRY_RATIO * sent + RETRY_RESERVE:
+                yield f"{service}: {count} retries of {sent} requests"
+                break
+
+
 def check_graceful_stops(
     recorded: history.History,
 ) -> collections.abc.Iterator[str]:
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -38,6 +38,26 @@
     failed: bool = False
 
 
+@dataclasses.dataclass
+class Arrival:
+    """A request that reached a target, whether or not it was executed."""
+
+    request_id: str
+    target: str
+    at: float
+
+
+@dataclasses.dataclass
+class Withdrawal:
+    """A response that said that the target wants no requests for a time."""
+
+    request_id: str
+    target: str
+    at: float
+    # Infinite if the target is leaving.
+    ends_at: float
+
+
 @dataclasses.dataclass
 class ConfigurationChange:
     """A configuration that the operator sent."""
@@ -83,6 +103,8 @@
 
     requests: list[SentRequest] = dataclasses.field(default_factory=list)
     executions: list[Execution] = dataclasses.field(default_factory=list)
+    arrivals: list[Arrival] = dataclasses.field(default_factory=list)
+    withdrawals: list[Withdrawal] = dataclasses.field(default_factory=list)
     configuration_changes: list[ConfigurationChange] = dataclasses.field(
         default_factory=list
     )
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import json
+import math
 import random
 import time
 import typing
@@ -22,6 +23,9 @@
 SERVER_ERROR_RATIO = 0.03
 OVERLOAD_RATIO = 0.03
 INVALID_RESPONSE_RATIO = 0.01
+# Share of refusals that ask for a pause, and its length.
+PAUSE_RATIO = 0.5
+PAUSE_S = (0.2, 3.0)
 # Time to execute most requests, and the few long ones.
 SERVICE_TIME_S = (0.01, 0.08)
 LONG_SERVICE_TIME_S = (0.5, 2.5)
@@ -78,11 +82,15 @@
         self.control_addresses = control_addresses
         self.history = recorded
         self.rng = rng
+        # Its own source of random numbers keeps those of earlier seeds.
+        self.pause_rng = random.Random(name)
         self.is_engine = service == "e"
         self.start_count = 0
         self.instance_id = ""
         self.started_at_ms = 0
         self.state = "ready"
+        # Whether it says in all responses that it is leaving.
+        self.is_leaving = False
         self.sequence = 0
         self.engine = EngineState()
         self.server: fake_target.FakeTarget | None = None
@@ -107,6 +115,7 @@
             self.instance_id = f"{self.name}-{self.start_count}"
         self.started_at_ms = int(time.time() * 1000)
         self.state = "ready"
+        self.is_leaving = False
         self.sequence = 0
         self.engine = EngineState()
         if not first:
@@ -139,6 +148,7 @@
         With notice, the target first reports that it is draining. In both
         cases it serves on for a while after the first acknowledgement.
         """
+        self.is_leaving = True
         if notice:
             self.state = "draining"
             if await self.send_heartbeat():
@@ -233,10 +243,12 @@
         if self.is_engine and not self.is_adapter_loaded(request, adapter):
             writer.write(make_unsealed_response(421))
             return True
+        request_id = request.headers[b"x-request-id"].decode()
+        self.history.arrivals.append(
+            history.Arrival(request_id, self.start_id, time.monotonic())
+        )
         if self.rng.random() < OVERLOAD_RATIO:
-            writer.write(
-                make_unsealed_response(503, extra=b"X-Not-Executed: full\r\n")
-            )
+            writer.write(self.make_refusal(request_id))
             return True
         execution = history.Execution(
             request.headers[b"x-request-id"].decode(),
@@ -261,6 +273,29 @@
             self.executions.remove(execution)
             engine.running_adapters.remove(adapter)
 
+    def make_refusal(self, request_id: str) -> bytes:
+        """Return a refusal, which may ask for a pause."""
+        extra = b"X-Not-Executed: full\r\n"
+        if self.pause_rng.random() < PAUSE_RATIO:
+            pause_s = round(self.pause_rng.uniform(*PAUSE_S), 2)
+            extra += f"Retry-After: {pause_s}\r\n".encode()
+            self.record_withdrawal(request_id, pause_s)
+        return make_unsealed_response(503, extra=extra)
+
+    def record_withdrawal(self, request_id: str, seconds: float) -> None:
+        """Record a response that says that requests are not wanted."""
+        now = time.monotonic()
+        self.history.withdrawals.append(
+            history.Withdrawal(request_id, self.start_id, now, now + seconds)
+        )
+
+    def make_leaving_header(self, request_id: str) -> bytes:
+        """Return the header of a target that leaves; empty if it does not."""
+        if not self.is_leaving:
+            return b""
+        self.record_withdrawal(request_id, math.inf)
+        return b"Server-Leaving: 1\r\n"
+
     def is_adapter_loaded(
         self, request: fake_target.ReceivedRequest, adapter: str
     ) -> bool:
@@ -309,7 +344,8 @@
             writer.write(b"\x00\x01 no answer\r\n\r\n")
             return False
         body = make_response_body(execution.request_id, execution.path)
-        writer.write(fake_target.make_response(request, body))
+        extra = self.make_leaving_header(execution.request_id)
+        writer.write(fake_target.make_response(request, body, extra=extra))
         return True
 
     async def execute_stream(
@@ -324,7 +360,9 @@
         if draw < LOST_RESPONSE_RATIO:
             execution.failed = True
             last = self.rng.randrange(STREAM_EVENT_COUNT)
-        writer.write(fake_target.make_stream_response_head(request))
+        head = fake_target.make_stream_response_head(request)
+        extra = self.make_leaving_header(execution.request_id)
+        writer.write(head.removesuffix(b"\r\n") + extra + b"\r\n")
         for number in range(1, last + 1):
             await asyncio.sleep(self.rng.uniform(*EVENT_INTERVAL_S))
             event = f"id: {number}\ndata: {execution.request_id}\n\n".encode()
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -1,5 +1,6 @@
 """Tests that the checks of the soak test find violations."""
 
+import math
 import unittest
 
 from tests.soak import checks
@@ -241,3 +242,57 @@
         recorded.fault_periods[0].kind = "term"
         recorded.executions[0].failed = True
         self.assert_clean(recorded)
+
+
+class TestWithdrawals(CheckCase):
+    """Targets that leave or ask for a pause, and retries."""
+
+    def make_history(
+        self, told_s: float, *arrivals: float, entry: str = "entry-1"
+    ) -> history.History:
+        """Return requests that arrive so long after a response."""
+        recorded = history.History(requests=[make_request("/safe/x", "safe")])
+        recorded.withdrawals.append(
+            history.Withdrawal("r1", "p1-1/5", 10.0, 10.0 + told_s)
+        )
+        for number, after_s in enumerate(arrivals):
+            request_id = f"later-{number}"
+            recorded.requests.append(
+                make_request(
+                    "/safe/x",
+                    "safe",
+                    request_id=request_id,
+                    entry=entry,
+                    body=targets.make_response_body(request_id, "/safe/x"),
+                )
+            )
+            recorded.arrivals.append(
+                history.Arrival(request_id, "p1-1/5", 10.0 + after_s)
+            )
+        return recorded
+
+    def test_request_to_a_leaving_target(self) -> None:
+        late = checks.DEPARTURE_TIMEOUT_S + 0.1
+        recorded = self.make_history(math.inf, 0.1, late)
+        self.assertEqual(self.find(recorded), ["check_withdrawals"])
+        self.assert_clean(self.make_history(math.inf, late, entry="entry-2"))
+        recorded.fault_periods.append(
+            history.FaultPeriod("p1", 10.5, 11.0, "cut")
+        )
+        self.assert_clean(recorded)
+
+    def test_requests_in_a_pause(self) -> None:
+        self.assert_clean(self.make_history(2.0, 0.2, 0.3, 0.6, 1.9, 2.1))
+        recorded = self.make_history(2.0, 0.6, 0.7, 1.9)
+        self.assertEqual(self.find(recorded), ["check_withdrawals"])
+
+    def test_too_many_retries(self) -> None:
+        limit = int(checks.RETRY_RESERVE + checks.RETRY_RATIO)
+        recorded = history.History()
+        for number in range(limit + 1):
+            recorded.arrivals.append(
+                history.Arrival("r1", "p1-1/5", 10.0 + number * 0.01)
+            )
+        self.assert_clean(recorded)
+        recorded.arrivals.append(history.Arrival("r1", "p1-1/5", 12.0))
+        self.assertEqual(self.find(recorded), ["check_retries"])
--- /dev/null
+++ b/tests/unit/test_subscribers.py
@@ -0,0 +1,104 @@
+"""What control members send to entries and agents about targets."""
+
+import unittest
+
+import msgspec
+
+from hemlockkeel._internal.coordinator import subscribers
+from hemlockkeel._internal.discovery import records
+from hemlockkeel._internal.links import link
+from hemlockkeel._internal.links import messages
+from hemlockkeel._internal.routes import catalogue
+from tests.lib import logs
+
+
+class RecordingLink:
+    """A link that keeps what is sent on it."""
+
+    def __init__(self, role: str, target_address: str = "") -> None:
+        self.role = self.name = role
+        self.data_centre = "dc1"
+        self.target_address = target_address
+        self.received: list[messages.AnyMessage] = []
+
+    def send(self, message: messages.AnyMessage) -> None:
+        self.send_frame(link.encode_frame(message))
+
+    def send_frame(self, frame: bytes) -> None:
+        data = frame[link.FRAME_LENGTH.size :]
+        self.received.append(messages.DECODER.decode(data))
+
+    def take_updates(self) -> list[messages.RecordsUpdate]:
+        """Return the announcements received since the last call."""
+        found = [
+            each
+            for each in self.received
+            if isinstance(each, messages.RecordsUpdate)
+        ]
+        self.received.clear()
+        return found
+
+
+def make_record(number: int, **changes: object) -> records.TargetRecord:
+    """Return the announcement of a target."""
+    record = records.TargetRecord(
+        records.InstanceId(f"t{number}"),
+        records.ServiceName("s"),
+        f"10.0.0.{number}:80",
+        "dc1",
+        records.TargetState.READY,
+        sequence=1,
+        started_at_ms=1,
+    )
+    return msgspec.structs.replace(record, **changes)
+
+
+class TestSubscribers(unittest.TestCase):
+    """Announcements that are repeated, and changes of state."""
+
+    def setUp(self) -> None:
+        self.subscribers = subscribers.Subscribers(
+            catalogue.Catalogue(lambda: None), "dc1", logs.make_log()
+        )
+        self.entry = self.add("entry")
+        self.agent = self.add("agent", make_record(2).address)
+
+    def add(self, role: str, target_address: str = "") -> RecordingLink:
+        """Add a subscriber that has got the whole state."""
+        peer = RecordingLink(role, target_address)
+        table = records.TargetTable(60.0)
+        self.subscribers.add(peer, table, 0.0)  # type: ignore[arg-type]
+        peer.received.clear()
+        return peer
+
+    def test_repeated_announcements_are_sent_together_with_ages(self) -> None:
+        for number in range(1, 4):
+            self.subscribers.queue_record(make_record(number), 10.0 + number)
+        self.assertEqual(self.entry.take_updates(), [])
+        self.subscribers.flush_records(14.0)
+        (update,) = self.entry.take_updates()
+        self.assertEqual(update.ages_s, [3.0, 2.0, 1.0])
+        (update,) = self.agent.take_updates()
+        self.assertEqual(update.records, [make_record(2)])
+        self.subscribers.flush_records(15.0)
+        self.assertEqual(self.entry.take_updates(), [])
+
+    def test_only_the_newest_announcement_of_a_target_is_sent(self) -> None:
+        for sequence in (1, 2, 3):
+            record = make_record(1, sequence=sequence)
+            self.subscribers.queue_record(record, 10.0)
+        self.subscribers.flush_records(10.5)
+        (update,) = self.entry.take_updates()
+        self.assertEqual(update.records, [make_record(1, sequence=3)])
+
+    def test_change_of_state_is_sent_at_once(self) -> None:
+        self.subscribers.queue_record(make_record(1), 10.0)
+        leaving = make_record(1, state=records.TargetState.LEAVING, sequence=2)
+        self.subscribers.send_record(leaving, 10.1)
+        (update,) = self.entry.take_updates()
+        self.assertEqual(update.records, [leaving])
+        self.assertEqual(update.ages_s, [0.0])
+
+
+if __name__ == "__main__":
+    unittest.main()
