Keep a pause that a new incarnation asked for before its announcement

Change: what a response has said is passed on to the next incarnation if that one had started by then; that it leaves, which is final, only for 10 s, since clocks may be wrong.

--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -288,7 +288,8 @@
 
     def update_availability(self, response: exchange.ResponseHead) -> None:
         """Record whether the target still wants requests."""
-        if response.metadata.leaving and self.target.mark_leaving():
+        wall_s = time.time()
+        if response.metadata.leaving and self.target.mark_leaving(wall_s):
             self.context.shared.instruments.events.labels(
                 "target_leaving"
             ).inc()
@@ -299,9 +300,12 @@
                 status=response.status,
             )
         if response.status == http.HTTPStatus.SERVICE_UNAVAILABLE:
-            self.hold_target(retry_after.read(response.headers, time.time()))
+            requested = retry_after.read(response.headers, wall_s)
+            self.hold_target(requested, wall_s)
 
-    def hold_target(self, requested: retry_after.RetryAfter) -> None:
+    def hold_target(
+        self, requested: retry_after.RetryAfter, wall_s: float
+    ) -> None:
         """Send the target nothing for as long as its refusal asks for."""
         for value in requested.invalid:
             self.context.log_event(
@@ -312,7 +316,8 @@
         if requested.delay_s is None:
             return
         now = self.context.now
-        if not self.target.availability.hold(now + requested.delay_s, now):
+        until = now + requested.delay_s
+        if not self.target.availability.hold(until, now, wall_s):
             return
         self.context.shared.instruments.events.labels("target_held").inc()
         self.context.log_event(
--- a/src/hemlockkeel/_internal/relay/availability.py
+++ b/src/hemlockkeel/_internal/relay/availability.py
@@ -10,6 +10,10 @@
 import contextlib
 import enum
 
+# Time for which an incarnation gets no requests if it may have been the one
+# that said that it leaves. If it did, it says so again or has ended by then.
+CARRIED_LEAVING_S = 10.0
+
 
 class Refusal(enum.Enum):
     """Why a target accepts no new requests. The values appear in logs."""
@@ -26,6 +30,8 @@
         self.leaving = False
         # Loop time until which the target wants no requests.
         self.held_until = float("-inf")
+        # Time of day of the last such response, seconds since the epoch.
+        self.said_at_wall_s = float("-inf")
         # Waits of requests that have chosen the target.
         self.waits: set[asyncio.Timeout] = set()
 
@@ -37,25 +43,48 @@
             return Refusal.HELD
         return None
 
-    def mark_leaving(self) -> bool:
-        """Record that the target leaves; return whether this is news."""
+    def mark_leaving(self, wall_s: float = float("-inf")) -> bool:
+        """Record that the target leaves; return whether this is news.
+
+        ``wall_s`` is the time of day of the response that said so, if it did
+        not name the incarnation.
+        """
+        self.said_at_wall_s = max(self.said_at_wall_s, wall_s)
         if self.leaving:
             return False
         self.leaving = True
         self.interrupt_waits()
         return True
 
-    def hold(self, until: float, now: float) -> bool:
+    def hold(self, until: float, now: float, wall_s: float) -> bool:
         """Record that the target wants no requests until a loop time.
 
         A hold is never shortened. Returns whether it is the start of one.
         """
+        self.said_at_wall_s = max(self.said_at_wall_s, wall_s)
         is_new = self.held_until <= now < until
         self.held_until = max(self.held_until, until)
         if is_new:
             self.interrupt_waits()
         return is_new
 
+    def carry_over(
+        self, successor: "Availability", started_at_s: float
+    ) -> None:
+        """Pass on what the next incarnation may have said already.
+
+        Responses do not name the incarnation, and its announcement may arrive
+        after them. ``started_at_s`` is the time of day of its start; clocks
+        may be wrong, so that nothing final is passed on.
+        """
+        if self.said_at_wall_s < started_at_s:
+            return
+        now = asyncio.get_running_loop().time()
+        until = self.held_until
+        if self.leaving:
+            until = max(until, now + CARRIED_LEAVING_S)
+        successor.hold(until, now, self.said_at_wall_s)
+
     def interrupt_waits(self) -> None:
         """Make `interruptible` blocks raise TimeoutError."""
         now = asyncio.get_running_loop().time()
--- a/src/hemlockkeel/_internal/relay/target.py
+++ b/src/hemlockkeel/_internal/relay/target.py
@@ -85,9 +85,12 @@
         self.slots = load.slots
         self.load_reported_at = now
 
-    def mark_leaving(self) -> bool:
-        """Record that the target leaves; return whether this is news."""
-        if not self.availability.mark_leaving():
+    def mark_leaving(self, wall_s: float = float("-inf")) -> bool:
+        """Record that the target leaves; return whether this is news.
+
+        ``wall_s`` is as in `availability.Availability.mark_leaving`.
+        """
+        if not self.availability.mark_leaving(wall_s):
             return False
         self.pool.close()
         return True
--- a/src/hemlockkeel/_internal/relay/target_registry.py
+++ b/src/hemlockkeel/_internal/relay/target_registry.py
@@ -12,6 +12,7 @@
 from hemlockkeel._internal.relay import target as target_module
 from hemlockkeel._internal.relay import target_selection
 
+MS_PER_S = 1000.0
 # Heartbeats that a target may miss before it gets no more requests. A target
 # that is down is detected sooner by failed requests.
 MAX_MISSED_HEARTBEATS = 6
@@ -84,10 +85,16 @@
             target = None
         is_new = target is None
         if target is None:
+            before = self.targets.get(record.instance_id)
             target = target_module.Target(
                 record, pool.TargetPool(record.address, self.body_memory)
             )
             self.targets[record.instance_id] = target
+            if before is not None:
+                before.availability.carry_over(
+                    target.availability,
+                    record.started_at_ms / MS_PER_S,
+                )
         target.record = record
         if is_new:
             self.mark_superseded(
--- a/tests/soak/regressions.py
+++ b/tests/soak/regressions.py
@@ -8,4 +8,10 @@
         "a member that had no record of a target acknowledged its removal"
         " without telling any entry",
     ),
+    (
+        9304,
+        15.0,
+        "a pause that a restarted target asked for was forgotten when the"
+        " announcement of its new incarnation arrived later",
+    ),
 ]
