--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -110,7 +110,7 @@
             self.fault_injector.end_fault(name, fault)
         async with asyncio.timeout(FIRST_CONFIGURATION_TIMEOUT_S):
             await self.operator.change_configuration()
-        self.system.disable_bootstrap()
+            await self.system.disable_bootstrap()
         tasks = [asyncio.create_task(self.operator.run())]
         tasks += [asyncio.create_task(each.run()) for each in self.callers]
         await self.fault_injector.run(seconds)
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -198,8 +198,16 @@
         )
         program.settings_path.write_text(text)
 
-    def disable_bootstrap(self) -> None:
-        """Clear the bootstrap setting, for use after the first start."""
+    async def disable_bootstrap(self) -> None:
+        """Clear the bootstrap setting once each process has read it.
+
+        One that is paused while it starts would come up as a member that has
+        lost its disk, a second one beside those that the faults take away.
+        """
+        while not all(
+            program.handles_signals() for program in self.programs.values()
+        ):
+            await asyncio.sleep(RESTART_DELAY_S)
         for program in self.programs.values():
             text = program.settings_path.read_text()
             program.settings_path.write_text(
