Honour pauses that an engine or service asks for in the product's path

An agent of the product's own path begins no run while its engine or service wants none (503 with Retry-After): the run is refused as busy and not run, so that entries choose another target; a run in progress may be resumed. The parser of the header moves to utils, since both paths use it. A test counts the requests at such an engine (4 before, 2 now, one of them a resume).

--- a/src/hemlockkeel/_internal/agent/plain_driver.py
+++ b/src/hemlockkeel/_internal/agent/plain_driver.py
@@ -8,6 +8,7 @@
 import concurrent.futures
 import contextlib
 import http.client
+import math
 import socket
 import threading
 import time
@@ -24,8 +25,10 @@
 from hemlockkeel._internal.utils import bounded_http
 from hemlockkeel._internal.utils import digests
 from hemlockkeel._internal.utils import logs
+from hemlockkeel._internal.utils import pause
 
 CONNECT_TIMEOUT_S = 2.0
+MS_PER_S = 1000
 
 
 class PlainDriver(driver.TargetDriver):
@@ -58,6 +61,7 @@
         # Identifies the present start of the service in crash reports.
         self.boot_id = str(uuid.uuid4())
         self.crashed = False
+        self.pause = pause.Pause()
         self.executor = concurrent.futures.ThreadPoolExecutor(
             concurrent_calls, "plain-call"
         )
@@ -130,6 +134,17 @@
                     "requests with the same content crashed several targets",
                 ),
             )
+        pause_s = self.pause.get_remaining_s()
+        if pause_s:
+            return answers.make_failure(
+                order.request_id,
+                order.attempt,
+                outcomes.refuse(
+                    outcomes.RefusalCode.BUSY,
+                    "the service asked for a pause",
+                    math.ceil(pause_s * MS_PER_S),
+                ),
+            )
         connection = bounded_http.Connection(
             self.host, self.port, CONNECT_TIMEOUT_S
         )
@@ -157,6 +172,7 @@
             headers = {"Content-Type": "application/json"}
             connection.request(order.method, order.path, order.body, headers)
             response = connection.getresponse()
+            self.pause.record_response(response)
             data = response.read()
         except (OSError, http.client.HTTPException) as error:
             if verdict is outcomes.Verdict.MAY_HAVE_RUN:
--- a/src/hemlockkeel/_internal/engines/http_engine.py
+++ b/src/hemlockkeel/_internal/engines/http_engine.py
@@ -13,6 +13,7 @@
 from hemlockkeel._internal.models import ids
 from hemlockkeel._internal.models import outcomes
 from hemlockkeel._internal.utils import bounded_http
+from hemlockkeel._internal.utils import pause
 
 ORDER_TIMEOUT_S = 60.0
 PROBE_TIMEOUT_S = 2.0
@@ -30,6 +31,7 @@
         self.host = host
         self.port = port
         self.thread_local = threading.local()
+        self.pause = pause.Pause()
 
     def get_identity(self) -> base.Identity:
         body = self.call_json("GET", "/engine/identity", PROBE_TIMEOUT_S)
@@ -45,6 +47,12 @@
     def run(
         self, order: base.RunOrder
     ) -> collections.abc.Iterator[base.Event]:
+        if self.pause.get_remaining_s():
+            raise base.RunFailedError(
+                outcomes.RefusalCode.BUSY,
+                "the engine asked for a pause",
+                outcomes.Verdict.NOT_RUN,
+            )
         body = json.loads(order.body)
         body["model"] = str(order.ref) if order.ref else order.base_model
         body["stream"] = True
@@ -115,6 +123,7 @@
         """
         try:
             response = connection.getresponse()
+            self.pause.record_response(response)
             if response.status != http.client.OK:
                 raise make_refused_error(
                     response.status, response.read(), new_run
--- a/src/hemlockkeel/_internal/orders/http_client.py
+++ b/src/hemlockkeel/_internal/orders/http_client.py
@@ -9,7 +9,7 @@
 from hemlockkeel._internal.relay import exchange
 from hemlockkeel._internal.relay import header_codec
 from hemlockkeel._internal.relay import pool
-from hemlockkeel._internal.relay import retry_after
+from hemlockkeel._internal.utils import retry_after
 
 # An engine runs on the instance of its agent and responds within
 # milliseconds. An order without a response in time may still be carried out.
--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -14,10 +14,10 @@
 from hemlockkeel._internal.relay import headers
 from hemlockkeel._internal.relay import request_context
 from hemlockkeel._internal.relay import results
-from hemlockkeel._internal.relay import retry_after
 from hemlockkeel._internal.relay import target as target_module
 from hemlockkeel._internal.relay import waits
 from hemlockkeel._internal.routes import table
+from hemlockkeel._internal.utils import retry_after
 
 # Statuses that tell callers that a request has not run. Callers then repeat
 # even a request that must not run twice.
--- a/src/hemlockkeel/_internal/relay/retry_after.py
+++ b/src/hemlockkeel/_internal/utils/retry_after.py
@@ -4,8 +4,6 @@
 import email.utils
 import re
 
-from hemlockkeel._internal.relay import header_codec
-
 HEADER = b"retry-after"
 # Longer delays are shortened to this one, so that a wrong value does not take
 # a target out of use for good.
@@ -25,7 +23,7 @@
     invalid: tuple[str, ...] = ()
 
 
-def read(headers: header_codec.Headers, wall_s: float) -> RetryAfter:
+def read(headers: list[tuple[bytes, bytes]], wall_s: float) -> RetryAfter:
     """Return the delay that a response's headers ask for.
 
     If the header is repeated, the longest valid delay counts. ``wall_s`` is
--- a/tests/unit/test_bounded_http.py
+++ b/tests/unit/test_bounded_http.py
@@ -9,6 +9,8 @@
 from hemlockkeel._internal import exceptions
 from hemlockkeel._internal.engines import base
 from hemlockkeel._internal.engines import http_engine
+from hemlockkeel._internal.models import ids
+from hemlockkeel._internal.models import outcomes
 from hemlockkeel._internal.utils import bounded_http
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
@@ -106,5 +108,58 @@
             list(engine.read_events(connection))
 
 
+class RefusingServer(EndlessServer):
+    """Refuses every request and counts them."""
+
+    RESPONSE = (
+        b"HTTP/1.1 503 Full\r\nRetry-After: 9\r\nContent-Length: 0\r\n\r\n"
+    )
+
+    def __init__(self) -> None:
+        self.count = 0
+        super().__init__(b"", b"", 0.0)
+
+    def serve(self) -> None:
+        while True:
+            try:
+                client, _ = self.socket.accept()
+            except OSError:
+                return
+            with client:
+                client.recv(65536)
+                self.count += 1
+                client.sendall(self.RESPONSE)
+
+
+class TestPause(unittest.TestCase):
+    """Engines that ask for a pause."""
+
+    def test_engine_gets_no_new_run_in_its_pause(self) -> None:
+        server = RefusingServer()
+        self.addCleanup(server.stop)
+        engine = http_engine.HttpEngine("127.0.0.1", server.port)
+        order = base.RunOrder(
+            request_id="r1",
+            body=b"{}",
+            ref=None,
+            base_model="m",
+            priority=0,
+            fence=ids.Fence(1),
+        )
+        verdicts = []
+        for _ in range(3):
+            with self.assertRaises(base.RunFailedError) as caught:
+                list(engine.run(order))
+            verdicts.append(caught.exception.verdict)
+        self.assertEqual(server.count, 1)
+        self.assertEqual(
+            verdicts[1:], [outcomes.Verdict.NOT_RUN, outcomes.Verdict.NOT_RUN]
+        )
+        # A run that is in progress may still be resumed.
+        with self.assertRaises(base.RunFailedError):
+            list(engine.resume("r1", 0))
+        self.assertEqual(server.count, 2)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/unit/test_retry_after.py
+++ b/tests/unit/test_retry_after.py
@@ -4,7 +4,7 @@
 import unittest
 
 from hemlockkeel._internal.relay import availability
-from hemlockkeel._internal.relay import retry_after
+from hemlockkeel._internal.utils import retry_after
 
 # 2026-12-04 09:00:00 UTC.
 WALL_S = 1796374800.0
