Parse links' frames in a protocol; load only a role's own settings

Cause: what an entry receives costs it most of its time, also with fewer messages: a task wake-up, two reads and a timer for each.

Change: a link is an asyncio protocol that decodes whole frames as they arrive; one timer a link watches for silence. Each role's settings are read by a module of their own, so that an entry does not load the consensus code.

--- a/src/hemlockkeel/_internal/links/dialer.py
+++ b/src/hemlockkeel/_internal/links/dialer.py
@@ -103,14 +103,15 @@
         """Connect and handle messages until the link is lost.
 
         :raises OSError: when the connection cannot be made.
-        :raises TimeoutError: when connecting takes too long or the peer
-            stops sending.
-        :raises LinkClosedError: when the link is closed.
+        :raises TimeoutError: when connecting takes too long.
+        :raises LinkClosedError: when the link is closed or the peer stops
+            sending.
         """
         host, port = self.address.rsplit(":", 1)
+        loop = asyncio.get_running_loop()
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            reader, writer = await asyncio.open_connection(host, int(port))
-        self.link = peer = link.Link(reader, writer)
+            _, peer = await loop.create_connection(link.Link, host, int(port))
+        self.link = peer
         interval_s = self.get_ping_interval_s()
         peer.send(
             msgspec.structs.replace(self.hello, ping_interval_s=interval_s)
@@ -121,10 +122,10 @@
             self.send_pings(peer, interval_s)
         )
         timeout_s = get_receive_timeout_s(interval_s)
+        peer.watch_silence(lambda: timeout_s)
         try:
             while True:
-                async with asyncio.timeout(timeout_s):
-                    message = await peer.receive()
+                message = await peer.receive()
                 if isinstance(message, messages.Pong):
                     continue
                 if message.call_id and peer.resolve_call(message):
--- a/src/hemlockkeel/_internal/links/link.py
+++ b/src/hemlockkeel/_internal/links/link.py
@@ -1,6 +1,7 @@
 """TCP connection that carries length-prefixed messages in both directions."""
 
 import asyncio
+import collections
 import collections.abc
 import socket
 import struct
@@ -15,6 +16,8 @@
 # Bytes that may be queued for a peer that does not read before the link is
 # closed.
 MAX_SEND_BUFFER_BYTES = 16 * 1024 * 1024
+# Messages that wait to be handled, above which reading pauses.
+MAX_RECEIVED_MESSAGES = 1000
 # Time after which the kernel closes a connection whose sent data is not
 # acknowledged.
 TCP_USER_TIMEOUT_MS = 2000
@@ -22,22 +25,28 @@
 DEFAULT_PING_INTERVAL_S = 0.5
 
 
+class FrameTooLongError(Exception):
+    """A frame is longer than any message."""
+
+
 class LinkClosedError(Exception):
     """The connection was closed, or the peer sent an invalid message."""
 
 
-class Link:
+class Link(asyncio.Protocol):
     """A connection to another hemlockkeel process.
 
-    On an accepted link, the attributes from ``role`` to ``target_address``
+    On an accepted link, the attributes from ``role`` to ``ping_interval_s``
     describe the peer as its `messages.Hello` did; they are empty before.
+    ``on_connected`` is called once the connection is there.
     """
 
     def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        on_connected: collections.abc.Callable[["Link"], None] | None = None,
     ) -> None:
-        self.reader = reader
-        self.writer = writer
+        self.on_connected = on_connected
+        self.transport: asyncio.Transport | None = None
         self.role = ""
         self.name = ""
         self.data_centre = ""
@@ -45,11 +54,111 @@
         self.ping_interval_s = DEFAULT_PING_INTERVAL_S
         self.last_call_id = 0
         self.pending_calls: dict[int, asyncio.Future[messages.AnyMessage]] = {}
-        sock = writer.get_extra_info("socket")
+        # Bytes of an incomplete frame, and messages not yet handled.
+        self.buffer = bytearray()
+        self.received: collections.deque[messages.AnyMessage] = (
+            collections.deque()
+        )
+        self.waiter: asyncio.Future[None] | None = None
+        # Why no more messages will arrive; empty while the link is up.
+        self.end_reason = ""
+        # Loop time of the last data.
+        self.heard_at = 0.0
+        self.silence_timer: asyncio.TimerHandle | None = None
+
+    # Called by the event loop
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        self.heard_at = asyncio.get_running_loop().time()
+        sock = transport.get_extra_info("socket")
         sock.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
         )
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if self.on_connected is not None:
+            self.on_connected(self)
+
+    def data_received(self, data: bytes) -> None:
+        self.heard_at = asyncio.get_running_loop().time()
+        self.buffer += data
+        try:
+            self.decode_frames()
+        except (msgspec.DecodeError, FrameTooLongError) as error:
+            self.end(f"invalid message: {error}")
+            self.abort()
+        self.wake_receiver()
+
+    def eof_received(self) -> bool:
+        self.end("closed by the peer")
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.end(str(exc) if exc else "connection lost")
+        if self.silence_timer is not None:
+            self.silence_timer.cancel()
+
+    # Called by this class and its owner
+
+    def decode_frames(self) -> None:
+        """Move the complete messages from the buffer to `received`.
+
+        :raises FrameTooLongError: when a frame exceeds `MAX_FRAME_BYTES`.
+        :raises msgspec.DecodeError: when one is not a valid message.
+        """
+        begin = 0
+        while len(self.buffer) - begin >= FRAME_LENGTH.size:
+            (size,) = FRAME_LENGTH.unpack_from(self.buffer, begin)
+            if size > MAX_FRAME_BYTES:
+                raise FrameTooLongError(
+                    f"frame of {size} bytes exceeds the limit of "
+                    f"{MAX_FRAME_BYTES} bytes"
+                )
+            end = begin + FRAME_LENGTH.size + size
+            if len(self.buffer) < end:
+                break
+            frame = bytes(self.buffer[begin + FRAME_LENGTH.size : end])
+            self.received.append(messages.DECODER.decode(frame))
+            begin = end
+        del self.buffer[:begin]
+        if len(self.received) > MAX_RECEIVED_MESSAGES and self.transport:
+            self.transport.pause_reading()
+
+    def end(self, reason: str) -> None:
+        """Record why no more messages will arrive, if it is the first end."""
+        self.end_reason = self.end_reason or reason
+        self.wake_receiver()
+
+    def wake_receiver(self) -> None:
+        """Resume a waiting `receive`."""
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_result(None)
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    def watch_silence(
+        self, get_timeout_s: collections.abc.Callable[[], float]
+    ) -> None:
+        """Close the link whenever the peer sends nothing for too long."""
+        loop = asyncio.get_running_loop()
+        timeout_s = get_timeout_s()
+        left_s = self.heard_at + timeout_s - loop.time()
+        if left_s <= 0:
+            self.end(f"no message received for {timeout_s:.1f} s")
+            self.abort()
+            return
+        self.silence_timer = loop.call_later(
+            left_s, self.watch_silence, get_timeout_s
+        )
+
+    @property
+    def closing(self) -> bool:
+        """Return whether the link is closed or being closed."""
+        return self.transport is None or self.transport.is_closing()
 
     def send(self, message: messages.AnyMessage) -> None:
         """Queue a message without waiting for it to be sent.
@@ -61,13 +170,12 @@
 
     def send_frame(self, frame: bytes) -> None:
         """Queue an encoded message, as `send` does."""
-        if self.writer.is_closing():
+        if self.transport is None or self.transport.is_closing():
             return
-        transport = self.writer.transport
-        if transport.get_write_buffer_size() > MAX_SEND_BUFFER_BYTES:
-            transport.abort()
+        if self.transport.get_write_buffer_size() > MAX_SEND_BUFFER_BYTES:
+            self.transport.abort()
             return
-        self.writer.write(frame)
+        self.transport.write(frame)
 
     async def receive(self) -> messages.AnyMessage:
         """Wait for the next message and return it.
@@ -75,20 +183,19 @@
         :raises LinkClosedError: when the connection ends or the data received
             is too long or not a valid message.
         """
-        try:
-            head = await self.reader.readexactly(FRAME_LENGTH.size)
-            (size,) = FRAME_LENGTH.unpack(head)
-            if size > MAX_FRAME_BYTES:
-                raise LinkClosedError(
-                    f"frame of {size} bytes exceeds the limit of "
-                    f"{MAX_FRAME_BYTES} bytes"
-                )
-            data = await self.reader.readexactly(size)
-            return messages.DECODER.decode(data)
-        except (OSError, asyncio.IncompleteReadError) as error:
-            raise LinkClosedError(str(error)) from error
-        except msgspec.DecodeError as error:
-            raise LinkClosedError(f"invalid message: {error}") from error
+        while not self.received:
+            if self.end_reason:
+                raise LinkClosedError(self.end_reason)
+            self.waiter = asyncio.get_running_loop().create_future()
+            try:
+                await self.waiter
+            finally:
+                self.waiter = None
+        message = self.received.popleft()
+        if not self.received and not self.closing:
+            assert self.transport is not None
+            self.transport.resume_reading()
+        return message
 
     async def call(
         self, message: messages.AnyMessage, timeout_s: float
@@ -99,7 +206,7 @@
         :raises TimeoutError: when no reply arrives within ``timeout_s``
             seconds.
         """
-        if self.writer.is_closing():
+        if self.closing:
             raise LinkClosedError("closed")
         self.last_call_id += 1
         call_id = self.last_call_id
@@ -128,7 +235,7 @@
 
     def close(self) -> None:
         """Abort the connection and fail all pending calls."""
-        self.writer.transport.abort()
+        self.abort()
         for future in self.pending_calls.values():
             if not future.done():
                 future.set_exception(LinkClosedError("closed"))
--- a/src/hemlockkeel/_internal/links/server.py
+++ b/src/hemlockkeel/_internal/links/server.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+import collections.abc
 
 from hemlockkeel._internal.links import dialer
 from hemlockkeel._internal.links import link
@@ -51,8 +52,9 @@
 
         :raises OSError: when the address cannot be used.
         """
-        self.server = await asyncio.start_server(
-            self.serve, host, port, backlog=BACKLOG
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            lambda: link.Link(self.accept), host, port, backlog=BACKLOG
         )
 
     def stop(self) -> None:
@@ -62,19 +64,28 @@
         for peer in list(self.links):
             peer.close()
 
-    async def serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    def accept(self, peer: link.Link) -> None:
+        """Start a task that serves a new link."""
+        self.run_task(self.serve(peer))
+
+    def run_task(
+        self, work: collections.abc.Coroutine[None, None, None]
     ) -> None:
+        """Run a task, which is referenced until it ends."""
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def serve(self, peer: link.Link) -> None:
         """Handle the messages of one link until it is lost."""
-        peer = link.Link(reader, writer)
         self.links.add(peer)
+        peer.watch_silence(
+            lambda: dialer.get_receive_timeout_s(peer.ping_interval_s)
+        )
         try:
             while True:
-                timeout_s = dialer.get_receive_timeout_s(peer.ping_interval_s)
-                async with asyncio.timeout(timeout_s):
-                    message = await peer.receive()
-                self.handle_message(peer, message)
-        except (TimeoutError, link.LinkClosedError) as error:
+                self.handle_message(peer, await peer.receive())
+        except link.LinkClosedError as error:
             self.log.write(
                 "link_closed",
                 role=peer.role,
@@ -107,8 +118,4 @@
         if not message.call_id:
             self.service.on_message(peer, message)
             return
-        task = asyncio.get_running_loop().create_task(
-            self.service.on_call(peer, message)
-        )
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        self.run_task(self.service.on_call(peer, message))
--- a/src/hemlockkeel/platform/__main__.py
+++ b/src/hemlockkeel/platform/__main__.py
@@ -18,14 +18,14 @@
     """Create an entry from a settings file."""
     from hemlockkeel._internal.relay import process
     from hemlockkeel.platform import configuration
+    from hemlockkeel.platform import entry_settings
     from hemlockkeel.platform import headers
-    from hemlockkeel.platform import settings
 
-    values = settings.read_entry(path)
+    values = entry_settings.read_entry(path)
     return process.EntryProcess(
         values,
         path,
-        settings.read_entry,
+        entry_settings.read_entry,
         headers.PlatformHeaderCodec(),
         configuration.JsonConfigurationCodec(),
         event_log.EventLog(values.name),
@@ -36,13 +36,13 @@
     """Create a control member from a settings file."""
     from hemlockkeel._internal.coordinator import process
     from hemlockkeel.platform import api
-    from hemlockkeel.platform import settings
+    from hemlockkeel.platform import control_settings
 
-    values = settings.read_control(path)
+    values = control_settings.read_control(path)
     return process.ControlProcess(
         values,
         path,
-        settings.read_control,
+        control_settings.read_control,
         api.PlatformApiCodec(),
         event_log.EventLog(values.name),
     )
@@ -52,12 +52,12 @@
     """Create an agent from a settings file."""
     from hemlockkeel._internal.orders import http_client
     from hemlockkeel._internal.orders import process
+    from hemlockkeel.platform import agent_settings
     from hemlockkeel.platform import configuration
     from hemlockkeel.platform import engine
     from hemlockkeel.platform import headers
-    from hemlockkeel.platform import settings
 
-    values = settings.read_agent(path)
+    values = agent_settings.read_agent(path)
     client = http_client.HttpEngineClient(
         values.engine_address,
         engine.PlatformEngineCodec(),
@@ -66,7 +66,7 @@
     return process.AgentProcess(
         values,
         path,
-        settings.read_agent,
+        agent_settings.read_agent,
         client,
         configuration.JsonConfigurationCodec(),
         event_log.EventLog(values.name),
--- /dev/null
+++ b/src/hemlockkeel/platform/settings_file.py
@@ -0,0 +1,63 @@
+"""The platform's settings file.
+
+Each role's settings are read by a module of its own, so that a process loads
+only what its role needs.
+"""
+
+import pathlib
+
+MS_PER_S = 1000.0
+# Ports for links, as offsets from the first port of portRange.
+CONTROL_PORT_OFFSET = 0
+AGENT_PORT_OFFSET = 1
+
+
+class SettingsFile:
+    """Settings file of lines ``name=value``; other lines are ignored."""
+
+    def __init__(self, path: pathlib.Path) -> None:
+        self.values: dict[str, str] = {}
+        for line in path.read_text().splitlines():
+            key, separator, value = line.partition("=")
+            if separator:
+                self.values[key.strip()] = value.strip()
+
+    def get(self, name: str) -> str:
+        """Return the value of a setting.
+
+        :raises ValueError: when it is missing or empty.
+        """
+        if not self.values.get(name):
+            raise ValueError(f"the settings file has no {name}")
+        return self.values[name]
+
+    def get_number(self, name: str) -> float:
+        """Return the value of a setting as a number.
+
+        :raises ValueError: when it is missing or not a number.
+        """
+        return float(self.get(name))
+
+    def get_port(self, name: str) -> int:
+        """Return the port in a setting of the form host:port.
+
+        :raises ValueError: when the setting is missing or has no port.
+        """
+        return int(self.get(name).rpartition(":")[2])
+
+    def get_link_port(self, offset: int) -> int:
+        """Return the port for links at an offset from portRange's first."""
+        first = self.get("portRange").partition(",")[0]
+        return int(first) + offset
+
+    def get_control_addresses(self) -> frozenset[str]:
+        """Return the addresses at which control members accept links.
+
+        The file lists their addresses for HTTP calls; the port for links is
+        the same on every instance.
+        """
+        port = self.get_link_port(CONTROL_PORT_OFFSET)
+        seeds = self.get("seedNodes").split(",")
+        return frozenset(
+            f"{seed.rpartition(':')[0]}:{port}" for seed in seeds if seed
+        )
--- a/tests/functional/test_crashing_requests.py
+++ b/tests/functional/test_crashing_requests.py
@@ -339,6 +339,10 @@
     async def check_quarantined(self, entry: int) -> None:
         """Check that an entry does not send the request on."""
         runs = len(self.list_fatal_runs())
+        async with asyncio.timeout(CONTACT_S):
+            await self.wait_for(
+                lambda: self.entries[entry].crashes.quarantined
+            )
         self.check_refused(await self.send_fatal(entry))
         self.assertEqual(len(self.list_fatal_runs()), runs)
 
--- a/tests/functional/test_retry_budget.py
+++ b/tests/functional/test_retry_budget.py
@@ -21,6 +21,8 @@
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
+        # The loop's debug mode would take most of the time.
+        asyncio.get_running_loop().set_debug(False)
         self.retry_limits = budget.RetryBudgetLimits(RATIO, WINDOW_S, RESERVE)
         self.make_reserve_share = lambda: reserve_share.ReserveShare(WINDOW_S)
         self.route_changes = {"max_attempts": 2}
--- a/tests/lib/relay_fleet.py
+++ b/tests/lib/relay_fleet.py
@@ -1,6 +1,7 @@
 """Entries, control members and targets in one event loop."""
 
 import asyncio
+import math
 import pathlib
 import tempfile
 import unittest
@@ -102,6 +103,8 @@
             logs.make_log(),
         )
         entry.shared.reserve_share = self.make_reserve_share()
+        # Targets announce themselves only when they start here.
+        entry.registry.max_silence_s = math.inf
         entry.apply_configuration(self.make_configuration())
         await entry.start()
         self.entries.append(entry)
--- /dev/null
+++ b/tests/unit/test_links.py
@@ -0,0 +1,119 @@
+"""Links between processes: frames in pieces, garbage and silence."""
+
+import asyncio
+import random
+import unittest
+
+from hemlockkeel._internal.links import link
+from hemlockkeel._internal.links import messages
+
+MESSAGES = [
+    messages.Hello(role="entry", name="e1"),
+    messages.Ping(),
+    messages.ConfigurationUpdate(version=3, compressed_body=b"x" * 5000),
+    messages.ReleaseAdapter(grant_call_id=7),
+]
+STREAM = b"".join(link.encode_frame(message) for message in MESSAGES)
+WAIT_S = 5.0
+
+
+class LinkCase(unittest.IsolatedAsyncioTestCase):
+    """Base of the tests: a link whose peer is a bare connection."""
+
+    async def asyncSetUp(self) -> None:
+        accepted: asyncio.Future[link.Link] = (
+            asyncio.get_running_loop().create_future()
+        )
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(
+            lambda: link.Link(accepted.set_result), "127.0.0.1", 0
+        )
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        self.reader, self.writer = await asyncio.open_connection(
+            "127.0.0.1", port
+        )
+        self.addCleanup(self.writer.transport.abort)
+        self.link = await accepted
+        self.addCleanup(self.link.close)
+
+    async def receive(self) -> messages.AnyMessage:
+        """Return the next message."""
+        return await asyncio.wait_for(self.link.receive(), WAIT_S)
+
+
+class TestFrames(LinkCase):
+    """Messages that arrive in pieces of any size."""
+
+    async def test_messages_arrive_whole_and_in_order(self) -> None:
+        rng = random.Random(3)
+        for _ in range(10):
+            begin = 0
+            while begin < len(STREAM):
+                end = begin + rng.randrange(1, 900)
+                self.writer.write(STREAM[begin:end])
+                await asyncio.sleep(0)
+                begin = end
+            for message in MESSAGES:
+                self.assertEqual(await self.receive(), message)
+
+    async def test_messages_before_the_end_are_delivered(self) -> None:
+        self.writer.write(STREAM + STREAM[:9])
+        self.writer.close()
+        for message in MESSAGES:
+            self.assertEqual(await self.receive(), message)
+        with self.assertRaises(link.LinkClosedError):
+            await self.receive()
+
+    async def test_many_unhandled_messages_pause_reading(self) -> None:
+        count = 3 * link.MAX_RECEIVED_MESSAGES
+        frame = link.encode_frame(messages.Ping())
+        self.writer.write(frame * count)
+        for _ in range(count):
+            self.assertEqual(await self.receive(), messages.Ping())
+
+
+class TestBadPeers(LinkCase):
+    """Peers that send garbage, too long frames, or nothing."""
+
+    async def check_closed(self) -> None:
+        """Check that the link ends and its connection is closed."""
+        with self.assertRaises(link.LinkClosedError):
+            while True:
+                await self.receive()
+        try:
+            await asyncio.wait_for(self.reader.read(), WAIT_S)
+        except ConnectionError:
+            return
+
+    async def test_garbage(self) -> None:
+        self.writer.write(link.FRAME_LENGTH.pack(4) + b"\xff\x00\x01\x02")
+        await self.check_closed()
+
+    async def test_too_long_frame(self) -> None:
+        self.writer.write(link.FRAME_LENGTH.pack(link.MAX_FRAME_BYTES + 1))
+        await self.check_closed()
+
+    async def test_endless_bytes_are_bounded(self) -> None:
+        closed = asyncio.create_task(self.check_closed())
+        while not closed.done():
+            self.writer.write(b"\xff" * 65536)
+            await asyncio.sleep(0)
+        await closed
+        self.assertLess(len(self.link.buffer), link.MAX_FRAME_BYTES)
+
+    async def test_silence(self) -> None:
+        self.link.watch_silence(lambda: 0.1)
+        with self.assertRaisesRegex(link.LinkClosedError, "no message"):
+            await self.receive()
+
+    async def test_pending_call_fails_with_the_link(self) -> None:
+        call = asyncio.create_task(self.link.call(messages.Read(), WAIT_S))
+        await asyncio.sleep(0)
+        self.link.close()
+        with self.assertRaises(link.LinkClosedError):
+            await call
+
+
+if __name__ == "__main__":
+    unittest.main()
