--- a/src/hemlockkeel/_internal/links/dialer.py
+++ b/src/hemlockkeel/_internal/links/dialer.py
@@ -112,7 +112,7 @@
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             _, peer = await loop.create_connection(link.Link, host, int(port))
         self.link = peer
-        interval_s = self.get_ping_interval_s()
+        interval_s = peer.ping_interval_s = self.get_ping_interval_s()
         peer.send(
             msgspec.structs.replace(self.hello, ping_interval_s=interval_s)
         )
@@ -191,6 +191,14 @@
         dialer = self.dialers.get(address)
         return dialer.link if dialer else None
 
+    def list_silent(self, now: float) -> set[str]:
+        """Return the addresses whose peers are connected but silent."""
+        return {
+            address
+            for address, dialer in self.dialers.items()
+            if dialer.link is not None and dialer.link.is_silent(now)
+        }
+
     def list_links(self) -> list[link.Link]:
         """Return the links that are connected."""
         links = [dialer.link for dialer in self.dialers.values()]
--- a/src/hemlockkeel/_internal/links/link.py
+++ b/src/hemlockkeel/_internal/links/link.py
@@ -21,6 +21,10 @@
 # Time after which the kernel closes a connection whose sent data is not
 # acknowledged.
 TCP_USER_TIMEOUT_MS = 2000
+# Ping intervals without data, and the time for a reply, after which a peer is
+# probably paused.
+SILENT_PINGS = 1.0
+PING_REPLY_S = 0.25
 # Interval of the pings of a peer that has not said hello yet.
 DEFAULT_PING_INTERVAL_S = 0.5
 
@@ -37,7 +41,8 @@
     """A connection to another hemlockkeel process.
 
     On an accepted link, the attributes from ``role`` to ``ping_interval_s``
-    describe the peer as its `messages.Hello` did; they are empty before.
+    describe the peer as its `messages.Hello` did; they are empty before. On an
+    outgoing link, ``ping_interval_s`` is that of the own pings.
     ``on_connected`` is called once the connection is there.
     """
 
@@ -155,6 +160,11 @@
             left_s, self.watch_silence, get_timeout_s
         )
 
+    def is_silent(self, now: float) -> bool:
+        """Return whether the answer to a ping is overdue."""
+        limit_s = self.ping_interval_s * SILENT_PINGS + PING_REPLY_S
+        return now - self.heard_at > limit_s
+
     @property
     def closing(self) -> bool:
         """Return whether the link is closed or being closed."""
--- a/src/hemlockkeel/_internal/relay/process.py
+++ b/src/hemlockkeel/_internal/relay/process.py
@@ -28,6 +28,7 @@
 from hemlockkeel._internal.utils import http_service
 
 HOUSEKEEPING_INTERVAL_S = 0.5
+SILENCE_CHECK_INTERVAL_S = 0.25
 DRAIN_POLL_INTERVAL_S = 0.02
 # Time after SIGTERM until the load balancer sends new callers elsewhere: two
 # failed checks a second apart, and one more that was already on its way.
@@ -179,9 +180,9 @@
         await self.caller_listener.start(
             self.settings.host, self.settings.caller_port
         )
-        self.housekeeping_task = asyncio.get_running_loop().create_task(
-            self.run_housekeeping()
-        )
+        loop = asyncio.get_running_loop()
+        self.housekeeping_task = loop.create_task(self.run_housekeeping())
+        self.silence_task = loop.create_task(self.run_silence_checks())
 
     async def stop(self) -> None:
         """Serve until callers have moved, then finish pending requests.
@@ -220,6 +221,24 @@
             self.crashes.expire()
             self.connect_agents()
 
+    async def run_silence_checks(self) -> None:
+        """Find the engines whose instances do not answer pings any more.
+
+        An engine is paused together with its agent, and says so by nothing
+        else for as long as its connections are open.
+        """
+        while True:
+            await asyncio.sleep(SILENCE_CHECK_INTERVAL_S)
+            now = asyncio.get_running_loop().time()
+            addresses = self.agent_listener.target_addresses
+            silent = frozenset(
+                addresses.get(agent, "")
+                for agent in self.agent_links.list_silent(now)
+            )
+            if silent != self.registry.silent_addresses:
+                self.registry.silent_addresses = silent
+                self.log.write("silent_engines", addresses=sorted(silent))
+
     # Messages from control members
 
     def has_control_majority(self) -> bool:
--- a/src/hemlockkeel/_internal/relay/target_registry.py
+++ b/src/hemlockkeel/_internal/relay/target_registry.py
@@ -45,6 +45,8 @@
             superseded_after_s=heartbeat_s * SUPERSEDED_AFTER_HEARTBEATS,
         )
         self.targets: dict[records.InstanceId, target_module.Target] = {}
+        # Addresses of engines whose agents do not answer.
+        self.silent_addresses: frozenset[str] = frozenset()
         self.body_memory = read_budget.BodyMemory()
         self.entry_count = 1
         # Time in contact with control members, seconds. The silence of targets
@@ -245,6 +247,7 @@
                     target.get_prefill_backlog(now),
                     adapter in target.recent_adapters,
                     silence_s / self.max_silence_s,
+                    record.address in self.silent_addresses,
                 )
             )
         return candidates
--- a/src/hemlockkeel/_internal/relay/target_selection.py
+++ b/src/hemlockkeel/_internal/relay/target_selection.py
@@ -106,6 +106,8 @@
     recently_loaded: bool = False
     # Time since its last heartbeat, relative to the longest allowed.
     silence_ratio: float = 0.0
+    # Whether its instance seems to be paused.
+    unresponsive: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -152,6 +154,8 @@
     or is loading it.
     """
     cost = candidate.failure_share * FAILURE_COST_S
+    if candidate.unresponsive:
+        cost += FAILURE_COST_S
     cost += (
         max(0.0, candidate.silence_ratio - TOLERATED_SILENCE_SHARE)
         * SILENCE_COST_S
--- a/tests/functional/test_relay.py
+++ b/tests/functional/test_relay.py
@@ -70,6 +70,7 @@
         self.entry.shared.reserve_share = shares.WholeReserve()
         await self.entry.start()
         self.addCleanup(self.entry.housekeeping_task.cancel)
+        self.addCleanup(self.entry.silence_task.cancel)
         server = self.entry.caller_listener.server
         self.port = server.sockets[0].getsockname()[1]
         self.targets: list[fake_target.FakeTarget] = []
--- a/tests/lib/relay_fleet.py
+++ b/tests/lib/relay_fleet.py
@@ -144,6 +144,7 @@
     def stop_entry(self, entry: relay_process.EntryProcess) -> None:
         """End an entry as when its process is killed."""
         entry.housekeeping_task.cancel()
+        entry.silence_task.cancel()
         entry.control_links.set_addresses(set())
         entry.caller_listener.stop_listening()
         entry.ready_listener.stop_listening()
--- a/tests/unit/test_links.py
+++ b/tests/unit/test_links.py
@@ -107,6 +107,12 @@
         with self.assertRaisesRegex(link.LinkClosedError, "no message"):
             await self.receive()
 
+    async def test_peer_that_leaves_a_ping_unanswered_is_silent(self) -> None:
+        self.link.ping_interval_s = 1.2
+        heard_at = self.link.heard_at
+        self.assertFalse(self.link.is_silent(heard_at + 1.3))
+        self.assertTrue(self.link.is_silent(heard_at + 1.5))
+
     async def test_pending_call_fails_with_the_link(self) -> None:
         call = asyncio.create_task(self.link.call(messages.Read(), WAIT_S))
         await asyncio.sleep(0)
