Log what a lost request may have in common with others

The lines about lost requests named them by the digest of their content, so that a crash could not be traced to a part of the prompts or an adapter. `answer_broken` now has the shared parts and the adapter, with at most 8 parts; no decision uses them yet.

--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -24,6 +24,8 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Characters of an invalid header value that are logged.
 MAX_LOGGED_VALUE = 40
+# Parts of a prompt that are logged.
+MAX_LOGGED_PARTS = 8
 
 
 class Attempt:
@@ -258,6 +260,8 @@
                 "answer_broken",
                 target=target.record.instance_id,
                 digest=self.context.digest,
+                parts=self.context.metadata.shared_parts[:MAX_LOGGED_PARTS],
+                adapter=self.context.adapter_key,
                 reason=str(error),
             )
             if self.context.connection.response_started:
--- a/src/hemlockkeel/_internal/relay/header_codec.py
+++ b/src/hemlockkeel/_internal/relay/header_codec.py
@@ -33,6 +33,8 @@
     max_output_tokens: int = 0
     prompt_parts: tuple[PromptPart, ...] = ()
     last_event_id: str = ""
+    # Ids of the parts that other requests may have in common with this one.
+    shared_parts: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/hemlockkeel/platform/headers.py
+++ b/src/hemlockkeel/platform/headers.py
@@ -3,6 +3,8 @@
 from hemlockkeel._internal.relay import header_codec
 
 MS_PER_S = 1000.0
+# Further parts of a prompt are not compared with those of other requests.
+MAX_SHARED_PARTS = 32
 # Set only by the system itself, so they are removed from callers' requests.
 SYSTEM_HEADERS = frozenset(
     {
@@ -37,6 +39,7 @@
             output,
             tuple(read_prompt_parts(values.get(b"x-prompt-prefix", ""))),
             values.get(b"last-event-id", ""),
+            tuple(read_shared_parts(values.get(b"x-prompt-prefix", ""))),
         )
 
     def make_request_headers(
@@ -127,6 +130,16 @@
     return parts
 
 
+def read_shared_parts(value: str) -> list[str]:
+    """Return the ids of the parts that requests may have in common.
+
+    The last part belongs to the request itself or to its session.
+    """
+    items = [item.strip().partition(":") for item in value.split(",")]
+    ids = [part_id.lower() for part_id, _, _ in items[:-1] if part_id]
+    return ids[:MAX_SHARED_PARTS]
+
+
 def read_load(value: str | None) -> header_codec.TargetLoad | None:
     """Return the load, given as RUNNING,WAITING,SLOTS; None if invalid."""
     if not value:
--- a/tests/unit/test_platform.py
+++ b/tests/unit/test_platform.py
@@ -341,9 +341,22 @@
                     header_codec.PromptPart("91", 410),
                 ),
                 "12",
+                ("5c",),
             ),
         )
 
+    def test_parts_that_requests_may_have_in_common(self) -> None:
+        for value, expected in (
+            (b"", ()),
+            (b"5c:800", ()),
+            (b"5C:800, 91:410,e4:250", ("5c", "91")),
+            (b"5c:800,91:x,e4:250", ("5c", "91")),
+        ):
+            metadata = self.header_codec.read_request(
+                [(b"X-Prompt-Prefix", value)]
+            )
+            self.assertEqual(metadata.shared_parts, expected)
+
     def test_system_headers_of_callers_are_replaced(self) -> None:
         forwarded = self.header_codec.make_request_headers(
             [
