--- a/tests/lib/ending_target.py
+++ b/tests/lib/ending_target.py
@@ -26,6 +26,14 @@
     CUT_OFF = "cut_off"
 
 
+class EndPoint(enum.Enum):
+    """How much of the response a target has written when it ends."""
+
+    NOTHING = "nothing"
+    HEAD = "head"
+    EVENT = "event"
+
+
 class EndingTarget:
     """A stand-in for a target, over all its incarnations."""
 
@@ -40,6 +48,9 @@
         run_s: float = 0.0,
         announcement_delay_s: float = 0.1,
         slots: int = 64,
+        # A request ends the target, too, if its headers contain this.
+        fatal_header: bytes = b"",
+        end_point: EndPoint = EndPoint.NOTHING,
     ) -> None:
         self.name = name
         self.service = service
@@ -48,11 +59,14 @@
         self.run_s = run_s
         self.announcement_delay_s = announcement_delay_s
         self.slots = slots
+        self.fatal_header = fatal_header
+        self.end_point = end_point
         self.started_at_ms = 1
         self.sequence = 0
         # Loop times at which fatal requests began to run.
         self.fatal_runs: list[float] = []
-        # Responds to slow requests once this is set.
+        # Slow requests in progress; it responds to them once this is set.
+        self.slow_runs = 0
         self.released = asyncio.Event()
         self.fails_next = False
         self.always_fails = False
@@ -98,21 +112,43 @@
                 )
             )
             return True
-        if FATAL in request.target:
+        if self.is_fatal(request):
             self.fatal_runs.append(asyncio.get_running_loop().time())
             await asyncio.sleep(self.run_s)
+            if self.end_point is not EndPoint.NOTHING:
+                writer.write(fake_target.make_stream_response_head(request))
+            if self.end_point is EndPoint.EVENT:
+                writer.write(fake_target.make_chunk(b"id: 1\ndata: a\n\n"))
+            await writer.drain()
             await self.end()
             await self.wait_if_silent()
             return False
         if SLOW in request.target:
             incarnation = self.started_at_ms
-            await self.released.wait()
+            self.slow_runs += 1
+            try:
+                await self.released.wait()
+            finally:
+                self.slow_runs -= 1
             if incarnation != self.started_at_ms:
                 return False
         await self.wait_if_silent()
-        writer.write(fake_target.make_response(request, b"done"))
+        if request.target.startswith(b"/stream/"):
+            writer.write(fake_target.make_stream_response_head(request))
+            writer.write(fake_target.make_chunk(b"id: 1\ndata: a\n\n"))
+            writer.write(fake_target.make_chunk(b""))
+        else:
+            writer.write(fake_target.make_response(request, b"done"))
         return True
 
+    def is_fatal(self, request: fake_target.ReceivedRequest) -> bool:
+        """Return whether a request ends the target that runs it."""
+        if FATAL in request.target:
+            return True
+        return bool(self.fatal_header) and any(
+            self.fatal_header in value for value in request.headers.values()
+        )
+
     async def wait_if_silent(self) -> None:
         """Wait for ever if open connections carry no more data."""
         if self.silent or self.mode is EndMode.CUT_OFF:
--- a/tests/lib/relay_fleet.py
+++ b/tests/lib/relay_fleet.py
@@ -168,7 +168,7 @@
     # Targets
 
     async def start_targets(
-        self, count: int, mode: ending_target.EndMode, **changes: float
+        self, count: int, mode: ending_target.EndMode, **changes: object
     ) -> None:
         """Start targets and wait until every entry knows them."""
         for _ in range(count):
@@ -201,8 +201,12 @@
         body: bytes = b"",
         timeout_s: float = 5.0,
         leave_after_s: float | None = None,
+        extra: str = "",
     ) -> bytes:
-        """Send a request; return the response, or b"" if the caller left."""
+        """Send a request; return the response, or b"" if the caller left.
+
+        ``extra`` are complete lines of its head.
+        """
         server = self.entries[entry].caller_listener.server
         assert server is not None
         port = server.sockets[0].getsockname()[1]
@@ -211,7 +215,7 @@
             f"POST /{path} HTTP/1.1\r\nHost: a.example\r\n"
             "X-Request-Id: r1\r\n"
             f"X-Request-Deadline: {int(timeout_s * 1000)}\r\n"
-            f"Content-Length: {len(body)}\r\n"
+            f"Content-Length: {len(body)}\r\n{extra}"
             "Connection: close\r\n\r\n".encode()
             + body
         )
