Do not take a stream without events and length for a complete one

A target that ends after it has sent the head of a stream that ends with its connection left callers with an empty stream that looked complete (200 with a last chunk), and cleared the suspicion of its request. Such a stream now counts as broken off unless it had an event. A stream in chunks may be empty.

--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -454,6 +454,8 @@
             await self.context.connection.send_data(complete_events)
         if not splitter.at_boundary:
             raise exchange.InvalidResponseError("stream ended inside an event")
+        if response.ends_with_connection and not splitter.count:
+            raise exchange.InvalidResponseError("stream ended without events")
         if not self.context.connection.response_started:
             self.context.start_stream(response)
         self.context.connection.end_stream()
--- a/src/hemlockkeel/_internal/relay/exchange.py
+++ b/src/hemlockkeel/_internal/relay/exchange.py
@@ -53,6 +53,13 @@
         """Return whether the status states success."""
         return 200 <= self.status < 300
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether only the end of the connection ends the body."""
+        return not any(
+            key.lower() in headers.FRAMING_HEADERS for key, _ in self.headers
+        )
+
     @property
     def is_event_stream(self) -> bool:
         """Return whether the body is a stream of server-sent events."""
