--- a/src/hemlockkeel/_internal/relay/caller.py
+++ b/src/hemlockkeel/_internal/relay/caller.py
@@ -318,7 +318,13 @@
         self.send(h11.EndOfMessage())
 
     def abort(self) -> None:
-        """Abort the connection, so that the response cannot look complete."""
+        """Abort the connection, so that the response cannot look complete.
+
+        Without chunks, only a reset tells an aborted response from the end.
+        """
+        if self.protocol.their_http_version == b"1.0":
+            self.channel.reset()
+            return
         self.channel.abort()
 
     async def reject(self, status: int) -> None:
--- a/src/hemlockkeel/_internal/relay/channel.py
+++ b/src/hemlockkeel/_internal/relay/channel.py
@@ -3,12 +3,15 @@
 import asyncio
 import collections.abc
 import socket
+import struct
 
 # Received bytes not yet consumed, above which reading from the socket pauses.
 HIGH_WATER_BYTES = 128 * 1024
 # TCP_USER_TIMEOUT of a connection: the kernel closes it when sent data stays
 # unacknowledged for this long.
 DEFAULT_USER_TIMEOUT_MS = 5000
+# Value of SO_LINGER with which closing a socket resets its connection.
+NO_LINGER = struct.pack("ii", 1, 0)
 # Pieces of received data that an owner handles before other tasks run.
 PIECES_PER_TURN = 8
 
@@ -153,3 +156,12 @@
         """Close at once, dropping the queued bytes."""
         if self.transport is not None:
             self.transport.abort()
+
+    def reset(self) -> None:
+        """Close at once, so that the peer sees an error and not an end."""
+        if self.transport is None:
+            return
+        sock = self.transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        self.transport.abort()
--- a/tests/functional/test_answers_without_length.py
+++ b/tests/functional/test_answers_without_length.py
@@ -76,3 +76,15 @@
     async def test_body_that_is_reset_is_broken_off(self) -> None:
         response = await self.get_response("once", HEAD + b"\r\nwho", True)
         self.assertTrue(response.startswith(b"HTTP/1.1 502"), response)
+
+    async def test_broken_stream_to_an_http_1_0_caller_is_reset(self) -> None:
+        self.configure()
+        await self.add_target(make_handler(STREAM_HEAD + EVENT + b"id: 2"))
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        self.addCleanup(writer.transport.abort)
+        writer.write(
+            b"POST /stream/x HTTP/1.0\r\nHost: a.example\r\n"
+            b"X-Request-Id: r1\r\nContent-Length: 0\r\n\r\n"
+        )
+        with self.assertRaises(ConnectionError):
+            await reader.read()
--- a/tests/functional/test_fatal_prompt_parts.py
+++ b/tests/functional/test_fatal_prompt_parts.py
@@ -147,6 +147,17 @@
             f"aa {FATAL_PART}", "aa", ending_target.EndPoint.EVENT
         )
 
+    async def test_part_whose_streams_look_complete(self) -> None:
+        await self.start_fleet(ending_target.EndPoint.CLOSED_STREAM)
+        await self.play(f"aa {FATAL_PART}", "aa")
+        self.check_ends()
+        for number in range(len(self.entries)):
+            self.check_refused(
+                await self.send_parts(number, f"aa {FATAL_PART}")
+            )
+            response = await self.send_parts(number, "aa")
+            self.assertTrue(response.startswith(SUCCESS), response)
+
     async def test_part_of_requests_that_are_no_streams(self) -> None:
         await self.start_fleet()
         await self.play(f"aa {FATAL_PART}", "aa", "idempotent")
--- a/tests/lib/ending_target.py
+++ b/tests/lib/ending_target.py
@@ -32,6 +32,8 @@
     NOTHING = "nothing"
     HEAD = "head"
     EVENT = "event"
+    # The stream has no length and is closed, as if it were complete.
+    CLOSED_STREAM = "closed_stream"
 
 
 class EndingTarget:
@@ -115,11 +117,15 @@
         if self.is_fatal(request):
             self.fatal_runs.append(asyncio.get_running_loop().time())
             await asyncio.sleep(self.run_s)
-            if self.end_point is not EndPoint.NOTHING:
+            if self.end_point is EndPoint.CLOSED_STREAM:
+                writer.write(make_undelimited_stream(request))
+            elif self.end_point is not EndPoint.NOTHING:
                 writer.write(fake_target.make_stream_response_head(request))
             if self.end_point is EndPoint.EVENT:
                 writer.write(fake_target.make_chunk(b"id: 1\ndata: a\n\n"))
             await writer.drain()
+            if self.end_point is EndPoint.CLOSED_STREAM:
+                writer.transport.close()
             await self.end()
             await self.wait_if_silent()
             return False
@@ -192,3 +198,10 @@
         self.server.abort_all()
         for each in self.fillers:
             each.close()
+
+
+def make_undelimited_stream(request: fake_target.ReceivedRequest) -> bytes:
+    """Return a response of one event that ends with its connection."""
+    head = fake_target.make_stream_response_head(request)
+    head = head.replace(b"Transfer-Encoding: chunked\r\n", b"")
+    return head + b"id: 1\ndata: a\n\n"
