Clear a request only once its target is known to have outlived it

A response without a length ends with its connection, and so does one of a target that crashes between two events. The request counted as completed: it cleared the part of the prompt that it was to blame for, and was no suspect of the crash.

Such a response clears its traits when the same process has been heard of since: by data on a connection that is older than its end, or by a later announcement. Until then the request is among the suspects of a crash, and a refused connection starts a probe. That a new connection is accepted proves nothing, as targets return at once. Looked at and right already: streams that end inside an event, resets.

--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -156,6 +156,8 @@
                 connection = await target.pool.connect()
             except exchange.ConnectFailedError as error:
                 target.record_result(True, self.context.now)
+                if target.unconfirmed:
+                    self.context.shared.crashes.start_probe(target)
                 return self.fail_unsent(results.Cause.NO_TARGET, str(error))
         time_left_s = self.context.deadline_at - self.context.now
         if time_left_s < waits.MIN_USEFUL_S:
@@ -232,6 +234,9 @@
                 shared.codec, self.context.metadata.request_id
             )
             target.heard_at = self.context.now
+            shared.crashes.confirm_completed(
+                target, connection.opened_at, self.context.now
+            )
             if response.metadata.load is not None:
                 target.update_load(response.metadata.load, self.context.now)
             self.update_availability(response)
@@ -247,7 +252,7 @@
             ):
                 finished_response = response
             if isinstance(result, results.Completed) and response.successful:
-                shared.crashes.report_success(self.context.traits)
+                self.record_completed(response)
             return result
         except exchange.InvalidResponseError as error:
             broken = True
@@ -287,6 +292,15 @@
                 )
                 target.pool.discard(connection)
 
+    def record_completed(self, response: exchange.ResponseHead) -> None:
+        """Record a success, for certain if the response has a marked end."""
+        if response.ends_with_connection:
+            self.target.record_unconfirmed(
+                self.context.traits, self.context.now
+            )
+            return
+        self.context.shared.crashes.report_success(self.context.traits)
+
     def update_availability(self, response: exchange.ResponseHead) -> None:
         """Record whether the target still wants requests."""
         wall_s = time.time()
@@ -438,6 +452,9 @@
             self.target.heard_at = self.context.now
             if data is None:
                 break
+            self.context.shared.crashes.confirm_completed(
+                self.target, connection.opened_at, self.context.now
+            )
             try:
                 complete_events = splitter.feed(data)
             except ValueError as error:
--- a/src/hemlockkeel/_internal/relay/crashes.py
+++ b/src/hemlockkeel/_internal/relay/crashes.py
@@ -262,6 +262,9 @@
         self, target: target_module.Target, heard_at: float
     ) -> None:
         """Withdraw the crash of a target that still announces itself."""
+        self.confirm_completed(
+            target, float("-inf"), heard_at - ANNOUNCEMENT_DELAY_S
+        )
         key = target.crash_key
         crash = self.ledger.crashes.get(key)
         if crash is None or target.replaced:
@@ -377,6 +380,19 @@
             if self.ledger.get_suspicion(trait):
                 self.clear_suspicion(trait)
 
+    def confirm_completed(
+        self,
+        target: target_module.Target,
+        began_at: float,
+        alive_at: float,
+    ) -> None:
+        """Record the responses that a target has completed for certain.
+
+        The same process of it ran at both loop times.
+        """
+        for request in target.confirm(began_at, alive_at):
+            self.report_success(request)
+
     def clear_suspicion(self, trait: ids.Trait) -> None:
         """Clear a trait of a request that has completed, at all entries."""
         self.ledger.clear(trait)
--- a/src/hemlockkeel/_internal/relay/exchange.py
+++ b/src/hemlockkeel/_internal/relay/exchange.py
@@ -80,6 +80,8 @@
         self.budgeted = False
         self.protocol = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         self.used = False
+        # Loop time at which it was established.
+        self.opened_at = 0.0
         self.idle_since = 0.0
         self.idle_limit_s: float | None = None
         self.request: h11.Request | None = None
@@ -287,7 +289,11 @@
             f"{address}: {error or type(error).__name__}"
         ) from error
     enable_keepalive(transport.get_extra_info("socket"))
-    return TargetConnection(bytes_channel, memory or read_budget.BodyMemory())
+    connection = TargetConnection(
+        bytes_channel, memory or read_budget.BodyMemory()
+    )
+    connection.opened_at = loop.time()
+    return connection
 
 
 async def read_body(connection: TargetConnection) -> bytes:
--- a/src/hemlockkeel/_internal/relay/target.py
+++ b/src/hemlockkeel/_internal/relay/target.py
@@ -28,6 +28,8 @@
 # A request that was lost this long before the target's last sign of life did
 # not end it. Shorter, it may have been queued there.
 LOST_QUEUE_S = 2.0
+# Responses that are remembered until it is certain that they were complete.
+MAX_UNCONFIRMED = 1000
 # Time without any data, while responses are due, after which a target may have
 # ended. Entries have to know of a crash within three seconds; a probe takes up
 # to one more.
@@ -58,6 +60,11 @@
     heard_at: float = float("-inf")
     asked_at: float = float("-inf")
     probed_at: float = float("-inf")
+    # Requests whose responses ended with the connection, and the loop times
+    # of that. The target may have crashed instead of completing them.
+    unconfirmed: dict[traits_module.RequestTraits, float] = dataclasses.field(
+        default_factory=dict
+    )
     # Whether a later incarnation has taken its place.
     replaced: bool = False
     in_flight_prefill_tokens: int = 0
@@ -152,14 +159,40 @@
         while next(iter(self.lost_at.values())) < now - LOST_RETENTION_S:
             del self.lost_at[next(iter(self.lost_at))]
 
+    def record_unconfirmed(
+        self, request: traits_module.RequestTraits, now: float
+    ) -> None:
+        """Remember a response that ended with its connection."""
+        self.unconfirmed[request] = now
+        if len(self.unconfirmed) > MAX_UNCONFIRMED:
+            del self.unconfirmed[next(iter(self.unconfirmed))]
+
+    def confirm(
+        self, began_at: float, alive_at: float
+    ) -> list[traits_module.RequestTraits]:
+        """Return the requests that the target has completed for certain.
+
+        These ended between two loop times at which the same process ran.
+        """
+        confirmed = [
+            request
+            for request, at in self.unconfirmed.items()
+            if began_at < at < alive_at
+        ]
+        for request in confirmed:
+            del self.unconfirmed[request]
+        return confirmed
+
     def list_unanswered(self, now: float) -> list[ids.Trait]:
         """Return the traits of requests that may have ended the target.
 
         These are in progress, or were lost shortly before its last sign of
-        life or since.
+        life or since, or may have been completed.
         """
         since = max(now - LOST_RETENTION_S, self.heard_at - LOST_QUEUE_S)
         lost = {trait for trait, at in self.lost_at.items() if at >= since}
+        for request in self.unconfirmed:
+            lost.update(request.all)
         return sorted(lost | self.traits.keys())
 
     def record_prompt(
