Blame an adapter that crashes targets, whatever its requests contain

The same cause as with parts of prompts: requests for one adapter, all with other contents and prompts, ended a target each.

The adapter is a shared trait like a part. It is blamed in any version, as the version is not known before a target is chosen; a new version of it, which may be sound, ends that at all entries (second test). An entry's first list of versions from a member holds old ones, too, and ends nothing.

--- a/src/hemlockkeel/_internal/discovery/traits.py
+++ b/src/hemlockkeel/_internal/discovery/traits.py
@@ -10,6 +10,7 @@
 
 SHARED_SEPARATOR = ":"
 PART_PREFIX = "part:"
+ADAPTER_PREFIX = "adapter:"
 
 
 def make_part(part_id: str) -> ids.Trait:
@@ -17,6 +18,11 @@
     return ids.Trait(PART_PREFIX + part_id)
 
 
+def make_adapter(model: str, adapter: str) -> ids.Trait:
+    """Return the trait of using a certain adapter, in any version."""
+    return ids.Trait(f"{ADAPTER_PREFIX}{model}/{adapter}")
+
+
 def is_shared(trait: ids.Trait) -> bool:
     """Return whether different requests can have a trait in common."""
     return SHARED_SEPARATOR in trait
@@ -36,10 +42,13 @@
 
 
 def make_traits(
-    content: ids.ContentDigest, shared_parts: tuple[str, ...]
+    content: ids.ContentDigest,
+    shared_parts: tuple[str, ...],
+    model: str = "",
+    adapter: str = "",
 ) -> RequestTraits:
     """Return the traits of a request; each part counts once."""
-    parts = dict.fromkeys(shared_parts)
-    return RequestTraits(
-        ids.Trait(content), tuple(make_part(part) for part in parts)
-    )
+    shared = [make_part(part) for part in dict.fromkeys(shared_parts)]
+    if adapter:
+        shared.append(make_adapter(model, adapter))
+    return RequestTraits(ids.Trait(content), tuple(shared))
--- a/src/hemlockkeel/_internal/relay/crashes.py
+++ b/src/hemlockkeel/_internal/relay/crashes.py
@@ -400,6 +400,13 @@
         self.broadcast(messages.CrashCleared(digest=trait))
         self.apply_quarantines()
 
+    def handle_new_versions(self, message: messages.VersionsUpdate) -> None:
+        """Clear adapters that have a new version, which may be sound."""
+        for model, adapter, _ in message.versions:
+            trait = traits_module.make_adapter(model, adapter)
+            if self.ledger.get_suspicion(trait):
+                self.clear_suspicion(trait)
+
     def handle_cleared(self, message: messages.CrashCleared) -> None:
         """Clear a trait of a request that completed at another entry."""
         trait = ids.Trait(message.digest)
--- a/src/hemlockkeel/_internal/relay/process.py
+++ b/src/hemlockkeel/_internal/relay/process.py
@@ -62,8 +62,12 @@
 
     def __init__(self, entry: "EntryProcess") -> None:
         self.entry = entry
+        # Members whose first list of versions has not arrived yet. It has
+        # all of them, later ones only what changes.
+        self.without_versions: set[str] = set()
 
     def on_connected(self, address: str, peer: link.Link) -> None:
+        self.without_versions.add(address)
         self.entry.crashes.send_all(peer)
 
     def on_message(
@@ -78,6 +82,10 @@
                 self.entry.configuration_receiver.handle_message(peer, message)
             case messages.MembersUpdate():
                 self.entry.on_members_update(address, message)
+            case messages.VersionsUpdate():
+                if address not in self.without_versions:
+                    self.entry.crashes.handle_new_versions(message)
+                self.without_versions.discard(address)
             case messages.CrashReport():
                 self.entry.crashes.handle_report(message)
             case messages.CrashCleared():
--- a/src/hemlockkeel/_internal/relay/request_context.py
+++ b/src/hemlockkeel/_internal/relay/request_context.py
@@ -45,6 +45,8 @@
                 request.method, request.target, request.body
             ),
             self.metadata.shared_parts,
+            self.metadata.model,
+            self.metadata.adapter,
         )
         self.route: table.Route | None = None
         # Loop time at which the caller's or the route's timeout ends.
--- a/tests/functional/test_answers_without_length.py
+++ b/tests/functional/test_answers_without_length.py
@@ -1,4 +1,4 @@
-"""Responses with neither a length nor chunks, which end with the connection."""
+"""Responses without length or chunks, which end with the connection."""
 
 import asyncio
 import socket
--- a/tests/functional/test_fatal_prompt_parts.py
+++ b/tests/functional/test_fatal_prompt_parts.py
@@ -4,6 +4,7 @@
 import itertools
 
 from hemlockkeel._internal.discovery import records
+from hemlockkeel._internal.links import messages
 from hemlockkeel._internal.relay import target_selection
 from tests.lib import ending_target
 from tests.lib import relay_fleet
@@ -265,6 +266,49 @@
         self.assertTrue(response.startswith(SUCCESS), response)
 
 
+class TestFatalAdapter(FatalPartCase):
+    """Requests that have nothing but a fatal adapter in common."""
+
+    async def end_targets_by_adapter(self) -> None:
+        """Send different requests for the adapter until one is refused."""
+        await self.start_targets(
+            TARGET_COUNT,
+            ending_target.EndMode.RETURNS,
+            fatal_header=b"m/bad",
+        )
+        for number in range(2 * MAX_ENDS):
+            await self.send_parts(number % 2, f"p{number}", "once", "m/bad")
+            await self.settle()
+            await asyncio.sleep(0.6)
+
+    async def test_fatal_adapter_ends_few_targets(self) -> None:
+        await self.end_targets_by_adapter()
+        self.assertLessEqual(len(self.list_fatal_runs()), MAX_ENDS)
+        self.check_refused(await self.send_parts(0, "x", "once", "m/bad"))
+        response = await self.send_parts(0, "p1", "once", "m/good")
+        self.assertTrue(response.startswith(SUCCESS), response)
+
+    async def test_new_version_of_the_adapter_is_served(self) -> None:
+        await self.end_targets_by_adapter()
+        for target in self.targets:
+            target.fatal_header = b""
+        self.check_refused(await self.send_parts(0, "x", "once", "m/bad"))
+        later = await self.start_entry()
+        await self.wait_for(lambda: self.entries[later].crashes.quarantined)
+        self.members[1].subscribers.send_to_all(
+            messages.VersionsUpdate(versions=[("m", "bad", 2)])
+        )
+        for entry in self.entries:
+            await self.wait_for(
+                lambda entry=entry: (  # type: ignore[misc]
+                    not entry.crashes.quarantined
+                )
+            )
+        for number in range(len(self.entries)):
+            response = await self.send_parts(number, "x", "once", "m/bad")
+            self.assertTrue(response.startswith(SUCCESS), response)
+
+
 class TestLateEntries(FatalPartCase):
     """Entries that start later, and copies that wait."""
 
