Do not blame a popular part for what several fatal requests did

The soak now has requests with a fatal part beside the fatal contents and the random crashes.

- A shared trait whose crashes one or two other traits explain as well is contested instead of blamed; requests with both are refused, others try it.
- A trait of many recent requests counts like one that has completed before: it is in progress at most crashes by chance.
- Blamed shared traits are tried again, one request at a time at an entry, after 5 to 40 s (0.5 to 4 s for those known to be harmless as a rule) and four times as long after each trial that fails.
A content is not tried.

--- a/src/hemlockkeel/_internal/discovery/blame.py
+++ b/src/hemlockkeel/_internal/discovery/blame.py
@@ -13,6 +13,10 @@
 BLAME_CRASHES = 3
 # The same for a shared trait of requests that have completed before.
 ESTABLISHED_BLAME_CRASHES = 5
+# Crashes from which on a trait may be another reason for those of a shared
+# trait, and the number of other reasons that are as likely as the shared one.
+REPEATED_CRASHES = BLAME_CRASHES - 1
+MAX_OTHER_REASONS = 2
 # Crashes within this time of the first one of them count as one for a shared
 # trait: targets may crash together for a common reason.
 COMMON_REASON_S = 0.5
@@ -39,23 +43,34 @@
     blamed: frozenset[ids.Trait]
     # Groups of traits that the crashes do not tell apart.
     contested_groups: tuple[frozenset[ids.Trait], ...]
+    # Shared traits with the few other traits that explain the same crashes.
+    doubtful: collections.abc.Mapping[ids.Trait, frozenset[ids.Trait]]
     # Their crashes, of which no other trait is suspected.
     explained: frozenset[CrashKey]
 
     @property
     def contested(self) -> frozenset[ids.Trait]:
-        """Return the traits of all contested groups."""
-        return frozenset().union(*self.contested_groups)
+        """Return the traits that cannot be told apart from others."""
+        return frozenset(self.doubtful).union(*self.contested_groups)
 
-    def has_whole_group(self, request: traits_module.RequestTraits) -> bool:
-        """Return whether a request has all traits of a contested group.
+    def find_reasons(
+        self, request: traits_module.RequestTraits
+    ) -> frozenset[ids.Trait]:
+        """Return the traits for which a request would crash its target.
 
-        Whichever of them is to blame, the request would crash its target.
+        It has a blamed trait, all traits of a contested group, or a doubtful
+        one together with another reason for the same crashes: whichever is to
+        blame, the request has it. Empty for other requests.
         """
         own = frozenset(request.all)
-        return any(
-            len(group) > 1 and group <= own for group in self.contested_groups
-        )
+        reasons = own & self.blamed
+        for group in self.contested_groups:
+            if group <= own:
+                reasons |= group
+        for trait, others in self.doubtful.items():
+            if trait in own and others & own:
+                reasons |= {trait}
+        return reasons
 
 
 def count_crashes(trait: ids.Trait, times: list[float]) -> int:
@@ -72,29 +87,60 @@
 
 
 def find_blame(
-    frequent: CrashesByTrait,
+    repeated: CrashesByTrait,
     established: collections.abc.Set[ids.Trait],
     times: CrashTimes,
 ) -> Blame:
     """Return which traits are to blame.
 
-    ``frequent`` has the crashes of those that were at enough of them,
+    ``repeated`` has the crashes of those that were at several of them,
     ``established`` the shared traits of requests that have completed before.
     They are blamed only for crashes that no other trait explains.
     """
-    unknown = {t: k for t, k in frequent.items() if t not in established}
-    known = {t: k for t, k in frequent.items() if t in established}
+    unknown = {t: k for t, k in repeated.items() if t not in established}
+    known = {t: k for t, k in repeated.items() if t in established}
     first = explain(unknown, times, BLAME_CRASHES, frozenset())
     second = explain(known, times, ESTABLISHED_BLAME_CRASHES, first.explained)
+    doubtful = {}
+    for trait in first.blamed:
+        others = find_other_reasons(trait, unknown)
+        if others:
+            doubtful[trait] = others
     return Blame(
-        first.blamed | second.blamed,
+        first.blamed.difference(doubtful) | second.blamed,
         first.contested_groups + second.contested_groups,
-        second.explained,
+        doubtful,
+        second.explained.difference(*(repeated[trait] for trait in doubtful)),
     )
 
 
+def find_other_reasons(
+    trait: ids.Trait, repeated: CrashesByTrait
+) -> frozenset[ids.Trait]:
+    """Return a few traits that explain all crashes of a shared one.
+
+    Empty if there are none, or the trait is not shared. A popular trait is in
+    progress when requests with different fatal ones crash targets.
+    """
+    if not traits_module.is_shared(trait):
+        return frozenset()
+    missing = set(repeated[trait])
+    chosen: set[ids.Trait] = set()
+    while missing and len(chosen) < MAX_OTHER_REASONS:
+        best = max(
+            sorted(repeated.keys() - chosen - {trait}),
+            key=lambda other: len(missing & repeated[other]),
+            default=None,
+        )
+        if best is None or not missing & repeated[best]:
+            break
+        chosen.add(best)
+        missing -= repeated[best]
+    return frozenset() if missing else frozenset(chosen)
+
+
 def explain(
-    frequent: CrashesByTrait,
+    repeated: CrashesByTrait,
     times: CrashTimes,
     least_crashes: int,
     explained: frozenset[CrashKey],
@@ -107,7 +153,7 @@
     another reason.
     """
     remaining = {
-        trait: frozenset(keys) - explained for trait, keys in frequent.items()
+        trait: frozenset(keys) - explained for trait, keys in repeated.items()
     }
     blamed: set[ids.Trait] = set()
     groups: list[frozenset[ids.Trait]] = []
@@ -119,7 +165,7 @@
             >= least_crashes
         }
         if not remaining:
-            return Blame(frozenset(blamed), tuple(groups), explained)
+            return Blame(frozenset(blamed), tuple(groups), {}, explained)
         most = max(len(keys) for keys in remaining.values())
         tied = {t: keys for t, keys in remaining.items() if len(keys) == most}
         chosen = min(tied)
--- a/src/hemlockkeel/_internal/discovery/crash_ledger.py
+++ b/src/hemlockkeel/_internal/discovery/crash_ledger.py
@@ -61,8 +61,8 @@
         self.crashes: dict[blame.CrashKey, Crash] = {}
         # The crashes that count, by the traits that are not cleared.
         self.by_trait: dict[ids.Trait, set[blame.CrashKey]] = {}
-        # Those of the traits that were at enough crashes to be blamed.
-        self.frequent: dict[ids.Trait, set[blame.CrashKey]] = {}
+        # Those of the traits that were at several crashes.
+        self.repeated: dict[ids.Trait, set[blame.CrashKey]] = {}
         # Those of the shared traits with which requests had completed before.
         self.established: set[ids.Trait] = set()
         # Derived from these; None after a change.
@@ -104,7 +104,7 @@
         """Record that requests had completed before with suspected traits."""
         news = self.by_trait.keys() & set(traits) - self.established
         self.established |= news
-        if news & self.frequent.keys():
+        if news & self.repeated.keys():
             self.derived = None
 
     def withdraw(self, key: blame.CrashKey, at: float) -> bool:
@@ -160,8 +160,8 @@
         for trait in traits:
             keys = self.by_trait.setdefault(trait, set())
             keys.add(key)
-            if len(keys) >= blame.BLAME_CRASHES:
-                self.frequent[trait] = keys
+            if len(keys) >= blame.REPEATED_CRASHES:
+                self.repeated[trait] = keys
                 self.derived = None
 
     def unindex(
@@ -171,10 +171,10 @@
         for trait in traits:
             keys = self.by_trait.get(trait, set())
             keys.discard(key)
-            if trait in self.frequent:
+            if trait in self.repeated:
                 self.derived = None
-            if len(keys) < blame.BLAME_CRASHES:
-                self.frequent.pop(trait, None)
+            if len(keys) < blame.REPEATED_CRASHES:
+                self.repeated.pop(trait, None)
             if not keys:
                 self.by_trait.pop(trait, None)
                 self.established.discard(trait)
@@ -185,7 +185,7 @@
         """Return which traits are blamed or contested."""
         if self.derived is None:
             self.derived = blame.find_blame(
-                self.frequent,
+                self.repeated,
                 self.established,
                 {key: crash.at for key, crash in self.crashes.items()},
             )
--- a/src/hemlockkeel/_internal/relay/crashes.py
+++ b/src/hemlockkeel/_internal/relay/crashes.py
@@ -30,8 +30,6 @@
 from hemlockkeel._internal.utils import instruments
 
 MAX_LOGGED_TRAITS = 8
-# Crashes from which on the next one may decide about a trait.
-DECISIVE_CRASHES = blame.BLAME_CRASHES - 1
 # How long a retry waits for the probe of the target that lost the response: a
 # refused connection is reported within the time of a round trip.
 PROBE_WAIT_S = 0.05
@@ -80,30 +78,82 @@
         self, request: traits_module.RequestTraits
     ) -> suspect_admission.Hold | None:
         """Return why a request must not be sent on now; None if it may be."""
-        if self.ledger.get_blame().has_whole_group(request):
-            return suspect_admission.WHOLE_GROUP
-        holds = (self.find_trait_hold(trait, request) for trait in request.all)
+        reasons = self.ledger.get_blame().find_reasons(request)
+        if reasons and not self.is_trial_due(reasons, request):
+            return suspect_admission.QUARANTINED
+        holds = (
+            self.find_trait_hold(trait, request)
+            for trait in request.all
+            if trait not in reasons
+        )
         return next((hold for hold in holds if hold is not None), None)
 
+    def is_trial_due(
+        self,
+        reasons: collections.abc.Set[ids.Trait],
+        request: traits_module.RequestTraits,
+    ) -> bool:
+        """Return whether a request with blamed traits is sent as a trial.
+
+        ``reasons`` are these. A content that is blamed is not tried, and the
+        request must have nothing else that could crash the target.
+        """
+        for trait in reasons:
+            if self.copies.get(trait):
+                return False
+            if trait in self.quarantined and not traits_module.is_shared(
+                trait
+            ):
+                return False
+        if any(
+            self.get_actionable_suspicion(trait)
+            for trait in request.shared
+            if trait not in reasons
+        ):
+            return False
+        return all(
+            self.now >= self.get_next_trial_at(trait) for trait in reasons
+        )
+
+    def get_next_trial_at(self, trait: ids.Trait) -> float:
+        """Return the loop time at which a blamed trait may be tried."""
+        crashes = self.ledger.list_crashes(trait)
+        delay_s = suspect_admission.get_retrial_delay_s(
+            self.memory.get_trial_delay_s(trait, len(crashes)),
+            trait in self.ledger.established,
+            self.memory.count_failed_trials(trait),
+        )
+        return max(crash.at for crash in crashes) + delay_s
+
+    def get_actionable_suspicion(
+        self, trait: ids.Trait
+    ) -> crash_ledger.Suspicion:
+        """Return how strongly a trait is suspected, as far as that matters.
+
+        Sound requests may have a suspected shared trait, too, so that it
+        matters only once the next crash may decide about it.
+        """
+        suspicion = self.ledger.get_suspicion(trait)
+        if suspicion is not crash_ledger.Suspicion.SUSPECTED:
+            return suspicion
+        if not traits_module.is_shared(trait):
+            return suspicion
+        crashes = len(self.ledger.list_crashes(trait))
+        if trait in self.ledger.established or (
+            crashes < blame.REPEATED_CRASHES
+        ):
+            return crash_ledger.Suspicion.NONE
+        return suspicion
+
     def find_trait_hold(
         self, trait: ids.Trait, request: traits_module.RequestTraits
     ) -> suspect_admission.Hold | None:
         """Return why requests with a trait must not be sent on now."""
-        suspicion = self.ledger.get_suspicion(trait)
+        suspicion = self.get_actionable_suspicion(trait)
         losses = self.memory.get_losses(trait)
         if suspicion is crash_ledger.Suspicion.NONE and not losses:
             return None
         crashes = self.ledger.list_crashes(trait)
-        if (
-            suspicion is crash_ledger.Suspicion.SUSPECTED
-            and traits_module.is_shared(trait)
-            and (
-                trait in self.ledger.established
-                or len(crashes) < DECISIVE_CRASHES
-            )
-        ):
-            # Sound requests may have the trait, too.
-            suspicion = crash_ledger.Suspicion.NONE
         state = suspect_admission.SuspectState(
             suspicion,
             max((crash.at for crash in crashes), default=0.0),
@@ -156,7 +206,7 @@
         does not share all crashes of the one to blame.
         """
         crashes = len(self.ledger.list_crashes(request.content))
-        return crashes >= DECISIVE_CRASHES
+        return crashes >= blame.REPEATED_CRASHES
 
     def record_lost(
         self,
@@ -189,6 +239,9 @@
         """Record that a request is in progress on a connection."""
         for trait in request.all:
             self.copies.setdefault(trait, set()).add(connection)
+            if trait in self.quarantined:
+                self.log_suspicion("suspect_tried", trait)
+        self.memory.record_sent(request)
 
     def remove_copy(
         self,
@@ -318,17 +371,31 @@
     def list_established(
         self, suspects: collections.abc.Iterable[ids.Trait]
     ) -> list[str]:
-        """Return the shared traits with which requests have completed."""
+        """Return the shared traits that are probably harmless.
+
+        Requests with them have completed, or are common.
+        """
         return [
             trait
             for trait in suspects
             if traits_module.is_shared(trait)
-            and self.memory.has_completed(trait, self.now)
+            and (
+                self.memory.has_completed(trait, self.now)
+                or self.memory.is_common(trait)
+            )
         ]
 
     def handle_report(self, report: messages.CrashReport) -> None:
         """Add a crash; what is known already changes nothing."""
+        doubted = [
+            trait
+            for trait in map(ids.Trait, report.digests)
+            if self.ledger.get_suspicion(trait)
+            >= crash_ledger.Suspicion.CONTESTED
+        ]
         added = crash_reports.merge_report(self.ledger, report, self.now)
+        for trait in added.intersection(doubted):
+            self.memory.record_failed_trial(trait, self.now)
         self.ledger.establish(map(ids.Trait, self.list_established(added)))
         for trait in sorted(added):
             if trait in self.ledger.established:
--- a/src/hemlockkeel/_internal/relay/request_memory.py
+++ b/src/hemlockkeel/_internal/relay/request_memory.py
@@ -16,6 +16,14 @@
 # How long a completed request is remembered.
 COMPLETED_RETENTION_S = 600.0
 
+# A shared trait of this part of the latest requests is common; fewer requests
+# than the sample count as that many.
+RECENT_REQUESTS = 200
+COMMON_SHARE = 0.2
+MIN_COMMON_SAMPLE = 20
+# Crashes closer than this are of one trial.
+TRIAL_GAP_S = 1.0
+
 
 class RequestMemory:
     """Lost and completed requests, and the trials of contested ones."""
@@ -33,6 +41,17 @@
         self.shared_completed_at: collections.OrderedDict[ids.Trait, float] = (
             collections.OrderedDict()
         )
+        # Failed trials of blamed traits, and the loop time of the last one.
+        self.failed_trials: collections.OrderedDict[
+            ids.Trait, tuple[int, float]
+        ] = collections.OrderedDict()
+        # Shared traits of the latest requests, and how many have each.
+        self.recent: collections.deque[tuple[ids.Trait, ...]] = (
+            collections.deque()
+        )
+        self.recent_counts: collections.Counter[ids.Trait] = (
+            collections.Counter()
+        )
         # Delays by trait and number of crashes, seconds.
         self.trial_delays_s: collections.OrderedDict[
             tuple[ids.Trait, int], float
@@ -80,6 +99,40 @@
         at = self.get_completed(trait).get(trait)
         return at is not None and now - at < COMPLETED_RETENTION_S
 
+    def record_sent(self, request: traits.RequestTraits) -> None:
+        """Count the shared traits of a request."""
+        self.recent.append(request.shared)
+        self.recent_counts.update(request.shared)
+        if len(self.recent) > RECENT_REQUESTS:
+            for trait in self.recent.popleft():
+                self.recent_counts[trait] -= 1
+                if not self.recent_counts[trait]:
+                    del self.recent_counts[trait]
+
+    def is_common(self, trait: ids.Trait) -> bool:
+        """Return whether many of the latest requests have a trait.
+
+        Such a trait is in progress at most crashes by chance.
+        """
+        sent = max(MIN_COMMON_SAMPLE, len(self.recent))
+        return self.recent_counts[trait] >= COMMON_SHARE * sent
+
+    def record_failed_trial(self, trait: ids.Trait, now: float) -> None:
+        """Record a crash with a trait that was blamed already.
+
+        Crashes right after the blame are of requests sent before it.
+        """
+        count, at = self.failed_trials.get(trait, (0, now))
+        if now - at > TRIAL_GAP_S:
+            count, at = count + 1, now
+        self.failed_trials[trait] = count, at
+        self.failed_trials.move_to_end(trait)
+        drop_oldest(self.failed_trials)
+
+    def count_failed_trials(self, trait: ids.Trait) -> int:
+        """Return how many trials of a blamed trait have failed."""
+        return self.failed_trials.get(trait, (0, 0.0))[0]
+
     def get_trial_delay_s(self, trait: ids.Trait, crashes: int) -> float:
         """Return this entry's delay before it sends a contested request.
 
--- a/src/hemlockkeel/_internal/relay/suspect_admission.py
+++ b/src/hemlockkeel/_internal/relay/suspect_admission.py
@@ -30,9 +30,18 @@
     wait_s: float = 0.0
 
 
-WHOLE_GROUP = Hold(
+# A shared trait that is blamed is tried again after this many times the delay
+# of a contested one, and later after each trial that fails: the blame may be
+# wrong, and then no other request would clear it.
+RETRIAL_RATIO = 10.0
+RETRIAL_GROWTH = 4.0
+MAX_RETRIAL_DELAY_S = 1800.0
+
+
+QUARANTINED = Hold(
     results.Cause.QUARANTINED,
-    "request has all that requests at several crashes had in common",
+    "request is quarantined because it, or what it has in common with others,"
+    " crashed targets",
 )
 
 
@@ -51,6 +60,18 @@
     losses: tuple[float, ...]
 
 
+def get_retrial_delay_s(
+    trial_delay_s: float, is_established: bool, failed_trials: int
+) -> float:
+    """Return the time from a crash until a blamed trait is tried, seconds.
+
+    ``trial_delay_s`` is this entry's draw from `TRIAL_DELAY_S`.
+    """
+    ratio = 1.0 if is_established else RETRIAL_RATIO
+    growth = RETRIAL_GROWTH ** min(10, failed_trials)
+    return min(MAX_RETRIAL_DELAY_S, trial_delay_s * ratio * growth)
+
+
 def find_hold(
     state: SuspectState, trial_delay_s: float, now: float
 ) -> Hold | None:
@@ -59,10 +80,7 @@
     ``trial_delay_s`` is this entry's draw from `TRIAL_DELAY_S`.
     """
     if state.suspicion is crash_ledger.Suspicion.BLAMED:
-        return Hold(
-            results.Cause.QUARANTINED,
-            "request is quarantined because it crashed targets",
-        )
+        return QUARANTINED
     recent = [at for at in state.losses if at > now - LOSS_WINDOW_S]
     if len(recent) >= MAX_RECENT_LOSSES:
         return Hold(
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -19,6 +19,8 @@
 CONNECT_TIMEOUT_S = 1.0
 REQUEST_INTERVAL_S = (0.0, 0.15)
 FATAL_INTERVAL_S = (0.1, 0.5)
+# Part of the prompts of all requests for engines.
+SHARED_PART = "aa1"
 # Number of requests that a caller sends on one connection.
 REQUESTS_PER_CONNECTION = (1, 30)
 KINDS_BY_PATH = {
@@ -215,6 +217,9 @@
             model = f"{targets.MODEL}/{sent.adapter}"
             headers.append(("X-Model-Name", model))
             headers.append(("X-Token-Usage", "10,12"))
+            parts = [SHARED_PART, *sent.parts, f"e{sent.request_id}"]
+            prompt = ",".join(f"{part}:3" for part in parts)
+            headers.append(("X-Prompt-Prefix", prompt))
         try:
             async with asyncio.timeout(REQUEST_TIMEOUT_S):
                 await connection.exchange(sent, headers)
@@ -243,6 +248,21 @@
         return sent
 
 
+class FatalPartCaller(Caller):
+    """Sends different requests with a part that ends targets."""
+
+    request_interval_s = FATAL_INTERVAL_S
+
+    def make_request(self, entry: str) -> history.SentRequest:
+        """Create the record of a request that no other one equals."""
+        sent = super().make_request(entry)
+        sent.path = f"{targets.FATAL_PART_PREFIX}{sent.request_id}"
+        sent.kind = "stream"
+        sent.adapter = f"a{self.rng.randrange(ADAPTER_COUNT)}"
+        sent.parts = [targets.FATAL_PART]
+        return sent
+
+
 class Connection:
     """An HTTP/1.1 client connection."""
 
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -18,9 +18,10 @@
 DEPARTURE_TIMEOUT_S = 2.0
 STOP_GRACE_S = 8.0
 ROLLBACK_TOLERANCE_S = 0.25
-# Targets that a request may end before it must be refused, and executions that
-# are allowed after that.
+# Targets that a request, or different ones with a part in common, may end
+# before they must be refused, and executions that are allowed after that.
 FATAL_EXECUTIONS = 3
+FATAL_PART_EXECUTIONS = 5
 LATE_FATAL_EXECUTIONS = 3
 # Time in which an entry learns of a pause that a target asks for, and requests
 # that it may send there until the end of it.
@@ -145,16 +146,18 @@
 def check_fatal_requests(
     recorded: history.History,
 ) -> collections.abc.Iterator[str]:
-    """Check that a request that ends targets is not sent on for ever."""
+    """Check that requests that end targets are not sent on for ever."""
     requests = {each.request_id: each for each in recorded.requests}
-    for path in targets.FATAL_PATHS:
+    limits = dict.fromkeys(targets.FATAL_PATHS, FATAL_EXECUTIONS)
+    limits[targets.FATAL_PART_PREFIX] = FATAL_PART_EXECUTIONS
+    for prefix, limit in limits.items():
         runs = sorted(
-            (each for each in recorded.executions if each.path == path),
+            (e for e in recorded.executions if e.path.startswith(prefix)),
             key=lambda execution: execution.started_at,
         )
-        if len(runs) <= FATAL_EXECUTIONS:
+        if len(runs) <= limit:
             continue
-        known_at = runs[FATAL_EXECUTIONS - 1].started_at + FAULT_FREE_MARGIN_S
+        known_at = runs[limit - 1].started_at + FAULT_FREE_MARGIN_S
         late = [
             each
             for each in runs
@@ -163,7 +166,7 @@
             and do_time_limits_apply(recorded, requests[each.request_id])
         ]
         if len(late) > LATE_FATAL_EXECUTIONS:
-            yield f"{path}: {len(runs)} executions, {len(late)} of them late"
+            yield f"{prefix}: {len(runs)} executions, {len(late)} of them late"
 
 
 def check_streams(recorded: history.History) -> collections.abc.Iterator[str]:
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -15,6 +15,8 @@
     incarnation: int
     sent_at: float
     adapter: str = ""
+    # Parts of its prompt beside those of all requests.
+    parts: list[str] = dataclasses.field(default_factory=list)
     status: int = 0
     body: bytes = b""
     has_seal: bool = False
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -97,6 +97,9 @@
         self.callers.append(
             callers.FatalCaller("fatal", self.system, random.Random(seed))
         )
+        self.callers.append(
+            callers.FatalPartCaller("part", self.system, random.Random(seed))
+        )
         self.fault_injector = faults.FaultInjector(
             self.system, random.Random(self.rng.random())
         )
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -37,6 +37,9 @@
 # then return at once.
 FATAL_PATHS = ("/once/fatal", "/stream/fatal")
 RETURN_AT_ONCE_RATIO = 0.4
+# Requests with this part in their prompts do so as well; all of them differ.
+FATAL_PART = "fa7a1"
+FATAL_PART_PREFIX = "/stream/part-"
 # Time for which a departing target continues to serve.
 DRAINING_DURATION_S = 3.0
 
@@ -259,7 +262,9 @@
             adapter,
         )
         self.history.executions.append(execution)
-        if path in FATAL_PATHS:
+        parts = request.headers.get(b"x-prompt-prefix", b"").decode()
+        if path in FATAL_PATHS or FATAL_PART in parts:
+            await self.begin_fatal_response(request, writer)
             task = asyncio.create_task(self.crash_and_restart())
             self.restart_tasks.add(task)
             task.add_done_callback(self.restart_tasks.discard)
@@ -273,6 +278,21 @@
             self.executions.remove(execution)
             engine.running_adapters.remove(adapter)
 
+    async def begin_fatal_response(
+        self,
+        request: fake_target.ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Write nothing, the head or an event of a stream before the end."""
+        pieces = self.pause_rng.randrange(3) if self.is_engine else 0
+        if pieces:
+            writer.write(fake_target.make_stream_response_head(request))
+        if pieces > 1:
+            request_id = request.headers[b"x-request-id"].decode()
+            event = f"id: 1\ndata: {request_id}\n\n".encode()
+            writer.write(fake_target.make_chunk(event))
+        await writer.drain()
+
     def make_refusal(self, request_id: str) -> bytes:
         """Return a refusal, which may ask for a pause."""
         extra = b"X-Not-Executed: full\r\n"
--- a/tests/unit/test_crash_ledger.py
+++ b/tests/unit/test_crash_ledger.py
@@ -181,15 +181,35 @@
             (make_request("r", "popular", "rare"), False),
             (make_request("r", "bad"), False),
         ):
-            self.assertIs(found.has_whole_group(request), expected)
+            self.assertIs(bool(found.find_reasons(request)), expected)
         ledger.clear(POPULAR)
         self.assertIs(ledger.get_suspicion(PART), BLAMED)
         self.assertFalse(ledger.get_blame().contested_groups)
 
+    def test_popular_part_at_crashes_of_other_fatal_ones_is_not_blamed(
+        self,
+    ) -> None:
+        """Seeds 9502 and 9503 of the soak."""
+        content = ids.Trait("content")
+        ledger = self.make_ledger(
+            (POPULAR, content),
+            (POPULAR, content, ids.Trait("r1")),
+            (POPULAR, PART, ids.Trait("r2")),
+            (POPULAR, PART, ids.Trait("r3")),
+        )
+        self.assertIs(ledger.get_suspicion(POPULAR), CONTESTED)
+        found = ledger.get_blame()
+        self.assertTrue(
+            found.find_reasons(make_request("r", "popular", "bad"))
+        )
+        self.assertFalse(found.find_reasons(make_request("r", "popular")))
+        ledger.merge(make_key(9), [POPULAR, ids.Trait("r4")], 9.0)
+        self.assertIs(ledger.get_suspicion(POPULAR), BLAMED)
+
     def test_contents_alone_are_no_whole_group(self) -> None:
         ledger = make_ledger("bad good", "bad good", "bad good")
         found = ledger.get_blame()
-        self.assertFalse(found.has_whole_group(make_request("bad")))
+        self.assertFalse(found.find_reasons(make_request("bad")))
 
     @given(
         strategies.lists(
