--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -314,10 +314,30 @@
                 born_ms=self.target.record.started_at_ms,
                 status=response.status,
             )
+        self.log_rate_limit(response)
         if response.status == http.HTTPStatus.SERVICE_UNAVAILABLE:
             requested = retry_after.read(response.headers, wall_s)
             self.hold_target(requested, wall_s)
 
+    def log_rate_limit(self, response: exchange.ResponseHead) -> None:
+        """Log a limit that a target names, unless it is known."""
+        for value in response.metadata.invalid_rate_limits:
+            self.context.log_event(
+                "rate_limit_invalid",
+                target=self.target.record.instance_id,
+                value=value[:MAX_LOGGED_VALUE],
+            )
+        limit = response.metadata.rate_limit
+        if limit == self.target.availability.rate_limit:
+            return
+        self.target.availability.rate_limit = limit
+        self.context.log_event(
+            "target_limited",
+            target=self.target.record.instance_id,
+            born_ms=self.target.record.started_at_ms,
+            limit=limit,
+        )
+
     def hold_target(
         self, requested: retry_after.RetryAfter, wall_s: float
     ) -> None:
--- a/src/hemlockkeel/_internal/relay/availability.py
+++ b/src/hemlockkeel/_internal/relay/availability.py
@@ -30,6 +30,8 @@
         self.leaving = False
         # Loop time until which the target wants no requests.
         self.held_until = float("-inf")
+        # Requests a second that it takes from all entries; None without limit.
+        self.rate_limit: float | None = None
         # Time of day of the last such response, seconds since the epoch.
         self.said_at_wall_s = float("-inf")
         # Waits of requests that have chosen the target.
--- a/src/hemlockkeel/_internal/relay/header_codec.py
+++ b/src/hemlockkeel/_internal/relay/header_codec.py
@@ -75,6 +75,11 @@
     load: TargetLoad | None = None
     # Whether the target is leaving and wants no further requests.
     leaving: bool = False
+    # Requests a second that the target takes from all entries together; None
+    # if it names no limit.
+    rate_limit: float | None = None
+    # Values of the limit that are no numbers.
+    invalid_rate_limits: tuple[str, ...] = ()
 
 
 class HeaderCodec(abc.ABC):
--- a/src/hemlockkeel/platform/headers.py
+++ b/src/hemlockkeel/platform/headers.py
@@ -1,10 +1,14 @@
 """Decodes and encodes the platform's request and response headers."""
 
+import re
+
 from hemlockkeel._internal.relay import header_codec
 
 MS_PER_S = 1000.0
 # Further parts of a prompt are not compared with those of other requests.
 MAX_SHARED_PARTS = 32
+# Longer values can only be mistakes.
+DECIMAL = re.compile(r"\d{1,9}(\.\d{0,9})?", re.ASCII)
 # Set only by the system itself, so they are removed from callers' requests.
 SYSTEM_HEADERS = frozenset(
     {
@@ -82,6 +86,7 @@
             b"x-not-executed" in values or status == 421,
             read_load(values.get(b"x-server-load")),
             values.get(b"server-leaving", "").strip() == "1",
+            *read_rate_limit(headers),
         )
 
 
@@ -140,6 +145,26 @@
     return ids[:MAX_SHARED_PARTS]
 
 
+def read_rate_limit(
+    headers: header_codec.Headers,
+) -> tuple[float | None, tuple[str, ...]]:
+    """Return the limit on requests a second, and the invalid values.
+
+    If the header is repeated, the lowest valid value counts.
+    """
+    limits: list[float] = []
+    invalid: list[str] = []
+    for key, raw in headers:
+        if key.lower() != b"server-limit":
+            continue
+        value = raw.decode("latin-1").strip()
+        if DECIMAL.fullmatch(value):
+            limits.append(float(value))
+        else:
+            invalid.append(value)
+    return min(limits, default=None), tuple(invalid)
+
+
 def read_load(value: str | None) -> header_codec.TargetLoad | None:
     """Return the load, given as RUNNING,WAITING,SLOTS; None if invalid."""
     if not value:
--- a/tests/unit/test_platform.py
+++ b/tests/unit/test_platform.py
@@ -345,6 +345,24 @@
             ),
         )
 
+    def test_rate_limit(self) -> None:
+        for values, limit, invalid in (
+            ([], None, ()),
+            ([b"1.9"], 1.9, ()),
+            ([b" 0 "], 0.0, ()),
+            ([b"7", b"2.5"], 2.5, ()),
+            (
+                [b"-1", b"nan", b"1e3", b"", b"3"],
+                3.0,
+                ("-1", "nan", "1e3", ""),
+            ),
+            ([b"99999999999"], None, ("99999999999",)),
+        ):
+            head = [(b"Server-Limit", value) for value in values]
+            metadata = self.header_codec.read_response(200, head)
+            self.assertEqual(metadata.rate_limit, limit)
+            self.assertEqual(metadata.invalid_rate_limits, invalid)
+
     def test_parts_that_requests_may_have_in_common(self) -> None:
         for value, expected in (
             (b"", ()),
