--- a/tests/lib/ending_target.py
+++ b/tests/lib/ending_target.py
@@ -73,6 +73,10 @@
         self.fails_next = False
         self.always_fails = False
         self.silent = False
+        # Extra lines of the heads of its responses, and when it got which
+        # request.
+        self.extra = b""
+        self.arrivals: list[tuple[float, fake_target.ReceivedRequest]] = []
         self.server = fake_target.FakeTarget(self.handle)
         self.fillers: list[socket.socket] = []
 
@@ -106,6 +110,7 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         """Respond, or end if the request is fatal."""
+        self.arrivals.append((asyncio.get_running_loop().time(), request))
         if self.fails_next or self.always_fails:
             self.fails_next = False
             writer.write(
@@ -144,7 +149,9 @@
             writer.write(fake_target.make_chunk(b"id: 1\ndata: a\n\n"))
             writer.write(fake_target.make_chunk(b""))
         else:
-            writer.write(fake_target.make_response(request, b"done"))
+            writer.write(
+                fake_target.make_response(request, b"done", extra=self.extra)
+            )
         return True
 
     def is_fatal(self, request: fake_target.ReceivedRequest) -> bool:
--- a/tests/run.py
+++ b/tests/run.py
@@ -18,6 +18,7 @@
     "test_control",
     "test_crashing_requests",
     "test_fatal_prompt_parts",
+    "test_rate_limits",
     "test_outcomes",
     "test_daemons",
 )
