Keep the rate that a target names over all entries together

Cause: the header was not read; and an entry by itself can't keep it, as the limit is for all entries together. The class: a limit on a shared target that each sender applies alone, or none does.

- An entry that is told a limit tells the control members, and these all entries, also those that connect later.
- Each request to such a target needs a permit.
A permit is the last step before a send, after the wait for an adapter.
- Without a permit, or without any member, the request goes to another target; if none is left, the caller is told when to return.
- A response without a limit to a later request lifts it everywhere.

Processes of older builds close a link on a message that they do not know, so members and entries say which they understand, and an entry sends nothing to a limited target while no member can issue permits.

Weighed: equal shares an entry (68 entries would each get a request a minute, or exceed the limit when they use what they have saved at the same time); permits of the agent beside the target (plain services have none).

--- a/src/hemlockkeel/_internal/coordinator/subscribers.py
+++ b/src/hemlockkeel/_internal/coordinator/subscribers.py
@@ -133,6 +133,16 @@
         entries = (peer for peer in self.links if peer.role == "entry")
         link.send_to_all(entries, message)
 
+    def send_to_permit_users(self, message: messages.AnyMessage) -> None:
+        """Send a message on rate limits to the entries that understand it."""
+        entries = (
+            peer
+            for peer in self.links
+            if peer.role == "entry"
+            and peer.protocol >= messages.PERMIT_PROTOCOL
+        )
+        link.send_to_all(entries, message)
+
     def send_record(self, record: records.TargetRecord, now: float) -> None:
         """Send a target's record to the subscribers of its address."""
         self.queue_record(record, now)
@@ -173,4 +183,5 @@
                 peer.address for peer in self.catalogue.membership.peers
             ],
             entries=len(entries),
+            protocol=messages.PROTOCOL,
         )
--- a/src/hemlockkeel/_internal/links/link.py
+++ b/src/hemlockkeel/_internal/links/link.py
@@ -56,6 +56,8 @@
         self.name = ""
         self.data_centre = ""
         self.target_address = ""
+        # Newest messages that the peer understands.
+        self.protocol = 0
         self.ping_interval_s = DEFAULT_PING_INTERVAL_S
         self.last_call_id = 0
         self.pending_calls: dict[int, asyncio.Future[messages.AnyMessage]] = {}
--- a/src/hemlockkeel/_internal/links/messages.py
+++ b/src/hemlockkeel/_internal/links/messages.py
@@ -4,6 +4,11 @@
 
 from hemlockkeel._internal.discovery import records
 
+# Processes without a message close a link on which it arrives. Version from
+# which on they understand rate limits and permits; 0 is that of older ones.
+PERMIT_PROTOCOL = 1
+PROTOCOL = PERMIT_PROTOCOL
+
 
 class Message(
     msgspec.Struct, frozen=True, tag=True, kw_only=True, array_like=True
@@ -42,6 +47,8 @@
     target_address: str = ""
     # Interval of the sender's pings, seconds.
     ping_interval_s: float = 0.5
+    # Newest messages that the sender understands.
+    protocol: int = 0
 
 
 class RaftBatch(Message, frozen=True, tag=True, kw_only=True):
@@ -126,6 +133,8 @@
 
     addresses: list[str]
     entries: int
+    # Newest messages that the sender understands.
+    protocol: int = 0
 
 
 class EnsureAdapter(Message, frozen=True, tag=True, kw_only=True):
@@ -222,6 +231,39 @@
     leaving_started_at_ms: int = 0
 
 
+class RateLimitNotice(Message, frozen=True, tag=True, kw_only=True):
+    """Tells how many requests a second a target takes from all entries.
+
+    Entries send it to control members, which tell the other entries when a
+    target begins or ends to limit its requests.
+    """
+
+    target: str
+    # Start of the target's process, milliseconds since the epoch.
+    started_at_ms: int
+    # None once the target takes any number again.
+    limit: float | None
+
+
+class AcquirePermit(Message, frozen=True, tag=True, kw_only=True):
+    """Asks a control member whether a request may be sent to a target."""
+
+    target: str
+    started_at_ms: int
+    # The limit that the sender knows.
+    limit: float
+
+
+class SendPermit(Message, frozen=True, tag=True, kw_only=True):
+    """Reply to `AcquirePermit`."""
+
+    granted: bool
+    # Time in seconds after which to ask again if it was not granted.
+    wait_s: float = 0.0
+    # The limit in force; None if there is none.
+    limit: float | None = None
+
+
 AnyMessage = (
     Ping
     | Pong
@@ -244,6 +286,9 @@
     | CrashReport
     | CrashCleared
     | LoadUpdate
+    | RateLimitNotice
+    | AcquirePermit
+    | SendPermit
 )
 
 DECODER: msgspec.msgpack.Decoder[AnyMessage] = msgspec.msgpack.Decoder(
--- a/src/hemlockkeel/_internal/links/server.py
+++ b/src/hemlockkeel/_internal/links/server.py
@@ -112,6 +112,7 @@
             peer.role, peer.name = message.role, message.name
             peer.data_centre = message.data_centre
             peer.target_address = message.target_address
+            peer.protocol = message.protocol
             peer.ping_interval_s = message.ping_interval_s
             self.service.on_hello(peer)
             return
--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -133,7 +133,9 @@
                     results.Cause.TARGET_HELD,
                     "the target asked for a pause",
                 )
-        return None
+            case availability.Refusal.LIMITED | None:
+                # A request that is ready to be sent has a permit.
+                return None
 
     async def send(self, version: int | None) -> results.AttemptResult:
         """Send the request on an idle connection or a new one.
@@ -141,6 +143,11 @@
         ``version`` is the adapter version to require; None for any.
         """
         target = self.target
+        if not await self.context.shared.rate_limits.acquire(target):
+            return self.fail_unsent(
+                results.Cause.TARGET_LIMITED,
+                "the target takes no more requests now",
+            )
         max_connections = self.context.shared.registry.get_connection_limit(
             self.service.max_connections
         )
@@ -239,7 +246,7 @@
             )
             if response.metadata.load is not None:
                 target.update_load(response.metadata.load, self.context.now)
-            self.update_availability(response)
+            self.update_availability(response, sent_at)
             result = await self.handle_response(
                 connection, response, pending_prefill
             )
@@ -301,8 +308,10 @@
             return
         self.context.shared.crashes.report_success(self.context.traits)
 
-    def update_availability(self, response: exchange.ResponseHead) -> None:
-        """Record whether the target still wants requests."""
+    def update_availability(
+        self, response: exchange.ResponseHead, sent_at: float
+    ) -> None:
+        """Record whether the target still wants requests, and how many."""
         wall_s = time.time()
         if response.metadata.leaving and self.target.mark_leaving(wall_s):
             self.context.shared.instruments.events.labels(
@@ -314,30 +323,13 @@
                 born_ms=self.target.record.started_at_ms,
                 status=response.status,
             )
-        self.log_rate_limit(response)
+        self.context.shared.rate_limits.record_response(
+            self.target, response, sent_at, wall_s
+        )
         if response.status == http.HTTPStatus.SERVICE_UNAVAILABLE:
             requested = retry_after.read(response.headers, wall_s)
             self.hold_target(requested, wall_s)
 
-    def log_rate_limit(self, response: exchange.ResponseHead) -> None:
-        """Log a limit that a target names, unless it is known."""
-        for value in response.metadata.invalid_rate_limits:
-            self.context.log_event(
-                "rate_limit_invalid",
-                target=self.target.record.instance_id,
-                value=value[:MAX_LOGGED_VALUE],
-            )
-        limit = response.metadata.rate_limit
-        if limit == self.target.availability.rate_limit:
-            return
-        self.target.availability.rate_limit = limit
-        self.context.log_event(
-            "target_limited",
-            target=self.target.record.instance_id,
-            born_ms=self.target.record.started_at_ms,
-            limit=limit,
-        )
-
     def hold_target(
         self, requested: retry_after.RetryAfter, wall_s: float
     ) -> None:
--- a/src/hemlockkeel/_internal/relay/availability.py
+++ b/src/hemlockkeel/_internal/relay/availability.py
@@ -20,6 +20,7 @@
 
     LEAVING = "leaving"
     HELD = "held"
+    LIMITED = "limited"
 
 
 class Availability:
@@ -32,6 +33,11 @@
         self.held_until = float("-inf")
         # Requests a second that it takes from all entries; None without limit.
         self.rate_limit: float | None = None
+        # Loop time and time of day of the last response that named one.
+        self.limit_named_at = float("-inf")
+        self.limit_named_wall_s = float("-inf")
+        # Loop time until which there is no permit to send a request.
+        self.denied_until = float("-inf")
         # Time of day of the last such response, seconds since the epoch.
         self.said_at_wall_s = float("-inf")
         # Waits of requests that have chosen the target.
@@ -43,8 +49,21 @@
             return Refusal.LEAVING
         if now < self.held_until:
             return Refusal.HELD
+        if now < self.denied_until:
+            return Refusal.LIMITED
         return None
 
+    def name_limit(self, limit: float, now: float, wall_s: float) -> None:
+        """Record how many requests a second the target takes."""
+        self.rate_limit = limit
+        self.limit_named_at = now
+        self.limit_named_wall_s = max(self.limit_named_wall_s, wall_s)
+
+    def lift_limit(self) -> None:
+        """Record that the target takes any number of requests again."""
+        self.rate_limit = None
+        self.denied_until = float("-inf")
+
     def mark_leaving(self, wall_s: float = float("-inf")) -> bool:
         """Record that the target leaves; return whether this is news.
 
@@ -79,9 +98,13 @@
         after them. ``started_at_s`` is the time of day of its start; clocks
         may be wrong, so that nothing final is passed on.
         """
+        now = asyncio.get_running_loop().time()
+        if self.rate_limit is not None and (
+            self.limit_named_wall_s >= started_at_s
+        ):
+            successor.name_limit(self.rate_limit, now, self.limit_named_wall_s)
         if self.said_at_wall_s < started_at_s:
             return
-        now = asyncio.get_running_loop().time()
         until = self.held_until
         if self.leaving:
             until = max(until, now + CARRIED_LEAVING_S)
--- a/src/hemlockkeel/_internal/relay/forwarder.py
+++ b/src/hemlockkeel/_internal/relay/forwarder.py
@@ -213,7 +213,7 @@
         return []
 
     def record_hold(self, service: table.Service) -> None:
-        """Record when callers may return if all targets asked for a pause."""
+        """Record when callers may return if no target wants requests now."""
         ends_at = self.shared.registry.find_hold_end(
             service.name, self.context.now
         )
@@ -230,7 +230,7 @@
         if self.context.hold_s is not None:
             return (
                 results.Cause.TARGET_HELD,
-                "all targets asked for a pause",
+                "all targets asked for a pause or limit their requests",
             )
         return results.Cause.NO_TARGET, "no target left"
 
--- a/src/hemlockkeel/_internal/relay/process.py
+++ b/src/hemlockkeel/_internal/relay/process.py
@@ -16,6 +16,7 @@
 from hemlockkeel._internal.relay import crashes
 from hemlockkeel._internal.relay import forwarder
 from hemlockkeel._internal.relay import header_codec
+from hemlockkeel._internal.relay import rate_limits
 from hemlockkeel._internal.relay import shared_state
 from hemlockkeel._internal.relay import target_registry as registry_module
 from hemlockkeel._internal.routes import budget
@@ -86,6 +87,8 @@
                 if address not in self.without_versions:
                     self.entry.crashes.handle_new_versions(message)
                 self.without_versions.discard(address)
+            case messages.RateLimitNotice():
+                self.entry.on_rate_limit(message)
             case messages.CrashReport():
                 self.entry.crashes.handle_report(message)
             case messages.CrashCleared():
@@ -93,6 +96,7 @@
 
     def on_disconnected(self, address: str) -> None:
         self.entry.shared.reserve_share.forget_member(address)
+        self.entry.rate_limits.forget_issuer(address)
 
 
 class AgentListener(dialer.Listener):
@@ -147,6 +151,7 @@
             role="entry",
             name=settings.name,
             data_centre=settings.data_centre,
+            protocol=messages.PROTOCOL,
         )
         self.control_links = dialer.DialerSet(
             hello, ControlListener(self), log
@@ -154,6 +159,10 @@
         self.crashes = crashes.CrashMonitor(
             self.control_links, log, self.instruments, random.Random()
         )
+        self.rate_limits = rate_limits.RateLimits(
+            self.control_links, log, self.instruments
+        )
+        self.registry.on_added = self.rate_limits.handle_added
         self.registry.on_crashed = self.crashes.handle_replaced
         self.agent_listener = AgentListener(self)
         self.agent_links = dialer.DialerSet(hello, self.agent_listener, log)
@@ -165,6 +174,7 @@
             header_codec,
             self.adapter_client,
             self.crashes,
+            self.rate_limits,
             log,
             self.instruments,
             random.Random(),
@@ -264,6 +274,7 @@
         self, address: str, message: messages.MembersUpdate
     ) -> None:
         """Store the control members and the number of entries."""
+        self.rate_limits.record_issuer(address, message.protocol)
         share = self.shared.reserve_share
         share.record_announcement(
             address,
@@ -278,6 +289,11 @@
             self.log.write("control_members", addresses=sorted(addresses))
             self.connect_control()
 
+    def on_rate_limit(self, notice: messages.RateLimitNotice) -> None:
+        """Apply a limit that a target has named to another entry."""
+        target = self.registry.targets.get(records.InstanceId(notice.target))
+        self.rate_limits.handle_notice(notice, target)
+
     def apply_configuration(self, configuration: table.Configuration) -> None:
         """Put a received configuration into force."""
         self.shared.configuration = configuration
--- a/src/hemlockkeel/_internal/relay/request_context.py
+++ b/src/hemlockkeel/_internal/relay/request_context.py
@@ -62,7 +62,7 @@
         self.slot_wait_s = 0.0
         # Shortest expected wait for which an attempt was given up, if any.
         self.expected_wait_s: float | None = None
-        # Time until a target accepts requests again, if all asked for a pause.
+        # Time until a target accepts requests again, if none does now.
         self.hold_s: float | None = None
 
     @property
--- a/src/hemlockkeel/_internal/relay/shared_state.py
+++ b/src/hemlockkeel/_internal/relay/shared_state.py
@@ -6,6 +6,7 @@
 from hemlockkeel._internal.relay import adapters
 from hemlockkeel._internal.relay import crashes
 from hemlockkeel._internal.relay import header_codec
+from hemlockkeel._internal.relay import rate_limits
 from hemlockkeel._internal.relay import target_registry as registry_module
 from hemlockkeel._internal.routes import budget
 from hemlockkeel._internal.routes import reserve_share
@@ -23,6 +24,7 @@
     codec: header_codec.HeaderCodec
     adapter_client: adapters.AdapterClient
     crashes: crashes.CrashMonitor
+    rate_limits: rate_limits.RateLimits
     log: event_log.EventLog
     instruments: instruments.Instruments
     rng: random.Random
--- a/src/hemlockkeel/_internal/relay/target_registry.py
+++ b/src/hemlockkeel/_internal/relay/target_registry.py
@@ -38,7 +38,11 @@
         # without having announced that it leaves.
         self.on_crashed: collections.abc.Callable[
             [target_module.Target], None
-        ] = ignore_crash
+        ] = ignore_target
+        # Called with each target that is new.
+        self.on_added: collections.abc.Callable[
+            [target_module.Target], None
+        ] = ignore_target
         self.max_silence_s = heartbeat_s * MAX_MISSED_HEARTBEATS
         self.table = records.TargetTable(
             expire_after_s=heartbeat_s * EXPIRE_AFTER_HEARTBEATS,
@@ -99,6 +103,7 @@
                 )
         target.record = record
         if is_new:
+            self.on_added(target)
             self.mark_superseded(
                 each
                 for each in self.targets.values()
@@ -257,7 +262,7 @@
     ) -> float | None:
         """Return when the first target of a service accepts requests again.
 
-        None if one accepts them now, or no target is held.
+        None if one accepts them now, or no target has asked for less.
         """
         ends = []
         for record in self.table.find_usable(
@@ -267,6 +272,8 @@
             match available.find_refusal(now):
                 case availability.Refusal.HELD:
                     ends.append(available.held_until)
+                case availability.Refusal.LIMITED:
+                    ends.append(available.denied_until)
                 case None:
                     return None
         return min(ends, default=None)
@@ -280,8 +287,8 @@
         return max(1, int(share))
 
 
-def ignore_crash(target: target_module.Target) -> None:
-    """Do nothing about a crash."""
+def ignore_target(target: target_module.Target) -> None:
+    """Do nothing about a target."""
 
 
 def qualify_names(by_model: dict[str, list[str]]) -> frozenset[str]:
