--- a/tests/lib/fake_target.py
+++ b/tests/lib/fake_target.py
@@ -36,7 +36,6 @@
         self.closed = asyncio.Event()
         self.writers: set[asyncio.StreamWriter] = set()
         self.address = ""
-        self.server: asyncio.Server | None = None
 
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
         self.server = await asyncio.start_server(self.serve, host, port)
@@ -91,8 +90,7 @@
                 return None
 
     async def stop(self) -> None:
-        if self.server is not None:
-            self.server.close()
+        self.server.close()
 
     def abort_all(self) -> None:
         """Reset all connections, as when the process is killed."""
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -27,6 +27,12 @@
 # that it may send there until the end of it.
 PAUSE_NOTICE_S = 0.5
 MAX_PAUSE_REQUESTS = 2
+# What a target that names a limit may get of the entries that it has told:
+# a multiple of it in a window, and some more.
+LIMIT_NOTICE_S = 0.5
+LIMIT_WINDOW_S = 4.0
+LIMIT_RATIO = 1.5
+LIMIT_EXTRA = 5
 # Limits on retries, as in the settings of the processes.
 RETRY_WINDOW_S = 10.0
 RETRY_RATIO = 0.2
@@ -51,6 +57,7 @@
         check_configuration_reads,
         check_departures,
         check_withdrawals,
+        check_rate_limits,
         check_retries,
         check_graceful_stops,
     ):
@@ -345,6 +352,84 @@
             )
 
 
+def check_rate_limits(
+    recorded: history.History,
+) -> collections.abc.Iterator[str]:
+    """Check the requests at targets while they name a limit.
+
+    Of a limit that changes, the highest in a window counts.
+    """
+    requests = {each.request_id: each for each in recorded.requests}
+    arrivals = collections.defaultdict(list)
+    for arrival in recorded.arrivals:
+        arrivals[arrival.target].append(arrival)
+    by_target = collections.defaultdict(list)
+    for named in recorded.limits:
+        by_target[named.target].append(named)
+    for target, found in by_target.items():
+        for span in list_limited_spans(found):
+            told_at: dict[str, float] = {}
+            for named in span:
+                if named.request_id in requests:
+                    entry = requests[named.request_id].entry
+                    told_at.setdefault(entry, named.at)
+            begun_at = span[0].at + FAULT_FREE_MARGIN_S
+            counted = [
+                arrival.at
+                for arrival in arrivals[target]
+                if arrival.request_id in requests
+                and begun_at < arrival.at < span[-1].at
+                and is_told(recorded, requests, arrival, told_at)
+            ]
+            yield from find_excess(target, counted, span)
+
+
+def list_limited_spans(
+    found: list[history.NamedLimit],
+) -> list[list[history.NamedLimit]]:
+    """Return the runs of responses that all name a limit."""
+    spans: list[list[history.NamedLimit]] = [[]]
+    for named in found:
+        if named.limit is None:
+            spans.append([])
+        else:
+            spans[-1].append(named)
+    return [span for span in spans if span]
+
+
+def is_told(
+    recorded: history.History,
+    requests: dict[str, history.SentRequest],
+    arrival: history.Arrival,
+    told_at: dict[str, float],
+) -> bool:
+    """Return whether an entry without a fault had been told the limit."""
+    entry = requests[arrival.request_id].entry
+    at = told_at.get(entry, math.inf)
+    if arrival.at < at + LIMIT_NOTICE_S:
+        return False
+    names = {entry, "", arrival.target.rpartition("-")[0]}
+    return is_fault_free(recorded, names, at - FAULT_FREE_MARGIN_S, arrival.at)
+
+
+def find_excess(
+    target: str, counted: list[float], span: list[history.NamedLimit]
+) -> collections.abc.Iterator[str]:
+    """Yield a message if some window has more requests than allowed."""
+    for begin in counted:
+        end = begin + LIMIT_WINDOW_S
+        limits = [
+            each.limit or 0.0
+            for each in span
+            if begin - FAULT_FREE_MARGIN_S <= each.at <= end
+        ]
+        count = sum(begin <= at <= end for at in counted)
+        limit = max(limits, default=0.0)
+        if count > LIMIT_RATIO * limit * LIMIT_WINDOW_S + LIMIT_EXTRA:
+            yield f"{target}: {count} requests in a window, limit {limit}"
+            return
+
+
 def check_retries(recorded: history.History) -> collections.abc.Iterator[str]:
     """Check the arrivals beyond the first of each request in any window."""
     seen = set()
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -60,6 +60,17 @@
     ends_at: float
 
 
+@dataclasses.dataclass
+class NamedLimit:
+    """The limit that a response named, or that it named none."""
+
+    request_id: str
+    target: str
+    at: float
+    # Requests a second; None for no limit.
+    limit: float | None
+
+
 @dataclasses.dataclass
 class ConfigurationChange:
     """A configuration that the operator sent."""
@@ -107,6 +118,7 @@
     executions: list[Execution] = dataclasses.field(default_factory=list)
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
     withdrawals: list[Withdrawal] = dataclasses.field(default_factory=list)
+    limits: list[NamedLimit] = dataclasses.field(default_factory=list)
     configuration_changes: list[ConfigurationChange] = dataclasses.field(
         default_factory=list
     )
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -26,6 +26,13 @@
 # Share of refusals that ask for a pause, and its length.
 PAUSE_RATIO = 0.5
 PAUSE_S = (0.2, 3.0)
+# Times for which a target names a limit in its responses, and for which it
+# names none, and the limits: requests a second or what is no number.
+LIMITED_S = (5.0, 9.0)
+UNLIMITED_S = (2.0, 20.0)
+LIMITS = ("0", "0.5", "1", "2.5", "10")
+UNREADABLE_LIMIT = "many"
+UNREADABLE_RATIO = 0.1
 # Time to execute most requests, and the few long ones.
 SERVICE_TIME_S = (0.01, 0.08)
 LONG_SERVICE_TIME_S = (0.5, 2.5)
@@ -88,12 +95,20 @@
         # Its own source of random numbers keeps those of earlier seeds.
         self.pause_rng = random.Random(name)
         self.is_engine = service == "e"
+        # Starts and stops overlap, but are made one after the other.
+        self.lifecycle = asyncio.Lock()
         self.start_count = 0
         self.instance_id = ""
         self.started_at_ms = 0
         self.state = "ready"
         # Whether it says in all responses that it is leaving.
         self.is_leaving = False
+        # The limit that it names until a time; empty for none.
+        self.limit = ""
+        self.limit_rng = random.Random(f"limit {name}")
+        self.limit_changes_at = time.monotonic() + self.limit_rng.uniform(
+            *UNLIMITED_S
+        )
         self.sequence = 0
         self.engine = EngineState()
         self.server: fake_target.FakeTarget | None = None
@@ -111,14 +126,19 @@
 
         Do nothing if the target runs already.
         """
-        if self.server is not None:
-            return
+        async with self.lifecycle:
+            if self.server is None:
+                await self.start_stopped(first)
+
+    async def start_stopped(self, first: bool) -> None:
+        """Start a target that does not run."""
         self.start_count += 1
         if first or self.rng.random() < 0.5:
             self.instance_id = f"{self.name}-{self.start_count}"
         self.started_at_ms = int(time.time() * 1000)
         self.state = "ready"
         self.is_leaving = False
+        self.limit = ""
         self.sequence = 0
         self.engine = EngineState()
         if not first:
@@ -129,14 +149,15 @@
 
     async def stop_abruptly(self) -> None:
         """Stop at once and reset all connections, as a crash does."""
-        if self.heartbeat_task is not None:
-            self.heartbeat_task.cancel()
-        for execution in self.executions:
-            execution.failed = True
-        if self.server is not None:
-            await self.server.stop()
-            self.server.abort_all()
-        self.server = None
+        async with self.lifecycle:
+            if self.heartbeat_task is not None:
+                self.heartbeat_task.cancel()
+            for execution in self.executions:
+                execution.failed = True
+            if self.server is not None:
+                await self.server.stop()
+                self.server.abort_all()
+            self.server = None
 
     async def crash_and_restart(self) -> None:
         """Stop abruptly, and start again at once or after a while."""
@@ -296,6 +317,7 @@
     def make_refusal(self, request_id: str) -> bytes:
         """Return a refusal, which may ask for a pause."""
         extra = b"X-Not-Executed: full\r\n"
+        extra += self.make_limit_header(request_id)
         if self.pause_rng.random() < PAUSE_RATIO:
             pause_s = round(self.pause_rng.uniform(*PAUSE_S), 2)
             extra += f"Retry-After: {pause_s}\r\n".encode()
@@ -309,6 +331,29 @@
             history.Withdrawal(request_id, self.start_id, now, now + seconds)
         )
 
+    def make_limit_header(self, request_id: str) -> bytes:
+        """Return the header that names a limit; empty if there is none."""
+        now = time.monotonic()
+        if now > self.limit_changes_at:
+            limited = not self.limit
+            self.limit = self.limit_rng.choice(LIMITS) if limited else ""
+            self.limit_changes_at = now + self.limit_rng.uniform(
+                *(LIMITED_S if limited else UNLIMITED_S)
+            )
+        if not self.limit:
+            self.history.limits.append(
+                history.NamedLimit(request_id, self.start_id, now, None)
+            )
+            return b""
+        if self.limit_rng.random() < UNREADABLE_RATIO:
+            return f"Server-Limit: {UNREADABLE_LIMIT}\r\n".encode()
+        self.history.limits.append(
+            history.NamedLimit(
+                request_id, self.start_id, now, float(self.limit)
+            )
+        )
+        return f"Server-Limit: {self.limit}\r\n".encode()
+
     def make_leaving_header(self, request_id: str) -> bytes:
         """Return the header of a target that leaves; empty if it does not."""
         if not self.is_leaving:
@@ -365,6 +410,7 @@
             return False
         body = make_response_body(execution.request_id, execution.path)
         extra = self.make_leaving_header(execution.request_id)
+        extra += self.make_limit_header(execution.request_id)
         writer.write(fake_target.make_response(request, body, extra=extra))
         return True
 
@@ -382,6 +428,7 @@
             last = self.rng.randrange(STREAM_EVENT_COUNT)
         head = fake_target.make_stream_response_head(request)
         extra = self.make_leaving_header(execution.request_id)
+        extra += self.make_limit_header(execution.request_id)
         writer.write(head.removesuffix(b"\r\n") + extra + b"\r\n")
         for number in range(1, last + 1):
             await asyncio.sleep(self.rng.uniform(*EVENT_INTERVAL_S))
