Soak: targets name no limits while recovery is checked

Limits are lifted when the faults end, which entries have to notice in that time, and requests that must be refused no longer count. The share stays as it was.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -117,6 +117,8 @@
         tasks = [asyncio.create_task(self.operator.run())]
         tasks += [asyncio.create_task(each.run()) for each in self.callers]
         await self.fault_injector.run(seconds)
+        for target in self.system.targets.values():
+            target.recovering = True
         faults_ended_at = soak_system.get_now()
         recovered = await self.wait_until_served(faults_ended_at)
         await asyncio.sleep(EXTRA_LOAD_S)
@@ -156,7 +158,9 @@
         while soak_system.get_now() < faults_ended_at + RECOVERY_TIMEOUT_S:
             await asyncio.sleep(0.2)
             recent = [
-                s for s in self.history.requests if s.sent_at > faults_ended_at
+                sent
+                for sent in self.history.requests
+                if sent.sent_at > faults_ended_at and not sent.parts
             ]
             served = {sent.kind for sent in recent if is_served(sent)}
             share = sum(map(is_served, recent)) / max(1, len(recent))
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -105,6 +105,8 @@
         self.is_leaving = False
         # The limit that it names until a time; empty for none.
         self.limit = ""
+        # Whether it names no limits, as faults have ended.
+        self.recovering = False
         self.limit_rng = random.Random(f"limit {name}")
         self.limit_changes_at = time.monotonic() + self.limit_rng.uniform(
             *UNLIMITED_S
@@ -334,7 +336,9 @@
     def make_limit_header(self, request_id: str) -> bytes:
         """Return the header that names a limit; empty if there is none."""
         now = time.monotonic()
-        if now > self.limit_changes_at:
+        if self.recovering:
+            self.limit = ""
+        elif now > self.limit_changes_at:
             limited = not self.limit
             self.limit = self.limit_rng.choice(LIMITS) if limited else ""
             self.limit_changes_at = now + self.limit_rng.uniform(
