Quarantine an adapter that crashes engines in the product's own path

The stand-in engine can crash for an adapter now.

The adapter of a request is a suspect beside its content: it runs alone until a request with it completes, and is quarantined for crashes of different contents; a content that is quarantined explains its own. Looked up on arrival at entries and agents and when queued work starts. Crash reports have a new field with a default, so that older members pass over it.

Plain services have no adapter; different requests that crash one are still known by their contents only.

--- a/src/hemlockkeel/_internal/agent/crashes.py
+++ b/src/hemlockkeel/_internal/agent/crashes.py
@@ -3,6 +3,7 @@
 All requests that were running at a crash are suspected of it.
 """
 
+import collections.abc
 import concurrent.futures
 import threading
 
@@ -38,13 +39,22 @@
             1, "crash-report"
         )
 
-    def report(self, boot_id: str, digests: list[str]) -> None:
-        """Report the crash of a boot, or wait for its report in progress."""
+    def report(
+        self,
+        boot_id: str,
+        digests: list[str],
+        adapters: collections.abc.Sequence[str] = (),
+    ) -> None:
+        """Report the crash of a boot, or wait for its report in progress.
+
+        ``digests`` and ``adapters`` are those of the requests that were
+        running.
+        """
         with self.lock:
             future = self.reports.get(boot_id)
             if future is None and not self.stopping.is_set():
                 future = self.executor.submit(
-                    self.commit_report, boot_id, digests
+                    self.commit_report, boot_id, digests, list(adapters)
                 )
                 self.reports[boot_id] = future
                 self.drop_oldest_reports()
@@ -62,7 +72,9 @@
         while len(self.reports) > MAX_KNOWN_BOOTS:
             self.reports.pop(next(iter(self.reports)))
 
-    def commit_report(self, boot_id: str, digests: list[str]) -> None:
+    def commit_report(
+        self, boot_id: str, digests: list[str], adapters: list[str]
+    ) -> None:
         """Commit a crash report; repeat it until control answers.
 
         Control counts a report that it receives twice only once.
@@ -76,7 +88,10 @@
         if not digests:
             return
         command = commands.ReportCrash(
-            target_id=self.target_id, boot_id=boot_id, digests=digests
+            target_id=self.target_id,
+            boot_id=boot_id,
+            digests=digests,
+            adapters=adapters,
         )
         while True:
             try:
@@ -91,14 +106,16 @@
                 logs.log_error("crash_report_lost", reason="agent stopping")
                 return
 
-    def clear_suspicion(self, digest: str) -> None:
+    def clear_suspicion(self, keys: list[str]) -> None:
         """Commit that a suspected request ran without a crash.
 
+        ``keys`` are what it is suspected by.
+
         A failure is ignored.
         """
         try:
             self.control.propose(
-                commands.ClearSuspect(digests=[digest]), REPORT_TIMEOUT_S
+                commands.ClearSuspect(digests=keys), REPORT_TIMEOUT_S
             )
         except (exceptions.ControlUnavailableError, ttypes.RpcFault):
             # The suspicion expires after a while.
--- a/src/hemlockkeel/_internal/agent/engine_driver.py
+++ b/src/hemlockkeel/_internal/agent/engine_driver.py
@@ -185,7 +185,7 @@
         wall = time.time()
         with self.lock:
             quarantined = self.scheduler.take_quarantined(
-                lambda digest: catalog.is_quarantined(digest, wall)
+                lambda key: catalog.is_quarantined(key, wall)
             )
             self.scheduler.mark_suspects(catalog.is_suspect)
             expired = self.scheduler.take_expired(now)
@@ -194,7 +194,8 @@
         self.fail_queued(
             quarantined,
             outcomes.RefusalCode.QUARANTINED,
-            "requests with the same content crashed several targets",
+            "requests with the same content or adapter crashed several "
+            "targets",
         )
         self.fail_queued(
             expired,
@@ -280,7 +281,7 @@
     ) -> None:
         """End a complete answer."""
         if active.work.suspect:
-            self.reporter.clear_suspicion(active.work.digest)
+            self.reporter.clear_suspicion(active.work.suspect_keys)
         self.store.end(
             answers.make_end(
                 active.order.request_id, active.key.number, tokens
@@ -318,11 +319,11 @@
     def report_crash(self) -> None:
         """Report a crash of the engine, with all requests in its batch."""
         with self.lock:
-            running = sorted(
-                {work.digest for work in self.scheduler.running.values()}
-            )
+            running = list(self.scheduler.running.values())
             boot_id = self.boot_id
-        self.reporter.report(boot_id, running)
+        digests = {work.digest for work in running}
+        keys = {key for work in running for key in work.suspect_keys}
+        self.reporter.report(boot_id, sorted(digests), sorted(keys - digests))
 
     def is_same_boot(self) -> bool:
         """Return whether the engine has not restarted since the last check."""
--- a/src/hemlockkeel/_internal/agent/plain_driver.py
+++ b/src/hemlockkeel/_internal/agent/plain_driver.py
@@ -186,7 +186,7 @@
                 order.request_id, order.attempt, refusal
             )
         if order.suspect and response.status < http.HTTPStatus.BAD_REQUEST:
-            self.reporter.clear_suspicion(order.content_digest)
+            self.reporter.clear_suspicion([order.content_digest])
         return ttypes.AnswerFrame(
             request_id=order.request_id,
             attempt=order.attempt,
--- a/src/hemlockkeel/_internal/agent/service.py
+++ b/src/hemlockkeel/_internal/agent/service.py
@@ -6,7 +6,9 @@
 from hemlockkeel._internal.agent import answers
 from hemlockkeel._internal.agent import driver
 from hemlockkeel._internal.follower import follower
+from hemlockkeel._internal.models import adapters
 from hemlockkeel._internal.models import outcomes
+from hemlockkeel._internal.models import suspect_keys
 from hemlockkeel._internal.rpc.gen.hk import ttypes
 
 MAX_POLL_WAIT_S = 2.0
@@ -70,8 +72,8 @@
     def check_order(self, order: ttypes.WorkOrder) -> outcomes.Refused | None:
         """Return a refusal if this agent must not run the order.
 
-        Marks the order as suspect if its content is suspected of crashing
-        targets.
+        Marks the order as suspect if its content or adapter is suspected of
+        crashing targets.
         """
         state = self.follower.get_state()
         if state in _STATE_REFUSALS:
@@ -84,12 +86,18 @@
                 "the order was sent to a different incarnation of this target",
             )
         catalog = self.follower.catalog
-        if catalog.is_quarantined(order.content_digest, self.get_wall_time()):
+        ref = f"{order.adapter}{adapters.SEPARATOR}{order.adapter_version}"
+        keys = suspect_keys.list_keys(
+            order.content_digest, ref if order.adapter else ""
+        )
+        wall = self.get_wall_time()
+        if any(catalog.is_quarantined(key, wall) for key in keys):
             return outcomes.refuse(
                 outcomes.RefusalCode.QUARANTINED,
-                "requests with the same content crashed several targets",
+                "requests with the same content or adapter crashed several "
+                "targets",
             )
-        if catalog.is_suspect(order.content_digest):
+        if any(map(catalog.is_suspect, keys)):
             order.suspect = True
         return None
 
--- a/src/hemlockkeel/_internal/entry/filters/admission.py
+++ b/src/hemlockkeel/_internal/entry/filters/admission.py
@@ -13,6 +13,7 @@
 from hemlockkeel._internal.follower import follower
 from hemlockkeel._internal.models import declarations
 from hemlockkeel._internal.models import outcomes
+from hemlockkeel._internal.models import suspect_keys
 from hemlockkeel._internal.policy import limits
 from hemlockkeel._internal.utils import metrics
 
@@ -127,7 +128,7 @@
 
 
 class QuarantineFilter(base.Filter):
-    """Refuses requests with the same content as ones that crashed targets."""
+    """Refuses requests whose content or adapter crashed targets."""
 
     def __init__(
         self,
@@ -143,18 +144,20 @@
         self, request: context.RequestContext, next_handler: base.Handler
     ) -> base.Result:
         catalog = self.follower.catalog
-        if not catalog.is_quarantined(request.digest, self.get_wall_time()):
+        keys = suspect_keys.list_keys(request.digest, str(request.ref or ""))
+        wall = self.get_wall_time()
+        if not any(catalog.is_quarantined(key, wall) for key in keys):
             return next_handler(request)
         self.counters.count(metrics.Counter.QUARANTINED)
         return refuse_quarantined()
 
 
 def refuse_quarantined() -> outcomes.Refused:
-    """Return the refusal of a request whose content is quarantined."""
+    """Return the refusal of a quarantined request."""
     return outcomes.refuse(
         outcomes.RefusalCode.QUARANTINED,
-        "this request crashed several targets and is temporarily "
-        "quarantined; change it, or ask an operator to release it",
+        "this request or its adapter crashed several targets and is "
+        "temporarily quarantined; change it, or ask an operator to release it",
     )
 
 
--- a/src/hemlockkeel/_internal/policy/scheduler.py
+++ b/src/hemlockkeel/_internal/policy/scheduler.py
@@ -14,6 +14,7 @@
 from hemlockkeel._internal import exceptions
 from hemlockkeel._internal.models import adapters
 from hemlockkeel._internal.models import outcomes
+from hemlockkeel._internal.models import suspect_keys
 from hemlockkeel._internal.policy import eviction
 
 # Requests for an adapter are refused for this long after its load has failed
@@ -58,6 +59,11 @@
     # Weight of its wait when loads are ordered.
     stall_weight: float = 0.5
 
+    @property
+    def suspect_keys(self) -> list[str]:
+        """Return what it is suspected by if its target crashes."""
+        return suspect_keys.list_keys(self.digest, str(self.ref or ""))
+
 
 @dataclasses.dataclass
 class Slot:
@@ -175,9 +181,13 @@
     ) -> list[WorkItem]:
         """Remove and return queued requests that are quarantined by now.
 
-        ``is_quarantined`` tells it by a request's digest.
+        ``is_quarantined`` tells it by what a request is suspected by.
         """
-        taken = [work for work in self.queue if is_quarantined(work.digest)]
+        taken = [
+            work
+            for work in self.queue
+            if any(map(is_quarantined, work.suspect_keys))
+        ]
         if taken:
             self.queue = [work for work in self.queue if work not in taken]
         return taken
@@ -188,7 +198,7 @@
         """Mark queued requests that are suspected by now."""
         self.queue = [
             dataclasses.replace(work, suspect=True)
-            if not work.suspect and is_suspect(work.digest)
+            if not work.suspect and any(map(is_suspect, work.suspect_keys))
             else work
             for work in self.queue
         ]
--- a/src/hemlockkeel/_internal/standins/engine.py
+++ b/src/hemlockkeel/_internal/standins/engine.py
@@ -26,13 +26,15 @@
 class InjectedFaults:
     """Faults that are injected with ``POST /engine/faults``.
 
-    A request whose prompt contains ``crash_marker`` crashes the engine. The
+    A request whose prompt contains ``crash_marker``, or for the adapter
+    ``crash_adapter``, crashes the engine. The
     ``_share`` fields are probabilities, of failed loads and of lost cache
     events. ``slow_factor`` multiplies the duration of a step, ``stalled``
     stops all progress, and load reports are ``report_lag_s`` old.
     """
 
     crash_marker: str = ""
+    crash_adapter: str = ""
     load_failure_share: float = 0.0
     slow_factor: float = 1.0
     stalled: bool = False
@@ -287,7 +289,8 @@
                 self.arrival_count,
                 self.boot_id,
                 0 if prompt in self.prefixes else self.options.prefill_steps,
-                crashes_engine=bool(marker) and marker in prompt,
+                crashes_engine=bool(marker and marker in prompt)
+                or model == self.faults.crash_adapter,
             )
             self.arrival_count += 1
             self.requests[request_id] = request
--- a/src/hemlockkeel/_internal/state/commands.py
+++ b/src/hemlockkeel/_internal/state/commands.py
@@ -120,6 +120,8 @@
     target_id: str
     boot_id: str
     digests: list[str]
+    # Adapters of these requests, as keys of `suspect_keys`.
+    adapters: list[str] = []
 
 
 class ClearSuspect(Command, frozen=True, tag=True, kw_only=True):
--- a/src/hemlockkeel/_internal/state/machine.py
+++ b/src/hemlockkeel/_internal/state/machine.py
@@ -372,7 +372,11 @@
     ) -> commands.Outcome:
         """Record a crash for the requests that were running."""
         changed = self.suspects.report(
-            command.target_id, command.boot_id, command.digests, command.at
+            command.target_id,
+            command.boot_id,
+            command.digests,
+            command.at,
+            command.adapters,
         )
         for suspect in changed:
             self.view.put(
--- a/src/hemlockkeel/_internal/state/suspects.py
+++ b/src/hemlockkeel/_internal/state/suspects.py
@@ -1,15 +1,19 @@
 """Requests suspected of crashing targets.
 
-A request is identified by the digest of its content. Every request that was
+A request is identified by the digest of its content, and by its adapter, as
+different requests may crash targets for its sake. Every request that was
 running when a target crashed becomes a suspect, and from then on runs without
 other requests. It is quarantined, that is refused, after two crashes, at
 least one of them while it ran alone; a run that ends without a crash clears
 it. A harmless request that was in the same batch as a crashing one is thus
-cleared by its next run.
+cleared by its next run. An adapter is quarantined only for crashes of
+different contents.
 """
 
 import msgspec
 
+from hemlockkeel._internal.models import suspect_keys
+
 QUARANTINE_CRASHES = 2
 # Counted from the last crash.
 SUSPECT_RETENTION_S = 600.0
@@ -17,11 +21,12 @@
 
 
 class Suspect(msgspec.Struct, frozen=True):
-    """A request that was running when a target crashed.
+    """A content or adapter that was running when a target crashed.
 
     Times are the leader's wall-clock seconds.
     """
 
+    # Digest of a content, or the key of an adapter.
     digest: str
     # "target_id/boot_id" of each crash.
     crashes: list[str]
@@ -32,23 +37,30 @@
 
 
 class SuspectTable:
-    """Suspects by content digest."""
+    """Suspects by content digest or adapter."""
 
     def __init__(self) -> None:
         self.suspects: dict[str, Suspect] = {}
 
     def report(
-        self, target_id: str, boot_id: str, digests: list[str], at: float
+        self,
+        target_id: str,
+        boot_id: str,
+        digests: list[str],
+        at: float,
+        adapters: list[str] | None = None,
     ) -> list[Suspect]:
         """Count a crash for each request that was running.
 
+        ``adapters`` are the keys of theirs.
+
         Returns the suspects that changed; a crash that was reported before
         changes none.
         """
         crash = f"{target_id}/{boot_id}"
         alone = len(set(digests)) == 1
         changed = []
-        for digest in dict.fromkeys(digests):
+        for digest in dict.fromkeys([*digests, *(adapters or [])]):
             old = self.suspects.get(digest)
             if old is not None and crash in old.crashes:
                 continue
@@ -69,7 +81,10 @@
         """
         crashes = [*(old.crashes if old else []), crash]
         alone_crashes = (old.alone_crashes if old else 0) + int(alone)
-        quarantined = len(crashes) >= QUARANTINE_CRASHES and alone_crashes > 0
+        count = len(crashes)
+        if suspect_keys.is_adapter(digest):
+            count = self.count_reasons(set(crashes))
+        quarantined = count >= QUARANTINE_CRASHES and alone_crashes > 0
         suspect = Suspect(
             digest,
             crashes,
@@ -80,6 +95,21 @@
         self.suspects[digest] = suspect
         return suspect
 
+    def count_reasons(self, crashes: set[str]) -> int:
+        """Return how many contents would explain an adapter's crashes.
+
+        A quarantined content explains all of its crashes, another one the
+        only one that it was at.
+        """
+        contents = [
+            set(suspect.crashes)
+            for suspect in self.suspects.values()
+            if suspect.quarantined_until
+            and not suspect_keys.is_adapter(suspect.digest)
+        ]
+        explaining = [found for found in contents if found & crashes]
+        return len(explaining) + len(crashes.difference(*explaining))
+
     def clear(self, digests: list[str]) -> list[str]:
         """Remove suspects that are not quarantined; return their digests."""
         cleared = [
--- a/tests/functional/test_outcomes.py
+++ b/tests/functional/test_outcomes.py
@@ -370,6 +370,39 @@
         self.assertNotIn(quarantined[0], left)
 
 
+class TestAdapterQuarantine(ClusterCase):
+    """Different requests whose adapter crashes each engine."""
+
+    changes = {"entries": 2}
+
+    def test_adapter_is_quarantined_whatever_its_requests_contain(
+        self,
+    ) -> None:
+        for stand_in in self.cluster.engines:
+            stand_in.faults.crash_adapter = "club-2@1"
+        for number in range(10):
+            reply = calls.complete(
+                self.urls[number % 2], "club-2@1", f"prompt {number}", 4
+            )
+            self.assertNotEqual(200, reply.status)
+        self.assertEqual("quarantined", reply.error["code"])
+        self.assertEqual("not_run", reply.error["verdict"])
+        runs = sum(
+            self.cluster.count_runs(f"prompt {number}") for number in range(10)
+        )
+        self.assertLessEqual(runs, 5)
+        reply = calls.complete(self.urls[0], "club-1@1", "sound", 4)
+        self.assertEqual(200, reply.status, reply.body)
+
+    def test_fatal_content_does_not_quarantine_its_adapter(self) -> None:
+        for stand_in in self.cluster.engines:
+            stand_in.faults.crash_marker = "POISON"
+        for number in range(4):
+            calls.complete(self.urls[number % 2], "club-1@1", "POISON", 4)
+        reply = calls.complete(self.urls[0], "club-1@1", "sound", 4)
+        self.assertEqual(200, reply.status, reply.body)
+
+
 class TestSessions(ClusterCase):
     """Ordered sessions with two entries."""
 
--- a/tests/unit/test_state.py
+++ b/tests/unit/test_state.py
@@ -333,6 +333,9 @@
         self.assertEqual(commands.Status.SUPERSEDED, again.status)
 
 
+ADAPTER = "adapter:a@1"
+
+
 class TestSuspects(unittest.TestCase):
     """Suspicion and quarantine of requests that crash targets."""
 
@@ -359,6 +362,28 @@
         table.report("t1", "b1", ["bad"], 10.0)
         self.assertFalse(table.is_quarantined("bad", 11.0))
 
+    def test_adapter_is_quarantined_for_crashes_of_different_contents(
+        self,
+    ) -> None:
+        """A content that is quarantined counts once, for all its crashes."""
+        for contents, expected in (
+            (["c1", "c1", "c1"], False),
+            (["c1", "c2"], True),
+            (["c1", "c1", "c2"], True),
+            (["c1", "c1", "c2", "c2"], True),
+        ):
+            table = suspects.SuspectTable()
+            for number, content in enumerate(contents):
+                table.report("t1", f"b{number}", [content], 1.0, [ADAPTER])
+            self.assertIs(table.is_quarantined(ADAPTER, 2.0), expected)
+
+    def test_completion_clears_an_adapter(self) -> None:
+        table = suspects.SuspectTable()
+        table.report("t1", "b1", ["c1"], 1.0, [ADAPTER])
+        table.clear([ADAPTER])
+        table.report("t1", "b2", ["c2"], 1.0, [ADAPTER])
+        self.assertFalse(table.is_quarantined(ADAPTER, 2.0))
+
     def test_quarantine_ends(self) -> None:
         table = suspects.SuspectTable()
         table.report("t1", "b1", ["bad"], 10.0)
