--- a/src/hemlockkeel/_internal/coordinator/process.py
+++ b/src/hemlockkeel/_internal/coordinator/process.py
@@ -21,7 +21,6 @@
 from hemlockkeel._internal.coordinator import settings as settings_module
 from hemlockkeel._internal.coordinator import subscribers
 from hemlockkeel._internal.coordinator import targets
-from hemlockkeel._internal.discovery import blame
 from hemlockkeel._internal.discovery import records
 from hemlockkeel._internal.links import dialer
 from hemlockkeel._internal.links import link
@@ -494,6 +493,6 @@
     path.unlink()
 
 
-def make_target_key(target: str, started_at_ms: int) -> blame.CrashKey:
+def make_target_key(target: str, started_at_ms: int) -> records.IncarnationKey:
     """Return the key of a target's incarnation."""
-    return blame.CrashKey(records.InstanceId(target), started_at_ms)
+    return records.IncarnationKey(records.InstanceId(target), started_at_ms)
--- a/src/hemlockkeel/_internal/coordinator/send_permits.py
+++ b/src/hemlockkeel/_internal/coordinator/send_permits.py
@@ -12,7 +12,7 @@
 import random
 import typing
 
-from hemlockkeel._internal.discovery import blame
+from hemlockkeel._internal.discovery import records
 from hemlockkeel._internal.links import messages
 
 # Part of a limit that one member issues.
@@ -67,10 +67,10 @@
 
     def __init__(self, rng: random.Random) -> None:
         self.rng = rng
-        self.buckets: dict[blame.CrashKey, Bucket] = {}
+        self.buckets: dict[records.IncarnationKey, Bucket] = {}
 
     def set_limit(
-        self, key: blame.CrashKey, limit: float | None, now: float
+        self, key: records.IncarnationKey, limit: float | None, now: float
     ) -> bool:
         """Store a limit; None if it is lifted.
 
@@ -88,7 +88,7 @@
         return changed
 
     def acquire(
-        self, key: blame.CrashKey, limit: float, entry: str, now: float
+        self, key: records.IncarnationKey, limit: float, entry: str, now: float
     ) -> messages.SendPermit:
         """Return whether an entry may send one request, or when to ask again.
 
--- a/src/hemlockkeel/_internal/discovery/blame.py
+++ b/src/hemlockkeel/_internal/discovery/blame.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 import dataclasses
-import typing
 
 from hemlockkeel._internal.discovery import records
 from hemlockkeel._internal.discovery import traits as traits_module
@@ -22,17 +21,10 @@
 COMMON_REASON_S = 0.5
 
 
-class CrashKey(typing.NamedTuple):
-    """The incarnation of a target that crashed."""
-
-    target: records.InstanceId
-    started_at_ms: int
-
-
 # Times of crashes, loop times in seconds.
-CrashTimes = collections.abc.Mapping[CrashKey, float]
+CrashTimes = collections.abc.Mapping[records.IncarnationKey, float]
 CrashesByTrait = collections.abc.Mapping[
-    ids.Trait, collections.abc.Set[CrashKey]
+    ids.Trait, collections.abc.Set[records.IncarnationKey]
 ]
 
 
@@ -46,7 +38,7 @@
     # Shared traits with the few other traits that explain the same crashes.
     doubtful: collections.abc.Mapping[ids.Trait, frozenset[ids.Trait]]
     # Their crashes, of which no other trait is suspected.
-    explained: frozenset[CrashKey]
+    explained: frozenset[records.IncarnationKey]
 
     @property
     def contested(self) -> frozenset[ids.Trait]:
@@ -143,7 +135,7 @@
     repeated: CrashesByTrait,
     times: CrashTimes,
     least_crashes: int,
-    explained: frozenset[CrashKey],
+    explained: frozenset[records.IncarnationKey],
 ) -> Blame:
     """Return which of some traits are to blame, and all explained crashes.
 
--- a/src/hemlockkeel/_internal/discovery/crash_ledger.py
+++ b/src/hemlockkeel/_internal/discovery/crash_ledger.py
@@ -22,6 +22,7 @@
 import typing
 
 from hemlockkeel._internal.discovery import blame
+from hemlockkeel._internal.discovery import records
 from hemlockkeel._internal.models import ids
 
 CRASH_RETENTION_S = 3600.0
@@ -44,7 +45,7 @@
 class Crash:
     """One crash; times are loop times in seconds."""
 
-    key: blame.CrashKey
+    key: records.IncarnationKey
     # Traits of the requests that were in progress.
     traits: set[ids.Trait]
     at: float
@@ -58,11 +59,11 @@
     """The crashes that a process knows of."""
 
     def __init__(self) -> None:
-        self.crashes: dict[blame.CrashKey, Crash] = {}
+        self.crashes: dict[records.IncarnationKey, Crash] = {}
         # The crashes that count, by the traits that are not cleared.
-        self.by_trait: dict[ids.Trait, set[blame.CrashKey]] = {}
+        self.by_trait: dict[ids.Trait, set[records.IncarnationKey]] = {}
         # Those of the traits that were at several crashes.
-        self.repeated: dict[ids.Trait, set[blame.CrashKey]] = {}
+        self.repeated: dict[ids.Trait, set[records.IncarnationKey]] = {}
         # Those of the shared traits with which requests had completed before.
         self.established: set[ids.Trait] = set()
         # Derived from these; None after a change.
@@ -70,7 +71,7 @@
 
     def merge(
         self,
-        key: blame.CrashKey,
+        key: records.IncarnationKey,
         traits: typing.Iterable[ids.Trait],
         at: float,
         cleared: typing.Iterable[ids.Trait] = (),
@@ -107,7 +108,7 @@
         if news & self.repeated.keys():
             self.derived = None
 
-    def withdraw(self, key: blame.CrashKey, at: float) -> bool:
+    def withdraw(self, key: records.IncarnationKey, at: float) -> bool:
         """Stop to count a crash, as the target still runs.
 
         Returns whether it counted before.
@@ -119,7 +120,7 @@
         self.unindex(key, crash.traits)
         return True
 
-    def reinstate(self, key: blame.CrashKey) -> None:
+    def reinstate(self, key: records.IncarnationKey) -> None:
         """Count a crash again that was withdrawn by mistake."""
         crash = self.crashes.get(key)
         if crash is not None and crash.withdrawn_at is not None:
@@ -143,7 +144,7 @@
         crash.traits.discard(trait)
         self.unindex(crash.key, [trait])
 
-    def drop(self, key: blame.CrashKey) -> None:
+    def drop(self, key: records.IncarnationKey) -> None:
         """Remove a crash."""
         self.unindex(key, self.crashes.pop(key).traits)
 
@@ -154,7 +155,7 @@
                 self.drop(key)
 
     def index(
-        self, key: blame.CrashKey, traits: typing.Iterable[ids.Trait]
+        self, key: records.IncarnationKey, traits: typing.Iterable[ids.Trait]
     ) -> None:
         """Count a crash for some traits."""
         for trait in traits:
@@ -165,7 +166,7 @@
                 self.derived = None
 
     def unindex(
-        self, key: blame.CrashKey, traits: typing.Iterable[ids.Trait]
+        self, key: records.IncarnationKey, traits: typing.Iterable[ids.Trait]
     ) -> None:
         """Stop to count a crash for some traits."""
         for trait in traits:
--- a/src/hemlockkeel/_internal/discovery/records.py
+++ b/src/hemlockkeel/_internal/discovery/records.py
@@ -26,6 +26,14 @@
     GONE = "gone"
 
 
+class IncarnationKey(typing.NamedTuple):
+    """Identifies one run of a target's process."""
+
+    target: InstanceId
+    # Start of the process, milliseconds since the epoch; 0 if not reported.
+    started_at_ms: int
+
+
 class LoadedModel(msgspec.Struct, frozen=True, array_like=True):
     """A base model loaded at a target, with its adapters' versions."""
 
--- a/src/hemlockkeel/_internal/links/crash_reports.py
+++ b/src/hemlockkeel/_internal/links/crash_reports.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 
-from hemlockkeel._internal.discovery import blame
 from hemlockkeel._internal.discovery import crash_ledger
 from hemlockkeel._internal.discovery import records
 from hemlockkeel._internal.links import messages
@@ -40,7 +39,7 @@
     now: float,
 ) -> set[ids.Trait]:
     """Add a reported crash; return the traits for which it is new."""
-    key = blame.CrashKey(
+    key = records.IncarnationKey(
         records.InstanceId(report.target), report.started_at_ms
     )
     return ledger.merge(
--- a/src/hemlockkeel/_internal/relay/crashes.py
+++ b/src/hemlockkeel/_internal/relay/crashes.py
@@ -63,7 +63,7 @@
         self.log = log
         self.instruments = metrics
         self.ledger = crash_ledger.CrashLedger()
-        self.probes: dict[blame.CrashKey, asyncio.Task[None]] = {}
+        self.probes: dict[records.IncarnationKey, asyncio.Task[None]] = {}
         # Connections on which requests are in progress, by their traits.
         self.copies: dict[ids.Trait, set[exchange.TargetConnection]] = {}
         self.memory = request_memory.RequestMemory(rng)
@@ -270,7 +270,7 @@
 
         One probe runs for each target incarnation.
         """
-        key = target.crash_key
+        key = target.incarnation_key
         if key in self.probes:
             return
         target.probed_at = self.now
@@ -280,7 +280,7 @@
 
     async def wait_for_probe(self, target: target_module.Target) -> None:
         """Wait for the outcome of a target's probe, if one runs."""
-        task = self.probes.get(target.crash_key)
+        task = self.probes.get(target.incarnation_key)
         if task is not None:
             await asyncio.wait([task], timeout=PROBE_WAIT_S)
 
@@ -318,7 +318,7 @@
         self.confirm_completed(
             target, float("-inf"), heard_at - ANNOUNCEMENT_DELAY_S
         )
-        key = target.crash_key
+        key = target.incarnation_key
         crash = self.ledger.crashes.get(key)
         if crash is None or target.replaced:
             return
@@ -338,7 +338,7 @@
 
         Whatever a probe found, its end is certain now.
         """
-        self.ledger.reinstate(target.crash_key)
+        self.ledger.reinstate(target.incarnation_key)
         self.apply_quarantines()
         suspects = target.list_unanswered(self.now)
         if suspects:
--- a/src/hemlockkeel/_internal/relay/rate_limits.py
+++ b/src/hemlockkeel/_internal/relay/rate_limits.py
@@ -8,7 +8,6 @@
 import asyncio
 import collections
 
-from hemlockkeel._internal.discovery import blame
 from hemlockkeel._internal.discovery import records
 from hemlockkeel._internal.links import dialer
 from hemlockkeel._internal.links import link
@@ -43,9 +42,9 @@
         # Members that understand the messages of this module.
         self.issuers: set[str] = set()
         # Limits of targets that others were told.
-        self.noticed: collections.OrderedDict[blame.CrashKey, float] = (
-            collections.OrderedDict()
-        )
+        self.noticed: collections.OrderedDict[
+            records.IncarnationKey, float
+        ] = collections.OrderedDict()
 
     @property
     def now(self) -> float:
@@ -136,7 +135,7 @@
 
         ``target`` is the one that it is about, if it is known already.
         """
-        key = blame.CrashKey(
+        key = records.IncarnationKey(
             records.InstanceId(notice.target), notice.started_at_ms
         )
         self.noticed.pop(key, None)
@@ -144,12 +143,12 @@
             self.noticed[key] = notice.limit
             if len(self.noticed) > MAX_NOTICES:
                 self.noticed.popitem(last=False)
-        if target is not None and target.crash_key == key:
+        if target is not None and target.incarnation_key == key:
             self.apply(target, notice.limit, "notice")
 
     def handle_added(self, target: target_module.Target) -> None:
         """Apply what is known of a target that has been announced."""
-        limit = self.noticed.get(target.crash_key)
+        limit = self.noticed.get(target.incarnation_key)
         if limit is not None:
             self.apply(target, limit, "notice")
 
--- a/src/hemlockkeel/_internal/relay/target.py
+++ b/src/hemlockkeel/_internal/relay/target.py
@@ -3,7 +3,6 @@
 import collections
 import dataclasses
 
-from hemlockkeel._internal.discovery import blame
 from hemlockkeel._internal.discovery import records
 from hemlockkeel._internal.discovery import traits as traits_module
 from hemlockkeel._internal.models import ids
@@ -113,9 +112,9 @@
         return float(self.failure_share * 0.5 ** (age_s / FAILURE_HALF_LIFE_S))
 
     @property
-    def crash_key(self) -> blame.CrashKey:
+    def incarnation_key(self) -> records.IncarnationKey:
         """Return the key under which a crash of it is known."""
-        return blame.CrashKey(
+        return records.IncarnationKey(
             self.record.instance_id, self.record.started_at_ms
         )
 
--- a/tests/unit/test_crash_ledger.py
+++ b/tests/unit/test_crash_ledger.py
@@ -6,7 +6,6 @@
 from hypothesis import settings
 from hypothesis import strategies
 
-from hemlockkeel._internal.discovery import blame
 from hemlockkeel._internal.discovery import crash_ledger
 from hemlockkeel._internal.discovery import records
 from hemlockkeel._internal.discovery import traits
@@ -20,9 +19,9 @@
 BLAMED = crash_ledger.Suspicion.BLAMED
 
 
-def make_key(number: int) -> blame.CrashKey:
+def make_key(number: int) -> records.IncarnationKey:
     """Return the key of one of several crashes."""
-    return blame.CrashKey(records.InstanceId(f"t{number}"), number)
+    return records.IncarnationKey(records.InstanceId(f"t{number}"), number)
 
 
 def make_ledger(*crashes: str) -> crash_ledger.CrashLedger:
--- a/tests/unit/test_send_permits.py
+++ b/tests/unit/test_send_permits.py
@@ -8,10 +8,9 @@
 from hypothesis import strategies
 
 from hemlockkeel._internal.coordinator import send_permits
-from hemlockkeel._internal.discovery import blame
 from hemlockkeel._internal.discovery import records
 
-KEY = blame.CrashKey(records.InstanceId("t"), 1)
+KEY = records.IncarnationKey(records.InstanceId("t"), 1)
 # What a target may get: a multiple of its limit and some more in each window.
 WINDOW_S = 4.0
 LIMIT_RATIO = 1.5
