Soak: a target that a fatal part ends has broken off its response

The log shows that the target had ended after its first event (`answer_broken`), as fatal requests of this kind do; the stand-in did not record that.

--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -287,6 +287,7 @@
         self.history.executions.append(execution)
         parts = request.headers.get(b"x-prompt-prefix", b"").decode()
         if path in FATAL_PATHS or FATAL_PART in parts:
+            execution.failed = True
             await self.begin_fatal_response(request, writer)
             task = asyncio.create_task(self.crash_and_restart())
             self.restart_tasks.add(task)
