--- a/src/hemlockkeel/_internal/relay/availability.py
+++ b/src/hemlockkeel/_internal/relay/availability.py
@@ -98,13 +98,15 @@
         after them. ``started_at_s`` is the time of day of its start; clocks
         may be wrong, so that nothing final is passed on.
         """
-        now = asyncio.get_running_loop().time()
         if self.rate_limit is not None and (
             self.limit_named_wall_s >= started_at_s
         ):
-            successor.name_limit(self.rate_limit, now, self.limit_named_wall_s)
+            successor.name_limit(
+                self.rate_limit, self.limit_named_at, self.limit_named_wall_s
+            )
         if self.said_at_wall_s < started_at_s:
             return
+        now = asyncio.get_running_loop().time()
         until = self.held_until
         if self.leaving:
             until = max(until, now + CARRIED_LEAVING_S)
