Do not blame a popular part for crashes that nearly all have other reasons

Requests count as recent when they arrive, also refused ones, so that a popular part is recognised sooner; it is then tried after 0.5 to 4 s.

--- a/src/hemlockkeel/_internal/relay/crashes.py
+++ b/src/hemlockkeel/_internal/relay/crashes.py
@@ -241,7 +241,6 @@
             self.copies.setdefault(trait, set()).add(connection)
             if trait in self.quarantined:
                 self.log_suspicion("suspect_tried", trait)
-        self.memory.record_sent(request)
 
     def remove_copy(
         self,
--- a/src/hemlockkeel/_internal/relay/forwarder.py
+++ b/src/hemlockkeel/_internal/relay/forwarder.py
@@ -85,6 +85,7 @@
             self.context.route.choose_service(self.shared.rng)
         ]
         self.shared.get_budget(service.name).record_request(self.context.now)
+        self.shared.crashes.memory.record_arrival(self.context.traits)
         hold = self.shared.crashes.find_hold(self.context.traits)
         if hold is not None:
             self.context.record_expected_wait(hold.wait_s)
--- a/src/hemlockkeel/_internal/relay/request_memory.py
+++ b/src/hemlockkeel/_internal/relay/request_memory.py
@@ -99,7 +99,7 @@
         at = self.get_completed(trait).get(trait)
         return at is not None and now - at < COMPLETED_RETENTION_S
 
-    def record_sent(self, request: traits.RequestTraits) -> None:
+    def record_arrival(self, request: traits.RequestTraits) -> None:
         """Count the shared traits of a request."""
         if not request.shared:
             return
--- a/tests/unit/test_request_memory.py
+++ b/tests/unit/test_request_memory.py
@@ -37,14 +37,14 @@
     def test_trait_of_most_recent_requests_is_common(self) -> None:
         shared = traits.RequestTraits(CONTENT, (PART,))
         other = traits.RequestTraits(CONTENT, (traits.make_part("q"),))
-        self.memory.record_sent(shared)
+        self.memory.record_arrival(shared)
         self.assertFalse(self.memory.is_common(PART))
         for _ in range(request_memory.MIN_COMMON_SAMPLE):
-            self.memory.record_sent(shared)
-            self.memory.record_sent(traits.RequestTraits(CONTENT))
+            self.memory.record_arrival(shared)
+            self.memory.record_arrival(traits.RequestTraits(CONTENT))
         self.assertTrue(self.memory.is_common(PART))
         for _ in range(request_memory.RECENT_REQUESTS):
-            self.memory.record_sent(other)
+            self.memory.record_arrival(other)
         self.assertFalse(self.memory.is_common(PART))
         self.assertNotIn(PART, self.memory.recent_counts)
 
