Try blamed shared traits again after 1 to 8 s, one rule for all of them

Each blamed or tied shared trait is tried 1 to 8 s after its last crash, and four times as long after each trial that fails: a fatal part gets two trials within some seconds, then few (at most three later than 3 s after the fifth end for minutes), a harmless one is served again soon.

--- a/src/hemlockkeel/_internal/discovery/blame.py
+++ b/src/hemlockkeel/_internal/discovery/blame.py
@@ -16,9 +16,6 @@
 # trait, and the number of other reasons that are as likely as the shared one.
 REPEATED_CRASHES = BLAME_CRASHES - 1
 MAX_OTHER_REASONS = 2
-# One in this many crashes of a trait may have no reason that is known: targets
-# also crash for reasons of their own.
-CRASHES_PER_UNKNOWN_REASON = 4
 # Crashes within this time of the first one of them count as one for a shared
 # trait: targets may crash together for a common reason.
 COMMON_REASON_S = 0.5
@@ -112,7 +109,7 @@
 def find_other_reasons(
     trait: ids.Trait, repeated: CrashesByTrait
 ) -> frozenset[ids.Trait]:
-    """Return a few traits that explain nearly all crashes of a shared one.
+    """Return a few traits that explain all crashes of a shared one.
 
     Empty if there are none, or the trait is not shared. A popular trait is in
     progress when requests with different fatal ones crash targets.
@@ -131,8 +128,7 @@
             break
         chosen.add(best)
         missing -= repeated[best]
-    allowed = len(repeated[trait]) // CRASHES_PER_UNKNOWN_REASON
-    return frozenset(chosen) if len(missing) <= allowed else frozenset()
+    return frozenset() if missing else frozenset(chosen)
 
 
 def explain(
--- a/src/hemlockkeel/_internal/relay/crashes.py
+++ b/src/hemlockkeel/_internal/relay/crashes.py
@@ -120,7 +120,6 @@
         crashes = self.ledger.list_crashes(trait)
         delay_s = suspect_admission.get_retrial_delay_s(
             self.memory.get_trial_delay_s(trait, len(crashes)),
-            trait in self.ledger.established,
             self.memory.count_failed_trials(trait),
         )
         return max(crash.at for crash in crashes) + delay_s
--- a/src/hemlockkeel/_internal/relay/suspect_admission.py
+++ b/src/hemlockkeel/_internal/relay/suspect_admission.py
@@ -33,7 +33,7 @@
 # A shared trait that is blamed is tried again after this many times the delay
 # of a contested one, and later after each trial that fails: the blame may be
 # wrong, and then no other request would clear it.
-RETRIAL_RATIO = 10.0
+RETRIAL_RATIO = 2.0
 RETRIAL_GROWTH = 4.0
 MAX_RETRIAL_DELAY_S = 1800.0
 
@@ -60,16 +60,13 @@
     losses: tuple[float, ...]
 
 
-def get_retrial_delay_s(
-    trial_delay_s: float, is_established: bool, failed_trials: int
-) -> float:
+def get_retrial_delay_s(trial_delay_s: float, failed_trials: int) -> float:
     """Return the time from a crash until a blamed trait is tried, seconds.
 
     ``trial_delay_s`` is this entry's draw from `TRIAL_DELAY_S`.
     """
-    ratio = 1.0 if is_established else RETRIAL_RATIO
     growth = RETRIAL_GROWTH ** min(10, failed_trials)
-    return min(MAX_RETRIAL_DELAY_S, trial_delay_s * ratio * growth)
+    return min(MAX_RETRIAL_DELAY_S, trial_delay_s * RETRIAL_RATIO * growth)
 
 
 def find_hold(
