--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -1,8 +1,5 @@
 """One attempt to get a response to a request from one target."""
 
-import http
-import time
-
 from hemlockkeel._internal.links import link
 from hemlockkeel._internal.links import messages
 from hemlockkeel._internal.models import outcomes
@@ -14,15 +11,13 @@
 from hemlockkeel._internal.relay import request_context
 from hemlockkeel._internal.relay import results
 from hemlockkeel._internal.relay import target as target_module
+from hemlockkeel._internal.relay import target_signals
 from hemlockkeel._internal.relay import waits
 from hemlockkeel._internal.routes import table
-from hemlockkeel._internal.utils import retry_after
 
 # Statuses that tell callers that a request has not run. Callers then repeat
 # even a request that must not run twice.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-# Characters of an invalid header value that are logged.
-MAX_LOGGED_VALUE = 40
 # Parts of a prompt that are logged.
 MAX_LOGGED_PARTS = 8
 
@@ -174,7 +169,7 @@
         if unavailable is not None:
             target.pool.discard(connection)
             return unavailable
-        hold = self.context.shared.crashes.find_hold(self.context.traits)
+        hold = self.context.shared.suspects.find_hold(self.context.traits)
         if hold is not None:
             target.pool.discard(connection)
             self.context.record_expected_wait(hold.wait_s)
@@ -229,7 +224,7 @@
             outcomes.Verdict.MAY_HAVE_RUN,
         )
         self.context.sends += 1
-        shared.crashes.add_copy(self.context.traits, connection)
+        shared.suspects.add_copy(self.context.traits, connection)
         try:
             connection.send(
                 self.context.request.method,
@@ -246,7 +241,9 @@
             )
             if response.metadata.load is not None:
                 target.update_load(response.metadata.load, self.context.now)
-            self.update_availability(response, sent_at)
+            target_signals.record_signals(
+                self.context, target, response, sent_at
+            )
             result = await self.handle_response(
                 connection, response, pending_prefill
             )
@@ -283,7 +280,7 @@
             )
         finally:
             pending_prefill.complete()
-            shared.crashes.remove_copy(self.context.traits, connection)
+            shared.suspects.remove_copy(self.context.traits, connection)
             target.remove_request(self.context.traits)
             if finished_response is not None and target.availability.leaving:
                 target.pool.discard(connection)
@@ -308,52 +305,6 @@
             return
         self.context.shared.crashes.report_success(self.context.traits)
 
-    def update_availability(
-        self, response: exchange.ResponseHead, sent_at: float
-    ) -> None:
-        """Record whether the target still wants requests, and how many."""
-        wall_s = time.time()
-        if response.metadata.leaving and self.target.mark_leaving(wall_s):
-            self.context.shared.instruments.events.labels(
-                "target_leaving"
-            ).inc()
-            self.context.log_event(
-                "target_leaving",
-                target=self.target.record.instance_id,
-                born_ms=self.target.record.started_at_ms,
-                status=response.status,
-            )
-        self.context.shared.rate_limits.record_response(
-            self.target, response, sent_at, wall_s
-        )
-        if response.status == http.HTTPStatus.SERVICE_UNAVAILABLE:
-            requested = retry_after.read(response.headers, wall_s)
-            self.hold_target(requested, wall_s)
-
-    def hold_target(
-        self, requested: retry_after.RetryAfter, wall_s: float
-    ) -> None:
-        """Send the target nothing for as long as its refusal asks for."""
-        for value in requested.invalid:
-            self.context.log_event(
-                "retry_after_invalid",
-                target=self.target.record.instance_id,
-                value=value[:MAX_LOGGED_VALUE],
-            )
-        if requested.delay_s is None:
-            return
-        now = self.context.now
-        until = now + requested.delay_s
-        if not self.target.availability.hold(until, now, wall_s):
-            return
-        self.context.shared.instruments.events.labels("target_held").inc()
-        self.context.log_event(
-            "target_held",
-            target=self.target.record.instance_id,
-            born_ms=self.target.record.started_at_ms,
-            seconds=round(requested.delay_s, 3),
-        )
-
     def get_uncached_tokens(self) -> int:
         """Return the prompt tokens missing from the target's cache."""
         cached = self.target.get_cached_tokens(
--- a/src/hemlockkeel/_internal/relay/forwarder.py
+++ b/src/hemlockkeel/_internal/relay/forwarder.py
@@ -86,7 +86,7 @@
         ]
         self.shared.get_budget(service.name).record_request(self.context.now)
         self.shared.crashes.memory.record_arrival(self.context.traits)
-        hold = self.shared.crashes.find_hold(self.context.traits)
+        hold = self.shared.suspects.find_hold(self.context.traits)
         if hold is not None:
             self.context.record_expected_wait(hold.wait_s)
             self.context.refuse(hold.cause, hold.reason)
@@ -197,8 +197,8 @@
         self, candidates: list[target_selection.Candidate]
     ) -> list[target_selection.Candidate]:
         """Leave out targets that run a suspected request, for another one."""
-        crashes = self.shared.crashes
-        shared_ids = crashes.find_shared_targets(
+        suspects = self.shared.suspects
+        shared_ids = suspects.find_shared_targets(
             self.context.traits, self.shared.registry.targets.values()
         )
         if not shared_ids:
@@ -208,7 +208,7 @@
             for candidate in candidates
             if candidate.record.instance_id not in shared_ids
         ]
-        if separate or not crashes.must_be_separate(self.context.traits):
+        if separate or not suspects.must_be_separate(self.context.traits):
             return separate or candidates
         self.held_back = bool(candidates)
         return []
--- a/src/hemlockkeel/_internal/relay/shared_state.py
+++ b/src/hemlockkeel/_internal/relay/shared_state.py
@@ -7,6 +7,7 @@
 from hemlockkeel._internal.relay import crashes
 from hemlockkeel._internal.relay import header_codec
 from hemlockkeel._internal.relay import rate_limits
+from hemlockkeel._internal.relay import suspects
 from hemlockkeel._internal.relay import target_registry as registry_module
 from hemlockkeel._internal.routes import budget
 from hemlockkeel._internal.routes import reserve_share
@@ -42,6 +43,11 @@
         default_factory=dict
     )
 
+    @property
+    def suspects(self) -> suspects.Suspects:
+        """Return what is suspected of crashing targets."""
+        return self.crashes.suspects
+
     def get_reserve_share(self) -> float:
         """Return the share of the retry reserve that may be used now."""
         return self.reserve_share.get(self.clock.monotonic())
