Tell entries of a limit that begins or ends at most once a second

A target whose responses name a limit by turns made each control member tell all entries with each response: with 68 entries, five members and 100 responses a second some 34,000 messages (reckoned, not run). Members tell the last state within the next second instead; the new unit test plays 1,000 changes in 10 s. Entries whose first sight of a limit is a call for a permit make it known as well.

--- a/src/hemlockkeel/_internal/coordinator/process.py
+++ b/src/hemlockkeel/_internal/coordinator/process.py
@@ -278,7 +278,10 @@
             await asyncio.sleep(MEMBERS_INTERVAL_S)
             self.registry.table.expire(self.loop.time())
             self.crash_reports.ledger.expire(self.loop.time())
-            self.send_permits.expire(self.loop.time())
+            now = self.loop.time()
+            for notice in self.send_permits.take_delayed_notices(now):
+                self.subscribers.send_to_permit_users(notice)
+            self.send_permits.expire(now)
 
     def get_limits(self) -> table.RequestLimits:
         return API_LIMITS
--- a/src/hemlockkeel/_internal/coordinator/send_permits.py
+++ b/src/hemlockkeel/_internal/coordinator/send_permits.py
@@ -27,6 +27,9 @@
 # How long an entry that got no permit counts as waiting for one.
 WAITING_S = 5.0
 MAX_WAIT_S = 5.0
+# Entries are told at most this often that a target begins or ends to limit its
+# requests, so that one that changes its mind with each response costs little.
+MIN_NOTICE_INTERVAL_S = 1.0
 # Limits that nobody has asked for or named again are forgotten after this.
 RETENTION_S = 300.0
 
@@ -40,6 +43,9 @@
     tokens: float
     filled_at: float
     used_at: float
+    # What entries were told last, and when.
+    told_limited: bool = False
+    told_at: float = float("-inf")
     # Entries that got no permit, and when.
     waiting: dict[str, float] = dataclasses.field(default_factory=dict)
 
@@ -61,6 +67,16 @@
         self.fill(now)
         self.limit = limit
 
+    def take_notice(self, now: float) -> bool:
+        """Return whether entries are to be told, and count them as told."""
+        limited = self.limit is not None
+        if limited is self.told_limited:
+            return False
+        if now - self.told_at < MIN_NOTICE_INTERVAL_S:
+            return False
+        self.told_limited, self.told_at = limited, now
+        return True
+
 
 class SendPermits:
     """The limits that a control member knows of."""
@@ -74,18 +90,17 @@
     ) -> bool:
         """Store a limit; None if it is lifted.
 
-        Returns whether the target begins or ends to limit its requests.
+        Returns whether entries are to be told now.
         """
         bucket = self.buckets.get(key)
         if bucket is None:
             if limit is None:
                 return False
-            self.buckets[key] = Bucket(limit, INITIAL_TOKENS, now, now)
-            return True
-        changed = (bucket.limit is None) is not (limit is None)
+            bucket = Bucket(limit, INITIAL_TOKENS, now, now)
+            self.buckets[key] = bucket
         bucket.set_limit(limit, now)
         bucket.used_at = now
-        return changed
+        return bucket.take_notice(now)
 
     def acquire(
         self, key: records.IncarnationKey, limit: float, entry: str, now: float
@@ -95,7 +110,7 @@
         ``limit`` is the one that the entry knows.
         """
         if key not in self.buckets:
-            self.set_limit(key, limit, now)
+            self.buckets[key] = Bucket(limit, INITIAL_TOKENS, now, now)
         bucket = self.buckets[key]
         bucket.used_at = now
         if bucket.limit is None:
@@ -124,14 +139,27 @@
         """Yield the limits in force."""
         for key, bucket in self.buckets.items():
             if bucket.limit is not None:
-                yield messages.RateLimitNotice(
-                    target=key.target,
-                    started_at_ms=key.started_at_ms,
-                    limit=bucket.limit,
-                )
+                yield make_notice(key, bucket.limit)
+
+    def take_delayed_notices(
+        self, now: float
+    ) -> typing.Iterator[messages.RateLimitNotice]:
+        """Yield the changes that entries were not told of at once."""
+        for key, bucket in self.buckets.items():
+            if bucket.take_notice(now):
+                yield make_notice(key, bucket.limit)
 
     def expire(self, now: float) -> None:
         """Forget limits that are not used any more."""
         for key, bucket in list(self.buckets.items()):
             if now - bucket.used_at > RETENTION_S:
                 del self.buckets[key]
+
+
+def make_notice(
+    key: records.IncarnationKey, limit: float | None
+) -> messages.RateLimitNotice:
+    """Return the message that tells a limit."""
+    return messages.RateLimitNotice(
+        target=key.target, started_at_ms=key.started_at_ms, limit=limit
+    )
--- a/tests/unit/test_send_permits.py
+++ b/tests/unit/test_send_permits.py
@@ -75,12 +75,30 @@
         self.assertFalse(permits.set_limit(KEY, 2.0, 0.0))
         self.assertEqual(len(list(permits.list_notices())), 1)
         self.assertTrue(permits.set_limit(KEY, None, 1.0))
+        self.assertFalse(permits.set_limit(KEY, None, 1.0))
         self.assertFalse(list(permits.list_notices()))
         for _ in range(9):
             permit = permits.acquire(KEY, 1.0, "e", 1.0)
             self.assertTrue(permit.granted)
             self.assertIsNone(permit.limit)
 
+    def test_entries_are_told_of_a_flapping_limit_once_a_second(
+        self,
+    ) -> None:
+        permits = make_permits()
+        told = sum(
+            permits.set_limit(KEY, 1.0 if n % 2 else None, n * 0.01)
+            for n in range(1000)
+        )
+        self.assertLessEqual(told, 11)
+        # The last change was to a limit.
+        permits.set_limit(KEY, None, 10.0)
+        permits.set_limit(KEY, 1.0, 10.1)
+        permits.set_limit(KEY, None, 10.2)
+        delayed = list(permits.take_delayed_notices(11.5))
+        self.assertLessEqual(len(delayed), 1)
+        self.assertFalse(list(permits.take_delayed_notices(11.6)))
+
     def test_unused_limits_are_forgotten(self) -> None:
         permits = make_permits()
         permits.set_limit(KEY, 1.0, 0.0)
