Wait after a trial even if its target's end is not known yet

Targets that return at once are known to have ended only when they announce themselves, and until then the delay after the last known crash had already passed. The delay now also counts from the entry's own last trial. A failed trial was counted only from the second one on, too, as the first call merely began the count; counting begins with the blame.

--- a/src/hemlockkeel/_internal/relay/crashes.py
+++ b/src/hemlockkeel/_internal/relay/crashes.py
@@ -217,15 +217,9 @@
 
     def handle_report(self, report: messages.CrashReport) -> None:
         """Add a crash; what is known already changes nothing."""
-        doubted = [
-            trait
-            for trait in map(ids.Trait, report.digests)
-            if self.ledger.get_suspicion(trait)
-            >= crash_ledger.Suspicion.CONTESTED
-        ]
         added = crash_reports.merge_report(self.ledger, report, self.now)
-        for trait in added.intersection(doubted):
-            self.memory.record_failed_trial(trait, self.now)
+        for trait in added:
+            self.memory.record_crash(trait, self.now)
         self.ledger.establish(map(ids.Trait, self.list_established(added)))
         for trait in sorted(added):
             if trait in self.ledger.established:
@@ -238,7 +232,9 @@
 
     def apply_quarantines(self) -> None:
         """Put a change of the blame into force."""
-        blamed = self.ledger.get_blame().blamed
+        found = self.ledger.get_blame()
+        blamed = found.blamed
+        self.memory.track_trials(blamed | found.contested, self.now)
         for trait in sorted(blamed - self.quarantined):
             self.instruments.events.labels("request_quarantined").inc()
             self.suspects.log_suspicion("request_quarantined", trait)
--- a/src/hemlockkeel/_internal/relay/request_memory.py
+++ b/src/hemlockkeel/_internal/relay/request_memory.py
@@ -4,6 +4,8 @@
 """
 
 import collections
+import collections.abc
+import dataclasses
 import random
 import typing
 
@@ -25,6 +27,17 @@
 TRIAL_GAP_S = 1.0
 
 
+@dataclasses.dataclass
+class Trials:
+    """Requests sent with a doubted trait, by all entries; loop times."""
+
+    # When it began to be doubted, or a failed trial was counted last.
+    counted_at: float
+    failed: int = 0
+    # When this entry sent the last one.
+    sent_at: float = float("-inf")
+
+
 class RequestMemory:
     """Lost and completed requests, and the trials of contested ones."""
 
@@ -41,10 +54,8 @@
         self.shared_completed_at: collections.OrderedDict[ids.Trait, float] = (
             collections.OrderedDict()
         )
-        # Failed trials of blamed traits, and the loop time of the last one.
-        self.failed_trials: collections.OrderedDict[
-            ids.Trait, tuple[int, float]
-        ] = collections.OrderedDict()
+        # Trials of the traits that are blamed or contested.
+        self.trials: dict[ids.Trait, Trials] = {}
         # Shared traits of the latest requests, and how many have each.
         self.recent: collections.deque[tuple[ids.Trait, ...]] = (
             collections.deque()
@@ -119,21 +130,33 @@
         sent = max(MIN_COMMON_SAMPLE, len(self.recent))
         return self.recent_counts[trait] >= COMMON_SHARE * sent
 
-    def record_failed_trial(self, trait: ids.Trait, now: float) -> None:
-        """Record a crash with a trait that was blamed already.
+    def track_trials(
+        self, doubted: collections.abc.Set[ids.Trait], now: float
+    ) -> None:
+        """Begin to count the trials of doubted traits; forget the others'."""
+        for trait in self.trials.keys() - doubted:
+            del self.trials[trait]
+        for trait in doubted - self.trials.keys():
+            self.trials[trait] = Trials(now)
+
+    def record_trial(self, trait: ids.Trait, now: float) -> None:
+        """Record that a request with a doubted trait is sent."""
+        if trait in self.trials:
+            self.trials[trait].sent_at = now
+
+    def record_crash(self, trait: ids.Trait, now: float) -> None:
+        """Record a crash with a doubted trait, if it is one of a trial.
 
         Crashes right after the blame are of requests sent before it.
         """
-        count, at = self.failed_trials.get(trait, (0, now))
-        if now - at > TRIAL_GAP_S:
-            count, at = count + 1, now
-        self.failed_trials[trait] = count, at
-        self.failed_trials.move_to_end(trait)
-        drop_oldest(self.failed_trials)
-
-    def count_failed_trials(self, trait: ids.Trait) -> int:
-        """Return how many trials of a blamed trait have failed."""
-        return self.failed_trials.get(trait, (0, 0.0))[0]
+        trials = self.trials.get(trait)
+        if trials is not None and now - trials.counted_at > TRIAL_GAP_S:
+            trials.failed += 1
+            trials.counted_at = now
+
+    def get_trials(self, trait: ids.Trait) -> Trials:
+        """Return the trials of a doubted trait; none for another one."""
+        return self.trials.get(trait, Trials(0.0))
 
     def get_trial_delay_s(self, trait: ids.Trait, crashes: int) -> float:
         """Return this entry's delay before it sends a contested request.
--- a/src/hemlockkeel/_internal/relay/suspects.py
+++ b/src/hemlockkeel/_internal/relay/suspects.py
@@ -82,11 +82,12 @@
     def get_next_trial_at(self, trait: ids.Trait) -> float:
         """Return the loop time at which a blamed trait may be tried."""
         crashes = self.ledger.list_crashes(trait)
+        trials = self.memory.get_trials(trait)
         delay_s = suspect_admission.get_retrial_delay_s(
-            self.memory.get_trial_delay_s(trait, len(crashes)),
-            self.memory.count_failed_trials(trait),
+            self.memory.get_trial_delay_s(trait, len(crashes)), trials.failed
         )
-        return max(crash.at for crash in crashes) + delay_s
+        # That a target has crashed may not be known yet.
+        return max(trials.sent_at, *(each.at for each in crashes)) + delay_s
 
     def get_actionable_suspicion(
         self, trait: ids.Trait
@@ -177,11 +178,11 @@
         connection: exchange.TargetConnection,
     ) -> None:
         """Record that a request is in progress on a connection."""
-        blamed = self.ledger.get_blame().blamed
         for trait in request.all:
             self.copies.setdefault(trait, set()).add(connection)
-            if trait in blamed:
-                self.log_suspicion("suspect_tried", trait)
+        for trait in self.ledger.get_blame().find_reasons(request):
+            self.memory.record_trial(trait, self.now)
+            self.log_suspicion("suspect_tried", trait)
 
     def remove_copy(
         self,
--- a/tests/unit/test_request_memory.py
+++ b/tests/unit/test_request_memory.py
@@ -28,11 +28,18 @@
     def test_crashes_of_requests_sent_before_the_blame_are_no_trials(
         self,
     ) -> None:
+        self.memory.record_crash(PART, 0.5)
+        self.memory.track_trials({PART}, 1.0)
         for at in (1.0, 1.3, 1.9):
-            self.memory.record_failed_trial(PART, at)
-        self.assertEqual(self.memory.count_failed_trials(PART), 0)
-        self.memory.record_failed_trial(PART, 9.0)
-        self.assertEqual(self.memory.count_failed_trials(PART), 1)
+            self.memory.record_crash(PART, at)
+        self.assertEqual(self.memory.get_trials(PART).failed, 0)
+        self.memory.record_trial(PART, 8.0)
+        self.memory.record_crash(PART, 9.0)
+        self.memory.track_trials({PART, CONTENT}, 9.0)
+        self.assertEqual(self.memory.get_trials(PART).failed, 1)
+        self.assertEqual(self.memory.get_trials(PART).sent_at, 8.0)
+        self.memory.track_trials({CONTENT}, 9.0)
+        self.assertEqual(self.memory.get_trials(PART).failed, 0)
 
     def test_trait_of_most_recent_requests_is_common(self) -> None:
         shared = traits.RequestTraits(CONTENT, (PART,))
