--- a/src/hemlockkeel/_internal/discovery/blame.py
+++ b/src/hemlockkeel/_internal/discovery/blame.py
@@ -10,7 +10,8 @@
 # Crashes after which a trait is to blame. With fewer, a request that was in
 # progress at two crashes by chance would be.
 BLAME_CRASHES = 3
-# The same for a shared trait of requests that have completed before.
+# The same for a shared trait that is probably harmless: requests with it have
+# completed before, or most requests have it.
 ESTABLISHED_BLAME_CRASHES = 5
 # Crashes from which on a trait may be another reason for those of a shared
 # trait, and the number of other reasons that are as likely as the shared one.
@@ -37,7 +38,7 @@
     contested_groups: tuple[frozenset[ids.Trait], ...]
     # Shared traits with the few other traits that explain the same crashes.
     doubtful: collections.abc.Mapping[ids.Trait, frozenset[ids.Trait]]
-    # Their crashes, of which no other trait is suspected.
+    # Crashes of blamed and contested traits, of which no other is suspected.
     explained: frozenset[records.IncarnationKey]
 
     @property
@@ -85,9 +86,9 @@
 ) -> Blame:
     """Return which traits are to blame.
 
-    ``repeated`` has the crashes of those that were at several of them,
-    ``established`` the shared traits of requests that have completed before.
-    They are blamed only for crashes that no other trait explains.
+    ``repeated`` has the crashes of those that were at several of them.
+    ``established`` are shared traits that are probably harmless; they are
+    blamed only for crashes that no other trait explains.
     """
     unknown = {t: k for t, k in repeated.items() if t not in established}
     known = {t: k for t, k in repeated.items() if t in established}
--- a/src/hemlockkeel/_internal/discovery/crash_ledger.py
+++ b/src/hemlockkeel/_internal/discovery/crash_ledger.py
@@ -64,7 +64,7 @@
         self.by_trait: dict[ids.Trait, set[records.IncarnationKey]] = {}
         # Those of the traits that were at several crashes.
         self.repeated: dict[ids.Trait, set[records.IncarnationKey]] = {}
-        # Those of the shared traits with which requests had completed before.
+        # Those of the shared traits that are probably harmless.
         self.established: set[ids.Trait] = set()
         # Derived from these; None after a change.
         self.derived: blame.Blame | None = None
@@ -79,9 +79,9 @@
     ) -> set[ids.Trait]:
         """Add a crash, or traits to a known one.
 
-        Requests with those in ``cleared`` have completed since, requests with
-        those in ``established`` before. Returns the traits for which the
-        crash is new.
+        Requests with those in ``cleared`` have completed since; those in
+        ``established`` are shared and probably harmless. Returns the traits
+        for which the crash is new.
         """
         crash = self.crashes.get(key)
         if crash is None:
@@ -102,7 +102,7 @@
         return added
 
     def establish(self, traits: typing.Iterable[ids.Trait]) -> None:
-        """Record that requests had completed before with suspected traits."""
+        """Record which of some suspected traits are probably harmless."""
         news = self.by_trait.keys() & set(traits) - self.established
         self.established |= news
         if news & self.repeated.keys():
--- a/src/hemlockkeel/_internal/discovery/traits.py
+++ b/src/hemlockkeel/_internal/discovery/traits.py
@@ -8,6 +8,7 @@
 
 from hemlockkeel._internal.models import ids
 
+# In the names of shared traits; a content is a digest in hexadecimal.
 SHARED_SEPARATOR = ":"
 PART_PREFIX = "part:"
 ADAPTER_PREFIX = "adapter:"
--- a/src/hemlockkeel/_internal/links/messages.py
+++ b/src/hemlockkeel/_internal/links/messages.py
@@ -194,7 +194,7 @@
     age_s: float = 0.0
     # Traits of requests that have completed since.
     cleared: list[str] = []
-    # Shared traits of requests that had completed before.
+    # Shared traits that are probably harmless.
     established: list[str] = []
 
 
--- a/src/hemlockkeel/_internal/relay/suspects.py
+++ b/src/hemlockkeel/_internal/relay/suspects.py
@@ -136,7 +136,7 @@
     def is_watched(self, trait: ids.Trait) -> bool:
         """Return whether requests with a trait should run apart from others.
 
-        Not those with a shared trait that is known to be harmless as a rule.
+        Not those with a shared trait that is probably harmless.
         """
         if trait in self.ledger.established:
             return False
