--- a/src/hemlockkeel/_internal/relay/process.py
+++ b/src/hemlockkeel/_internal/relay/process.py
@@ -160,7 +160,11 @@
             self.control_links, log, self.instruments, random.Random()
         )
         self.rate_limits = rate_limits.RateLimits(
-            self.control_links, log, self.instruments
+            self.control_links,
+            log,
+            self.instruments,
+            lambda: self.registry.entry_count,
+            random.Random(),
         )
         self.registry.on_added = self.rate_limits.handle_added
         self.registry.on_crashed = self.crashes.handle_replaced
--- a/src/hemlockkeel/_internal/relay/rate_limits.py
+++ b/src/hemlockkeel/_internal/relay/rate_limits.py
@@ -2,11 +2,15 @@
 
 An entry that learns of a limit tells the control members, which tell the
 others. Before each request to such a target, it asks the member that issues
-the permits for it. Without a permit, the request goes to another target.
+the permits for it. Without a permit, the request goes to another target. While
+no member can be asked, the entry sends its part of the limit, so that it
+notices when the limit is lifted.
 """
 
 import asyncio
 import collections
+import collections.abc
+import random
 
 from hemlockkeel._internal.discovery import records
 from hemlockkeel._internal.links import dialer
@@ -19,8 +23,12 @@
 from hemlockkeel._internal.utils import instruments
 
 PERMIT_TIMEOUT_S = 0.5
-# Time for which a target gets no request after no member could be asked.
-UNKNOWN_WAIT_S = 0.5
+# Part of a limit that all entries together use without permits, and their
+# requests a second while a target takes less.
+FALLBACK_SHARE = 0.7
+FALLBACK_MIN_RATE = 0.2
+# Time after which the members are asked again.
+FALLBACK_RECHECK_S = 1.0
 MISDIRECTED = 421
 MAX_NOTICES = 4096
 # Characters of an invalid header value that are logged.
@@ -35,10 +43,18 @@
         control: dialer.DialerSet,
         log: event_log.EventLog,
         metrics: instruments.Instruments,
+        get_entry_count: collections.abc.Callable[[], int],
+        rng: random.Random,
     ) -> None:
         self.control = control
         self.log = log
         self.instruments = metrics
+        self.get_entry_count = get_entry_count
+        self.rng = rng
+        # When the next request may be sent without a permit, loop times.
+        self.next_at: collections.OrderedDict[
+            records.IncarnationKey, float
+        ] = collections.OrderedDict()
         # Members that understand the messages of this module.
         self.issuers: set[str] = set()
         # Limits of targets that others were told.
@@ -177,9 +193,7 @@
             return True
         permit = await self.request_permit(target, limit)
         if permit is None:
-            permit = messages.SendPermit(
-                granted=False, wait_s=UNKNOWN_WAIT_S, limit=limit
-            )
+            permit = self.decide_alone(target.incarnation_key, limit)
         if permit.limit is None:
             self.apply(target, None, "permit")
         if permit.granted:
@@ -188,6 +202,27 @@
         self.instruments.events.labels("permit_denied").inc()
         return False
 
+    def decide_alone(
+        self, key: records.IncarnationKey, limit: float
+    ) -> messages.SendPermit:
+        """Return whether to send a request while no member can be asked.
+
+        All entries use equal parts of the limit, at random times.
+        """
+        rate = max(FALLBACK_MIN_RATE, FALLBACK_SHARE * limit)
+        interval_s = self.get_entry_count() / rate
+        due_at = self.next_at.get(key)
+        if due_at is None:
+            due_at = self.now + self.rng.uniform(0.0, interval_s)
+        granted = due_at <= self.now
+        if granted:
+            due_at = self.now + interval_s
+        self.next_at[key] = due_at
+        if len(self.next_at) > MAX_NOTICES:
+            self.next_at.popitem(last=False)
+        wait_s = min(FALLBACK_RECHECK_S, due_at - self.now)
+        return messages.SendPermit(granted=granted, wait_s=wait_s, limit=limit)
+
     async def request_permit(
         self, target: target_module.Target, limit: float
     ) -> messages.SendPermit | None:
--- a/tests/functional/test_rate_limits.py
+++ b/tests/functional/test_rate_limits.py
@@ -176,6 +176,20 @@
         await self.play(PLAY_S, list(range(ENTRY_COUNT)))
         self.check_limit(1.0)
 
+    async def test_lifted_limit_is_noticed_without_any_control_member(
+        self,
+    ) -> None:
+        await self.start_fleet(1, b"2")
+        await self.play(1.0, list(range(ENTRY_COUNT)))
+        await self.stop_member(1)
+        self.name_limit(b"")
+        for number in range(ENTRY_COUNT):
+            async with asyncio.timeout(2 * PLAY_S):
+                while not (await self.send_from(number)).startswith(SUCCESS):
+                    await asyncio.sleep(REQUEST_INTERVAL_S)
+            response = await self.send_from(number)
+            self.assertTrue(response.startswith(SUCCESS), response)
+
     async def test_requests_that_waited_for_adapters_are_not_sent_together(
         self,
     ) -> None:
