Keep one copy of the share of a limit, and of the length of logged values

Permits of control members and entries that send without them used the same share and least rate, each with constants of its own; both now ask `policy/rate_share`. Values and behaviour are unchanged.

--- a/src/hemlockkeel/_internal/coordinator/send_permits.py
+++ b/src/hemlockkeel/_internal/coordinator/send_permits.py
@@ -14,12 +14,8 @@
 
 from hemlockkeel._internal.discovery import records
 from hemlockkeel._internal.links import messages
+from hemlockkeel._internal.policy import rate_share
 
-# Part of a limit that one member issues.
-SAFE_SHARE = 0.7
-# Permits a second while a target takes less, so that an entry notices when it
-# takes more again.
-MIN_RATE = 0.2
 # Permits that can be issued at once, and those of a new bucket: another member
 # may have issued some just before.
 MAX_TOKENS = 2.0
@@ -53,7 +49,7 @@
     def rate(self) -> float:
         """Return the permits that are issued per second."""
         assert self.limit is not None
-        return max(MIN_RATE, SAFE_SHARE * self.limit)
+        return rate_share.get_rate(self.limit)
 
     def fill(self, now: float) -> None:
         """Add the permits of the time that has passed."""
--- a/src/hemlockkeel/_internal/relay/rate_limits.py
+++ b/src/hemlockkeel/_internal/relay/rate_limits.py
@@ -16,6 +16,7 @@
 from hemlockkeel._internal.links import dialer
 from hemlockkeel._internal.links import link
 from hemlockkeel._internal.links import messages
+from hemlockkeel._internal.policy import rate_share
 from hemlockkeel._internal.policy import routing
 from hemlockkeel._internal.relay import exchange
 from hemlockkeel._internal.relay import target as target_module
@@ -23,10 +24,6 @@
 from hemlockkeel._internal.utils import instruments
 
 PERMIT_TIMEOUT_S = 0.5
-# Part of a limit that all entries together use without permits, and their
-# requests a second while a target takes less.
-FALLBACK_SHARE = 0.7
-FALLBACK_MIN_RATE = 0.2
 # Time after which the members are asked again.
 FALLBACK_RECHECK_S = 1.0
 MISDIRECTED = 421
@@ -209,8 +206,7 @@
 
         All entries use equal parts of the limit, at random times.
         """
-        rate = max(FALLBACK_MIN_RATE, FALLBACK_SHARE * limit)
-        interval_s = self.get_entry_count() / rate
+        interval_s = self.get_entry_count() / rate_share.get_rate(limit)
         due_at = self.next_at.get(key)
         if due_at is None:
             due_at = self.now + self.rng.uniform(0.0, interval_s)
--- a/src/hemlockkeel/_internal/relay/target_signals.py
+++ b/src/hemlockkeel/_internal/relay/target_signals.py
@@ -4,13 +4,11 @@
 import time
 
 from hemlockkeel._internal.relay import exchange
+from hemlockkeel._internal.relay import rate_limits
 from hemlockkeel._internal.relay import request_context
 from hemlockkeel._internal.relay import target as target_module
 from hemlockkeel._internal.utils import retry_after
 
-# Characters of an invalid header value that are logged.
-MAX_LOGGED_VALUE = 40
-
 
 def record_signals(
     context: request_context.RequestContext,
@@ -44,7 +42,7 @@
         context.log_event(
             "retry_after_invalid",
             target=target.record.instance_id,
-            value=value[:MAX_LOGGED_VALUE],
+            value=value[: rate_limits.MAX_LOGGED_VALUE],
         )
     if requested.delay_s is None:
         return
