Test a harmless request that is aborted at a returned target

It makes certain what once failed in test_harmless_request_at_another_entry_is_served beside load: a request that was contested with a fatal one is sent to the next incarnation before that is announced. With the announcement, its entry counts it as in progress at the crash, blames it alone until the report of the other entry arrives a moment later, and aborts it.

--- a/tests/functional/test_crashing_requests.py
+++ b/tests/functional/test_crashing_requests.py
@@ -190,21 +190,8 @@
 
     async def test_harmless_request_at_another_entry_is_served(self) -> None:
         await self.start_targets(1, ending_target.EndMode.RETURNS, run_s=0.05)
-        target = self.targets[0]
-        for number in range(MAX_CRASHES):
-            harmless = asyncio.create_task(self.send(0, "once/slow"))
-            await self.wait_for(
-                lambda n=number: len(target.server.received) == 2 * n + 1
-            )
-            await self.send_fatal(1)
-            await harmless
-            await self.wait_for(
-                lambda n=number: all(
-                    len(entry.crashes.ledger.crashes) == n + 1
-                    for entry in self.entries
-                )
-            )
-        target.released.set()
+        await self.crash_beside_harmless()
+        self.targets[0].released.set()
         responses = [b""]
         while not responses[-1].startswith(b"HTTP/1.1 200"):
             responses.append(await self.send(0, "once/slow"))
@@ -220,6 +207,55 @@
             len(self.list_fatal_runs()), MAX_CRASHES + MAX_LATE_RUNS
         )
 
+    async def test_harmless_request_at_a_returned_target_is_not_aborted(
+        self,
+    ) -> None:
+        await self.start_targets(1, ending_target.EndMode.RETURNS, run_s=0.05)
+        target = self.targets[0]
+        await self.crash_beside_harmless()
+        # The fourth crash is known after the harmless request is sent again.
+        target.announcement_delay_s = 5.0
+        while len(target.fatal_runs) == MAX_CRASHES:
+            await self.send_fatal(1)
+        received = len(target.server.received)
+        harmless = asyncio.create_task(self.send(0, "once/slow", timeout_s=9))
+        while len(target.server.received) == received:
+            if harmless.done():
+                harmless = asyncio.create_task(
+                    self.send(0, "once/slow", timeout_s=9)
+                )
+            await asyncio.sleep(0.05)
+        await self.wait_for_crashes(MAX_CRASHES + 1)
+        await asyncio.sleep(0.5)
+        target.released.set()
+        response = await harmless
+        self.assertTrue(response.startswith(b"HTTP/1.1 200"), response)
+
+    async def crash_beside_harmless(self) -> None:
+        """Crash a target several times while it runs the same two requests.
+
+        A caller of one entry repeats the harmless request, one of the other
+        entry the fatal one.
+        """
+        target = self.targets[0]
+        for number in range(MAX_CRASHES):
+            harmless = asyncio.create_task(self.send(0, "once/slow"))
+            await self.wait_for(
+                lambda n=number: len(target.server.received) == 2 * n + 1
+            )
+            await self.send_fatal(1)
+            await harmless
+            await self.wait_for_crashes(number + 1)
+
+    async def wait_for_crashes(self, count: int) -> None:
+        """Wait until every entry knows of a number of crashes."""
+        await self.wait_for(
+            lambda: all(
+                len(entry.crashes.ledger.crashes) == count
+                for entry in self.entries
+            )
+        )
+
     async def test_content_that_completes_elsewhere_is_served(self) -> None:
         await self.start_targets(MAX_CRASHES, ending_target.EndMode.REFUSES)
         for target in self.targets:
