Allow a trial at any of the requests that tests expect to be refused

The check now sends three requests, at most one of which may run; before it was two, and only the last response was read. Same bound of fatal runs.

The check that the target is still used now counts all requests after the first notice, and expects half of the limit over the whole play.

The random numbers of entries and control members have fixed seeds in these tests.

--- a/tests/functional/test_fatal_prompt_parts.py
+++ b/tests/functional/test_fatal_prompt_parts.py
@@ -17,6 +17,8 @@
 # Share of the sound requests that is served once the part is known.
 MIN_SOUND_SHARE = 0.5
 TARGET_COUNT = 9
+# Requests that are to be refused; one of them may be a trial.
+REFUSAL_COUNT = 3
 PLAY_S = 2 * CONTACT_S
 FATAL_PART = "bad0"
 SUCCESS = b"HTTP/1.1 200"
@@ -119,15 +121,27 @@
     ) -> None:
         """Check that requests are refused, at most one trial aside.
 
-        The response says when to come back.
+        The responses say when to come back.
         """
         runs = len(self.list_fatal_runs())
-        for _ in range(2):
-            response = await self.send_parts(entry, parts, kind, adapter)
+        responses = []
+        for _ in range(REFUSAL_COUNT):
+            responses.append(
+                await self.send_parts(entry, parts, kind, adapter)
+            )
             await self.settle()
-        self.assertTrue(response.startswith(b"HTTP/1.1 503"), response)
-        self.assertIn(b"Retry-After", response)
+        self.check_refusals(responses, runs)
+
+    def check_refusals(self, responses: list[bytes], runs: int) -> None:
+        """Check that all requests but at most one, a trial, were refused.
+
+        ``runs`` is the number of fatal requests that had run before.
+        """
         self.assertLessEqual(len(self.list_fatal_runs()), runs + 1)
+        refused = [r for r in responses if r.startswith(b"HTTP/1.1 503")]
+        self.assertGreaterEqual(len(refused), len(responses) - 1, responses)
+        for response in refused:
+            self.assertIn(b"Retry-After", response)
 
     async def end_targets(self, count: int, parts: str) -> None:
         """Send requests that end targets, one after the other."""
@@ -248,11 +262,12 @@
             await self.settle()
             await asyncio.sleep(0.6)
         self.assertLessEqual(len(self.list_fatal_runs()), MAX_ENDS)
-        for _ in range(2):
-            # The first one may be a trial.
-            response = await self.send(0, "stream/fatal", extra=extra)
+        runs = len(self.list_fatal_runs())
+        responses = []
+        for _ in range(REFUSAL_COUNT):
+            responses.append(await self.send(0, "stream/fatal", extra=extra))
             await self.settle()
-        self.assertTrue(response.startswith(b"HTTP/1.1 503"), response)
+        self.check_refusals(responses, runs)
         async with asyncio.timeout(2 * CONTACT_S):
             response = b""
             while not response.startswith(SUCCESS):
--- a/tests/functional/test_rate_limits.py
+++ b/tests/functional/test_rate_limits.py
@@ -17,6 +17,8 @@
 WINDOW_S = 4.0
 LIMIT_RATIO = 1.5
 EXTRA_REQUESTS = 5
+# Part of a limit that is used at least while there are enough requests.
+MIN_USED_SHARE = 0.5
 PLAY_S = CONTACT_S + 1.25 * WINDOW_S
 REQUEST_INTERVAL_S = 0.05
 SUCCESS = b"HTTP/1.1 200"
@@ -101,8 +103,12 @@
         await self.play(PLAY_S, list(range(ENTRY_COUNT)))
         self.check_limit(1.0)
         self.assertGreater(sum(self.served) / len(self.served), 0.95)
-        # The target still gets some of what it takes.
-        self.assertGreater(self.count_most(0.0), 1)
+        # The target still gets some of what it takes, from any entry.
+        told_at = self.targets[0].arrivals[0][0] + NOTICE_S
+        later = [at for at, _ in self.targets[0].arrivals if at > told_at]
+        self.assertGreaterEqual(
+            len(later), MIN_USED_SHARE * (PLAY_S - NOTICE_S)
+        )
 
     async def test_callers_of_a_target_alone_are_told_when_to_return(
         self,
--- a/tests/lib/relay_fleet.py
+++ b/tests/lib/relay_fleet.py
@@ -64,6 +64,7 @@
             (self.api_port, self.link_port),
             frozenset({self.get_link_address(number)}),
         )
+        member.send_permits.rng.seed(number)
         await member.start()
         self.members[number] = member
         for record in self.announced:
@@ -102,6 +103,12 @@
             configuration.JsonConfigurationCodec(),
             logs.make_log(),
         )
+        for rng in (
+            entry.crashes.memory.rng,
+            entry.rate_limits.rng,
+            entry.shared.rng,
+        ):
+            rng.seed(len(self.entries))
         entry.shared.reserve_share = self.make_reserve_share()
         # Targets announce themselves only when they start here.
         entry.registry.max_silence_s = math.inf
