Try a blamed part with sound requests before ambiguous ones

A popular part that was at one crash more than the fatal one is blamed alone, and the fatal part counts as explained. A fatal request was then as good a trial as a sound one; if callers sent it more often, it was taken each time, and each failed trial quadrupled the wait. Requests with several traits that may be to blame now wait twice as long.

--- a/src/hemlockkeel/_internal/relay/suspect_admission.py
+++ b/src/hemlockkeel/_internal/relay/suspect_admission.py
@@ -35,6 +35,9 @@
 # wrong, and then no other request would clear it.
 RETRIAL_RATIO = 2.0
 RETRIAL_GROWTH = 4.0
+# Requests with several traits that may be to blame are tried this many times
+# later than others, which clear a harmless trait if they complete.
+AMBIGUOUS_RATIO = 2.0
 MAX_RETRIAL_DELAY_S = 1800.0
 
 
@@ -60,13 +63,19 @@
     losses: tuple[float, ...]
 
 
-def get_retrial_delay_s(trial_delay_s: float, failed_trials: int) -> float:
+def get_retrial_delay_s(
+    trial_delay_s: float, failed_trials: int, ambiguous: bool
+) -> float:
     """Return the time from a crash until a blamed trait is tried, seconds.
 
-    ``trial_delay_s`` is this entry's draw from `TRIAL_DELAY_S`.
+    ``trial_delay_s`` is this entry's draw from `TRIAL_DELAY_S`;
+    ``ambiguous`` tells whether the request may have several traits to blame.
     """
-    growth = RETRIAL_GROWTH ** min(10, failed_trials)
-    return min(MAX_RETRIAL_DELAY_S, trial_delay_s * RETRIAL_RATIO * growth)
+    delay_s = trial_delay_s * RETRIAL_RATIO
+    delay_s *= RETRIAL_GROWTH ** min(10, failed_trials)
+    if ambiguous:
+        delay_s *= AMBIGUOUS_RATIO
+    return min(MAX_RETRIAL_DELAY_S, delay_s)
 
 
 def find_hold(
--- a/src/hemlockkeel/_internal/relay/suspects.py
+++ b/src/hemlockkeel/_internal/relay/suspects.py
@@ -75,16 +75,39 @@
             if trait not in reasons
         ):
             return False
+        ambiguous = self.has_other_reason(reasons, request)
         return all(
-            self.now >= self.get_next_trial_at(trait) for trait in reasons
+            self.now >= self.get_next_trial_at(trait, ambiguous)
+            for trait in reasons
         )
 
-    def get_next_trial_at(self, trait: ids.Trait) -> float:
-        """Return the loop time at which a blamed trait may be tried."""
+    def has_other_reason(
+        self,
+        reasons: collections.abc.Set[ids.Trait],
+        request: traits_module.RequestTraits,
+    ) -> bool:
+        """Return whether a crash would not tell what a request's reason is.
+
+        This is so if it has several blamed traits, or another shared one that
+        was at several crashes, even if those are explained.
+        """
+        return len(reasons) > 1 or any(
+            trait in self.ledger.repeated
+            for trait in request.shared
+            if trait not in reasons
+        )
+
+    def get_next_trial_at(self, trait: ids.Trait, ambiguous: bool) -> float:
+        """Return the loop time at which a blamed trait may be tried.
+
+        ``ambiguous`` tells whether the request has other possible reasons.
+        """
         crashes = self.ledger.list_crashes(trait)
         trials = self.memory.get_trials(trait)
         delay_s = suspect_admission.get_retrial_delay_s(
-            self.memory.get_trial_delay_s(trait, len(crashes)), trials.failed
+            self.memory.get_trial_delay_s(trait, len(crashes)),
+            trials.failed,
+            ambiguous,
         )
         # That a target has crashed may not be known yet.
         return max(trials.sent_at, *(each.at for each in crashes)) + delay_s
--- a/tests/functional/test_fatal_prompt_parts.py
+++ b/tests/functional/test_fatal_prompt_parts.py
@@ -217,6 +217,35 @@
                     response = await self.send_parts(number, "aa")
         await self.check_refused(0, f"aa {FATAL_PART}")
 
+    async def test_popular_part_at_one_more_crash_is_tried_by_sound_requests(
+        self,
+    ) -> None:
+        await self.start_fleet()
+        # With these, fatal requests were tried first, again and again.
+        for number, entry in enumerate(self.entries):
+            entry.crashes.memory.rng.seed(90 + number)
+        # No request has completed, so that the popular part is blamed alone.
+        running = asyncio.create_task(self.send_parts(0, "aa", "stream/slow"))
+        await self.wait_for(lambda: any(t.slow_runs for t in self.targets))
+        await next(each for each in self.targets if each.slow_runs).end()
+        await running
+        await asyncio.sleep(0.6)
+        await self.end_targets(2, f"aa {FATAL_PART}")
+        fatal = asyncio.create_task(self.repeat_parts(f"aa {FATAL_PART}"))
+        self.addCleanup(fatal.cancel)
+        for number in range(len(self.entries)):
+            async with asyncio.timeout(2 * CONTACT_S):
+                while not (await self.send_parts(number, "aa")).startswith(
+                    SUCCESS
+                ):
+                    await asyncio.sleep(0.2)
+
+    async def repeat_parts(self, parts: str) -> None:
+        """Send requests at all entries again and again."""
+        for number in itertools.cycle(range(len(self.entries))):
+            await self.send_parts(number, parts)
+            await asyncio.sleep(0.01)
+
     async def test_popular_part_survives_targets_that_end_together(
         self,
     ) -> None:
--- a/tests/unit/test_suspect_admission.py
+++ b/tests/unit/test_suspect_admission.py
@@ -45,10 +45,13 @@
 
     def test_blamed_shared_trait_is_tried_after_growing_delays(self) -> None:
         delays = [
-            suspect_admission.get_retrial_delay_s(2.0, failed)
+            suspect_admission.get_retrial_delay_s(2.0, failed, ambiguous)
             for failed in (0, 1, 2, 99)
+            for ambiguous in (False, True)
         ]
-        self.assertEqual(delays, [4.0, 16.0, 64.0, 1800.0])
+        self.assertEqual(
+            delays, [4.0, 8.0, 16.0, 32.0, 64.0, 128.0, 1800.0, 1800.0]
+        )
 
     def test_one_copy_of_a_suspect_at_a_time(self) -> None:
         state = dataclasses.replace(SUSPECTED, copies=1)
