Let agents apply the outcome of a crash report before they run more

A trace shows the adapter quarantined at its third crash, and four more runs within 0.5 s at the two agents that had reported those crashes: they, like entries, learn of a quarantine with their next heartbeat only.

Ruled out: a report that was late or lost (each was committed 4 ms after it was sent).

--- a/src/hemlockkeel/_internal/agent/crashes.py
+++ b/src/hemlockkeel/_internal/agent/crashes.py
@@ -22,16 +22,24 @@
 class CrashReporter:
     """Commits one crash report per boot of the target.
 
-    Failed runs wait for the report, so that a request is already suspected
-    when its caller retries it. While control does not answer, the report is
-    sent again in the background.
+    Failed runs wait until the report is committed and this agent has its
+    outcome, so that it does not run a request for which its target has just
+    crashed. While control does not answer, the report is sent again in the
+    background.
+
+    ``refresh`` waits, for at most a number of seconds, until the agent's view
+    has all that is committed.
     """
 
     def __init__(
-        self, control: control_client.ControlClient, target_id: str
+        self,
+        control: control_client.ControlClient,
+        target_id: str,
+        refresh: collections.abc.Callable[[float], bool],
     ) -> None:
         self.control = control
         self.target_id = target_id
+        self.refresh = refresh
         self.lock = threading.Lock()
         self.reports: dict[str, concurrent.futures.Future[None]] = {}
         self.stopping = threading.Event()
@@ -96,6 +104,8 @@
         while True:
             try:
                 self.control.propose(command, REPORT_TIMEOUT_S)
+                if not self.refresh(REPORT_TIMEOUT_S):
+                    logs.log_error("crash_report_unseen", boot=boot_id)
                 return
             except ttypes.RpcFault as error:
                 logs.log_error("crash_report_lost", reason=error)
--- a/src/hemlockkeel/_internal/agent/process.py
+++ b/src/hemlockkeel/_internal/agent/process.py
@@ -161,7 +161,9 @@
         :raises UnreachableError: when the target does not respond yet.
         """
         host, port = client.parse_address(self.settings.target_address)
-        reporter = crashes.CrashReporter(self.control, self.settings.target_id)
+        reporter = crashes.CrashReporter(
+            self.control, self.settings.target_id, self.follower.refresh
+        )
         if self.settings.kind is members.TargetKind.PLAIN:
             return plain_driver.PlainDriver(
                 host,
--- a/src/hemlockkeel/_internal/follower/follower.py
+++ b/src/hemlockkeel/_internal/follower/follower.py
@@ -71,6 +71,10 @@
         self.superseded = False
         self.heartbeat_interval_s = DEFAULT_HEARTBEAT_INTERVAL_S
         self.wake_event = threading.Event()
+        # When the last heartbeat that was answered had been sent, on the
+        # monotonic clock.
+        self.renewal_sent_at = float("-inf")
+        self.renewed = threading.Condition()
         self.stopping = threading.Event()
         self.logged_state = FollowerState.JOINING
         self.thread = threading.Thread(
@@ -93,6 +97,18 @@
         self.leaving = True
         self.wake_event.set()
 
+    def refresh(self, timeout_s: float) -> bool:
+        """Wait until the view has all that is committed now.
+
+        Returns False if that took longer than ``timeout_s``.
+        """
+        asked_at = self.clock.monotonic()
+        self.wake_event.set()
+        with self.renewed:
+            return self.renewed.wait_for(
+                lambda: self.renewal_sent_at >= asked_at, timeout_s
+            )
+
     def get_state(self) -> FollowerState:
         """Return whether this process may accept new requests now."""
         if self.superseded:
@@ -174,6 +190,9 @@
         # here before it does on the leader.
         self.lease.expires_at = sent_at + reply.lease_ms / 1000.0
         self.heartbeat_interval_s = reply.interval_ms / 1000.0
+        with self.renewed:
+            self.renewal_sent_at = sent_at
+            self.renewed.notify_all()
         return True
 
     def handle_rejection(self, fault: ttypes.RpcFault) -> None:
--- a/tests/functional/test_outcomes.py
+++ b/tests/functional/test_outcomes.py
@@ -3,7 +3,9 @@
 import concurrent.futures
 import threading
 import unittest
+import unittest.mock
 
+from hemlockkeel._internal.control import leases
 from hemlockkeel._internal.policy import limits
 from hemlockkeel._internal.standins import engine
 from tests.lib import calls
@@ -387,13 +389,35 @@
             self.assertNotEqual(200, reply.status)
         self.assertEqual("quarantined", reply.error["code"])
         self.assertEqual("not_run", reply.error["verdict"])
-        runs = sum(
-            self.cluster.count_runs(f"prompt {number}") for number in range(10)
-        )
-        self.assertLessEqual(runs, 5)
+        self.assertLessEqual(self.count_prompt_runs(), 5)
         reply = calls.complete(self.urls[0], "club-1@1", "sound", 4)
         self.assertEqual(200, reply.status, reply.body)
 
+    def test_agents_that_saw_the_crashes_refuse_the_adapter_at_once(
+        self,
+    ) -> None:
+        for stand_in in self.cluster.engines:
+            stand_in.faults.crash_adapter = "club-2@1"
+        # Others learn of a quarantine with their next heartbeats.
+        calls.complete(self.urls[0], "club-1@1", "warm up", 1)
+        interval = unittest.mock.patch.object(
+            leases, "HEARTBEAT_INTERVAL_S", 1.4
+        )
+        interval.start()
+        self.addCleanup(interval.stop)
+        threading.Event().wait(1.0)
+        for number in range(10):
+            calls.complete(
+                self.urls[number % 2], "club-2@1", f"prompt {number}", 4
+            )
+        self.assertLessEqual(self.count_prompt_runs(), 5)
+
+    def count_prompt_runs(self) -> int:
+        """Return how many of the numbered prompts engines began to run."""
+        return sum(
+            self.cluster.count_runs(f"prompt {number}") for number in range(10)
+        )
+
     def test_fatal_content_does_not_quarantine_its_adapter(self) -> None:
         for stand_in in self.cluster.engines:
             stand_in.faults.crash_marker = "POISON"
--- a/tests/unit/test_agent_crashes.py
+++ b/tests/unit/test_agent_crashes.py
@@ -153,7 +153,7 @@
         self.control = FakeControl()
         self.catalog = FakeCatalog()
         self.reporter = crashes.CrashReporter(
-            typing.cast(typing.Any, self.control), "t1"
+            typing.cast(typing.Any, self.control), "t1", lambda timeout_s: True
         )
         self.addCleanup(self.reporter.stop)
         self.store = answers.AnswerStore()
