Report a crash under the boot at which the request ran

A run that ended with its engine reported the boot that the driver knew at that moment. If the monitor had seen the restart in between, that was the new one: the request got a second crash for one, and the next crash of the engine was taken for reported and lost. Each attempt now keeps the boot at which it started.

Found by reading, after a crash of a fatal adapter seemed to be missing; no run has shown it outside the test, which failed before (reports of b1 and b2) and passes now.

--- a/src/hemlockkeel/_internal/agent/engine_driver.py
+++ b/src/hemlockkeel/_internal/agent/engine_driver.py
@@ -190,6 +190,8 @@
             self.scheduler.mark_suspects(catalog.is_suspect)
             expired = self.scheduler.take_expired(now)
             started = self.scheduler.start_ready(now)
+            for work in started:
+                self.active_attempts[work.request_id].boot_id = self.boot_id
             preempted = self.scheduler.preempt_for_starving(now)
         self.fail_queued(
             quarantined,
@@ -310,17 +312,20 @@
             self.end_failed(active, refusal)
             return
         if error.crashed:
-            self.report_crash()
+            self.report_crash(active.boot_id)
         self.end_failed(
             active,
             outcomes.Refused(error.code, error.message, error.verdict),
         )
 
-    def report_crash(self) -> None:
-        """Report a crash of the engine, with all requests in its batch."""
+    def report_crash(self, boot_id: str) -> None:
+        """Report the end of a boot of the engine, with its batch."""
         with self.lock:
-            running = list(self.scheduler.running.values())
-            boot_id = self.boot_id
+            running = [
+                active.work
+                for active in self.active_attempts.values()
+                if active.boot_id == boot_id
+            ]
         digests = {work.digest for work in running}
         keys = {key for work in running for key in work.suspect_keys}
         self.reporter.report(boot_id, sorted(digests), sorted(keys - digests))
@@ -381,7 +386,7 @@
             "engine_restarted", target=self.target_id, boot=identity.boot_id
         )
         if self.scheduler.running:
-            self.report_crash()
+            self.report_crash(self.boot_id)
         with self.lock:
             self.identity = identity
             self.boot_id = identity.boot_id
--- a/src/hemlockkeel/_internal/agent/engine_run.py
+++ b/src/hemlockkeel/_internal/agent/engine_run.py
@@ -29,6 +29,8 @@
     work: scheduler.WorkItem
     key: driver.AttemptKey
     cancelled: bool = False
+    # Start of the engine at which the attempt runs; empty while it is queued.
+    boot_id: str = ""
 
 
 def make_active_attempt(order: ttypes.WorkOrder, now: float) -> ActiveAttempt:
--- a/tests/unit/test_agent_crashes.py
+++ b/tests/unit/test_agent_crashes.py
@@ -216,6 +216,22 @@
         self.wait_for(lambda: not self.driver.scheduler.running)
         self.assertEqual([r.boot_id for r in self.control.reports], ["b1"])
 
+    def test_run_that_ends_after_the_restart_does_not_report_the_new_boot(
+        self,
+    ) -> None:
+        def is_same_boot() -> bool:
+            # The monitor sees the restart just after the run has.
+            self.engine.boot_id = "b2"
+            self.driver.check_boot(self.engine.get_identity())
+            return False
+
+        self.driver.is_same_boot = is_same_boot  # type: ignore
+        self.submit(self.driver, "bad")
+        self.engine.wait_for_start("bad")
+        self.engine.crash()
+        self.wait_for(lambda: not self.driver.active_attempts)
+        self.assertEqual([r.boot_id for r in self.control.reports], ["b1"])
+
     def test_queued_request_does_not_start_once_it_is_quarantined(
         self,
     ) -> None:
