Start no work at a crashed engine until it has been seen again

The driver learned of a restart from its monitor, up to 0.25 s after the engine was back. A request that started before that ran with the adapters of the boot before (502 "engine_failed" in the trace of the fatal adapter), and if it crashed the engine, the crash was taken for the one reported already: one crash fewer towards its quarantine.

--- a/src/hemlockkeel/_internal/agent/engine_driver.py
+++ b/src/hemlockkeel/_internal/agent/engine_driver.py
@@ -63,6 +63,8 @@
         self.adapters_to_restore: list[adapters.AdapterRef] = []
         self.identity = engine.get_identity()
         self.boot_id = self.identity.boot_id
+        # Whether the engine may have restarted since `boot_id` was read.
+        self.boot_unknown = False
         self.lock = threading.RLock()
         self.scheduler = self.make_scheduler()
         # Until then, runs that a previous agent started may use any loaded
@@ -175,6 +177,10 @@
     def schedule(self) -> None:
         """Start the queued work that can run now, and wake the loader.
 
+        Nothing starts after a crash until the monitor has seen the engine
+        again: its adapters are gone, and a crash of its next boot would be
+        reported as the one before.
+
         Work past its deadline is refused, as is work whose content has been
         quarantined while it was queued. Work that is preempted, so that
         starving work gets its adapter's slot, is refused as well; entries
@@ -189,7 +195,9 @@
             )
             self.scheduler.mark_suspects(catalog.is_suspect)
             expired = self.scheduler.take_expired(now)
-            started = self.scheduler.start_ready(now)
+            started = (
+                [] if self.boot_unknown else self.scheduler.start_ready(now)
+            )
             for work in started:
                 self.active_attempts[work.request_id].boot_id = self.boot_id
             preempted = self.scheduler.preempt_for_starving(now)
@@ -312,6 +320,9 @@
             self.end_failed(active, refusal)
             return
         if error.crashed:
+            with self.lock:
+                if active.boot_id == self.boot_id:
+                    self.boot_unknown = True
             self.report_crash(active.boot_id)
         self.end_failed(
             active,
@@ -364,7 +375,11 @@
         """Check for restarts and cache events until stopped."""
         while not self.stopping.wait(MONITOR_INTERVAL_S):
             try:
+                # A crash while the engine is asked is checked the next time.
+                was_unknown = self.boot_unknown
                 self.check_boot(self.engine.get_identity())
+                if was_unknown:
+                    self.boot_unknown = False
                 self.read_cache_events()
             except (
                 exceptions.UnreachableError,
@@ -390,6 +405,7 @@
         with self.lock:
             self.identity = identity
             self.boot_id = identity.boot_id
+            self.boot_unknown = False
             if self.preloads:
                 self.adapters_to_restore = self.scheduler.rank_slots(
                     time.monotonic()
--- a/tests/unit/test_agent_crashes.py
+++ b/tests/unit/test_agent_crashes.py
@@ -232,6 +232,23 @@
         self.wait_for(lambda: not self.driver.active_attempts)
         self.assertEqual([r.boot_id for r in self.control.reports], ["b1"])
 
+    def test_crashes_in_a_row_are_all_reported(self) -> None:
+        for number in (1, 2):
+            self.submit(self.driver, f"bad{number}")
+            if number > 1:
+                # The restart has not been seen yet.
+                self.assertNotIn(f"bad{number}", self.engine.started)
+                self.driver.check_boot(self.engine.get_identity())
+                self.driver.schedule()
+            self.engine.wait_for_start(f"bad{number}")
+            self.engine.boot_id = f"b{number + 1}"
+            self.engine.crash()
+            self.wait_for(lambda: not self.driver.active_attempts)
+            self.engine.crashed = False
+        self.assertEqual(
+            [r.boot_id for r in self.control.reports], ["b1", "b2"]
+        )
+
     def test_queued_request_does_not_start_once_it_is_quarantined(
         self,
     ) -> None:
