Go on to manage an engine that ended just after an order

Callers got 503 "the engine does not answer" for all requests that one engine should run, until its agent was restarted. After an accepted order the agent reads the engine's report again; if the engine has ended in between, there is no report, and an assertion ended the agent's control loop without a word.

The new test timed out before and passes now.

--- a/src/hemlockkeel/_internal/orders/adapter_manager.py
+++ b/src/hemlockkeel/_internal/orders/adapter_manager.py
@@ -271,7 +271,9 @@
             order = self.choose_order()
             if order is None or not await self.send_order(order):
                 break
-        assert self.report is not None
+        if self.report is None:
+            # The engine was lost after an order.
+            return False
         return bool(
             self.requests.waiters or self.report.loading or self.report.busy
         )
--- a/tests/unit/test_adapter_orders.py
+++ b/tests/unit/test_adapter_orders.py
@@ -88,6 +88,8 @@
         self.evicted_in_use: list[str] = []
         self.in_use: set[str] = set()
         self.unreachable = False
+        # Whether it ends just after its next order.
+        self.ends_at_order = False
         self.leaving = False
 
     async def read_report(self) -> engine.Report:
@@ -115,6 +117,9 @@
         if self.rng.random() < self.lost_reply_share:
             self.delayed_orders.append(order)
             return engine.Reply.UNKNOWN
+        if self.ends_at_order:
+            self.unreachable, self.ends_at_order = True, False
+            return engine.Reply.ACCEPTED
         return self.execute(order)
 
     def execute(self, order: engine.FencedOrder) -> engine.Reply:
@@ -430,6 +435,19 @@
         await self.run_cycles(manager, 4)
         self.assertTrue((await task).granted)
 
+    async def test_engine_that_ends_after_an_order_is_used_again(self) -> None:
+        client = FakeEngine(random.Random(1))
+        manager = make_manager(client)
+        client.ends_at_order = True
+        running = asyncio.create_task(manager.run())
+        self.addCleanup(running.cancel)
+        async with asyncio.timeout(10.0):
+            while not client.unreachable:
+                await self.ensure(manager, "e", 1, "a")
+            client.unreachable = False
+            while not (await self.ensure(manager, "e", 2, "a")).granted:
+                await asyncio.sleep(0.01)
+
     async def test_engine_that_leaves_gets_no_more_work(self) -> None:
         client = FakeEngine(random.Random(1))
         manager = make_manager(client)
