Require the newest version of an adapter at targets without an agent

Its log: the agents were killed at 27.7 s, the entry sent the request at 28.6 s without a grant (adapter_wait 0.1 ms), as the target had the adapter loaded, and named no version. Nobody had replaced the older one at that target: its agent had been slowed and its orders applied late.

Entries now remember the versions that control members tell them, which they got already, and name the newest one; a target with another one refuses, which means not run. Ruled out: a stale grant (there was none).

--- a/src/hemlockkeel/_internal/relay/adapters.py
+++ b/src/hemlockkeel/_internal/relay/adapters.py
@@ -34,6 +34,18 @@
     def __init__(self, agents: dialer.DialerSet, agent_port: int) -> None:
         self.agents = agents
         self.agent_port = agent_port
+        # Newest versions of the adapters for which one has been named.
+        self.newest_versions: dict[tuple[str, str], int] = {}
+
+    def record_versions(self, message: messages.VersionsUpdate) -> None:
+        """Remember the newest versions of adapters."""
+        for model, adapter, version in message.versions:
+            known = self.get_newest_version(model, adapter)
+            self.newest_versions[model, adapter] = max(known, version)
+
+    def get_newest_version(self, model: str, adapter: str) -> int:
+        """Return the newest version of an adapter; 0 if none is named."""
+        return self.newest_versions.get((model, adapter), 0)
 
     def get_agent_address(self, target_address: str) -> str:
         """Return the address of a target's agent, on the same instance."""
--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -72,8 +72,9 @@
         self.context.adapter_wait_s += waited_s
         self.context.shared.instruments.adapter_wait.observe(waited_s)
         if grant is None:
-            # Without an agent, the target may still have the adapter loaded.
-            return await self.send(None)
+            # Without an agent, the target may still have the adapter loaded,
+            # but nobody has replaced an older version.
+            return await self.send(self.get_newest_version() or None)
         try:
             if not grant.granted:
                 self.context.record_expected_wait(grant.expected_wait_s)
@@ -82,6 +83,13 @@
         finally:
             client.release(grant)
 
+    def get_newest_version(self) -> int:
+        """Return the newest version of the adapter; 0 if none is named."""
+        metadata = self.context.metadata
+        return self.context.shared.adapter_client.get_newest_version(
+            metadata.model, metadata.adapter
+        )
+
     def make_adapter_request(self) -> messages.EnsureAdapter:
         """Return the message that asks the agent for the adapter."""
         metadata = self.context.metadata
--- a/src/hemlockkeel/_internal/relay/process.py
+++ b/src/hemlockkeel/_internal/relay/process.py
@@ -84,6 +84,7 @@
             case messages.MembersUpdate():
                 self.entry.on_members_update(address, message)
             case messages.VersionsUpdate():
+                self.entry.adapter_client.record_versions(message)
                 if address not in self.without_versions:
                     self.entry.crashes.handle_new_versions(message)
                 self.without_versions.discard(address)
