Tell agents the newest version of an adapter with each request

Entries name the newest version that they know; the field is the last one of the message, which older builds ignore.

The new test was granted version 1 instead of 2 before, and passes now.

--- a/src/hemlockkeel/_internal/links/messages.py
+++ b/src/hemlockkeel/_internal/links/messages.py
@@ -156,6 +156,8 @@
     prompt_tokens: int = 0
     # Id of the request for logs.
     request_id: str = ""
+    # Newest version of the adapter that the entry knows; 0 if none is named.
+    newest_version: int = 0
 
 
 class AdapterGrant(Message, frozen=True, tag=True, kw_only=True):
--- a/src/hemlockkeel/_internal/orders/adapter_manager.py
+++ b/src/hemlockkeel/_internal/orders/adapter_manager.py
@@ -76,6 +76,10 @@
         to happen in time.
         """
         self.requested_model = call.model
+        # The entry may have heard of it first, as after a start of the agent.
+        self.requests.record_version(
+            (call.model, call.adapter), call.newest_version
+        )
         refusal = self.find_refusal((call.model, call.adapter))
         if refusal is not None:
             self.log_refusal(call, refusal)
--- a/src/hemlockkeel/_internal/orders/process.py
+++ b/src/hemlockkeel/_internal/orders/process.py
@@ -134,10 +134,8 @@
                 self.configurations.handle_message(peer, message)
             case messages.VersionsUpdate():
                 for model, adapter, version in message.versions:
-                    key = (model, adapter)
-                    known = self.manager.requests.newest_versions.get(key, 0)
-                    self.manager.requests.newest_versions[key] = max(
-                        known, version
+                    self.manager.requests.record_version(
+                        (model, adapter), version
                     )
                 self.manager.wakeup.set()
             case messages.RecordsUpdate():
--- a/src/hemlockkeel/_internal/orders/requests.py
+++ b/src/hemlockkeel/_internal/orders/requests.py
@@ -108,6 +108,11 @@
         # Moving average of the share of grants of each priority.
         self.grant_shares = [0.0] * PRIORITY_RANKS
 
+    def record_version(self, key: slots.AdapterKey, version: int) -> None:
+        """Remember the newest version of an adapter; 0 names none."""
+        if version > self.newest_versions.get(key, 0):
+            self.newest_versions[key] = version
+
     def add(
         self, call_key: CallKey, request: messages.EnsureAdapter, now: float
     ) -> Waiter:
--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -102,6 +102,7 @@
             slo_budget_s=limits.get_slo_budget_s(self.context.now),
             prompt_tokens=limits.uncached_tokens,
             request_id=metadata.request_id,
+            newest_version=self.get_newest_version(),
         )
 
     def get_wait_limits(self) -> waits.WaitLimits:
--- a/tests/unit/test_adapter_orders.py
+++ b/tests/unit/test_adapter_orders.py
@@ -223,6 +223,18 @@
         await self.run_cycles(manager, 4)
         self.assertEqual((await task).version, 2)
 
+    async def test_version_that_only_the_entry_knows_is_loaded(self) -> None:
+        client = FakeEngine(random.Random(1))
+        client.loaded = {"a": 1}
+        client.newest_version = 2
+        manager = make_manager(client)
+        await manager.refresh()
+        call = msgspec.structs.replace(make_call("a"), newest_version=2)
+        task = asyncio.create_task(manager.ensure_adapter("e", call))
+        await asyncio.sleep(0)
+        await self.run_cycles(manager, 4)
+        self.assertEqual((await task).version, 2)
+
     async def test_refused_fencing_token_is_increased(self) -> None:
         client = FakeEngine(random.Random(1))
         client.highest_fence = 1_000_000
