Start loops and links again that end with an unexpected error

The cause of the agent that stopped managing its engine, looked for elsewhere: any loop of a process, and any link that it dials, ended for good at the first exception that its code does not expect, and nothing was logged before the process exited, as the task is still referenced.

The new test of a link whose handler fails waits in vain on the code before, and passes now. Not covered: links that a process accepts; the peer dials those again.

--- a/src/hemlockkeel/_internal/coordinator/process.py
+++ b/src/hemlockkeel/_internal/coordinator/process.py
@@ -34,6 +34,7 @@
 from hemlockkeel._internal.utils import event_process
 from hemlockkeel._internal.utils import http_service
 from hemlockkeel._internal.utils import metrics
+from hemlockkeel._internal.utils import supervision
 
 LEADER_CHECK_INTERVAL_S = 0.2
 JOIN_INTERVAL_S = 0.5
@@ -124,10 +125,13 @@
         self.node.start()
         await self.api.start(self.settings.host, self.settings.api_port)
         self.tasks = [
-            self.loop.create_task(self.run_leader_loop()),
-            self.loop.create_task(self.run_join_loop()),
-            self.loop.create_task(self.run_members_loop()),
-            self.loop.create_task(self.run_records_loop()),
+            self.loop.create_task(supervision.keep_running(work, self.log))
+            for work in (
+                self.run_leader_loop,
+                self.run_join_loop,
+                self.run_members_loop,
+                self.run_records_loop,
+            )
         ]
         self.log.write(
             "control_member",
--- a/src/hemlockkeel/_internal/links/dialer.py
+++ b/src/hemlockkeel/_internal/links/dialer.py
@@ -9,6 +9,7 @@
 from hemlockkeel._internal.links import link
 from hemlockkeel._internal.links import messages
 from hemlockkeel._internal.utils import event_log
+from hemlockkeel._internal.utils import supervision
 
 CONNECT_TIMEOUT_S = 1.0
 # Delay before reconnecting; short because a restarted peer is back within
@@ -81,7 +82,9 @@
         self.listener = listener
         self.log = log
         self.link: link.Link | None = None
-        self.task = asyncio.get_running_loop().create_task(self.run())
+        self.task = asyncio.get_running_loop().create_task(
+            supervision.keep_running(self.run, log)
+        )
 
     async def run(self) -> None:
         """Connect and reconnect until the task is cancelled."""
--- a/src/hemlockkeel/_internal/orders/process.py
+++ b/src/hemlockkeel/_internal/orders/process.py
@@ -24,6 +24,7 @@
 from hemlockkeel._internal.routes import table
 from hemlockkeel._internal.utils import event_log
 from hemlockkeel._internal.utils import event_process
+from hemlockkeel._internal.utils import supervision
 
 # Interval between load updates to entries.
 LOAD_UPDATE_INTERVAL_S = 0.15
@@ -101,9 +102,12 @@
         self.connect_control()
         await self.links.start(self.settings.host, self.settings.link_port)
         self.tasks = [
-            loop.create_task(self.manager.run()),
-            loop.create_task(self.publish_load_updates()),
-            loop.create_task(self.maintain_fence()),
+            loop.create_task(supervision.keep_running(work, self.log))
+            for work in (
+                self.manager.run,
+                self.publish_load_updates,
+                self.maintain_fence,
+            )
         ]
 
     async def stop(self) -> None:
--- a/src/hemlockkeel/_internal/relay/process.py
+++ b/src/hemlockkeel/_internal/relay/process.py
@@ -27,6 +27,7 @@
 from hemlockkeel._internal.utils import event_log
 from hemlockkeel._internal.utils import event_process
 from hemlockkeel._internal.utils import http_service
+from hemlockkeel._internal.utils import supervision
 
 HOUSEKEEPING_INTERVAL_S = 0.5
 SILENCE_CHECK_INTERVAL_S = 0.25
@@ -204,8 +205,12 @@
             self.settings.host, self.settings.caller_port
         )
         loop = asyncio.get_running_loop()
-        self.housekeeping_task = loop.create_task(self.run_housekeeping())
-        self.silence_task = loop.create_task(self.run_silence_checks())
+        self.housekeeping_task = loop.create_task(
+            supervision.keep_running(self.run_housekeeping, self.log)
+        )
+        self.silence_task = loop.create_task(
+            supervision.keep_running(self.run_silence_checks, self.log)
+        )
 
     async def stop(self) -> None:
         """Serve until callers have moved, then finish pending requests.
--- /dev/null
+++ b/tests/unit/test_supervision.py
@@ -0,0 +1,98 @@
+"""Loops of processes that fail unexpectedly."""
+
+import asyncio
+import unittest
+import unittest.mock
+
+from hemlockkeel._internal.links import dialer
+from hemlockkeel._internal.links import link
+from hemlockkeel._internal.links import messages
+from hemlockkeel._internal.links import server
+from hemlockkeel._internal.utils import supervision
+from tests.lib import logs
+from tests.lib import ports
+
+WAIT_S = 10.0
+
+
+class TestKeepRunning(unittest.IsolatedAsyncioTestCase):
+    """Loops that are started again."""
+
+    async def test_loop_runs_again_after_an_error(self) -> None:
+        log = logs.make_log()
+        work = unittest.mock.AsyncMock(
+            side_effect=[AssertionError("no report"), KeyError("x"), None]
+        )
+        with unittest.mock.patch.object(supervision, "RESTART_DELAY_S", 0.0):
+            await asyncio.wait_for(supervision.keep_running(work, log), WAIT_S)
+        self.assertEqual([name for name, _ in log.lines], ["loop_failed"] * 2)
+        self.assertIn("no report", str(log.lines[0]))
+
+    async def test_loop_ends_when_it_is_cancelled(self) -> None:
+        task = asyncio.create_task(
+            supervision.keep_running(asyncio.Event().wait, logs.make_log())
+        )
+        await asyncio.sleep(0)
+        task.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await asyncio.wait_for(task, WAIT_S)
+
+
+class FailingListener(dialer.Listener):
+    """Fails at the first message."""
+
+    def __init__(self) -> None:
+        self.received: list[messages.AnyMessage] = []
+
+    def on_connected(self, address: str, peer: link.Link) -> None:
+        return
+
+    def on_message(
+        self, address: str, peer: link.Link, message: messages.AnyMessage
+    ) -> None:
+        self.received.append(message)
+        if len(self.received) == 1:
+            raise KeyError("unexpected")
+
+    def on_disconnected(self, address: str) -> None:
+        return
+
+
+class GreetingService(server.Service):
+    """Sends a message to each peer that connects."""
+
+    def on_hello(self, peer: link.Link) -> None:
+        peer.send(messages.MembersUpdate(addresses=[], entries=1))
+
+    def on_disconnected(self, peer: link.Link) -> None:
+        return
+
+    def on_message(
+        self, peer: link.Link, message: messages.AnyMessage
+    ) -> None:
+        return
+
+    async def on_call(
+        self, peer: link.Link, message: messages.AnyMessage
+    ) -> None:
+        return
+
+
+class TestDialer(unittest.IsolatedAsyncioTestCase):
+    """Links whose messages are not handled."""
+
+    async def test_link_is_connected_again_after_a_handler_failed(
+        self,
+    ) -> None:
+        port = ports.find_free_port()
+        links = server.LinkServer(GreetingService(), logs.make_log())
+        await links.start("127.0.0.1", port)
+        self.addCleanup(links.stop)
+        listener = FailingListener()
+        hello = messages.Hello(role="entry", name="e", data_centre="dc1")
+        dialed = dialer.DialerSet(hello, listener, logs.make_log())
+        self.addCleanup(dialed.set_addresses, set())
+        dialed.set_addresses({f"127.0.0.1:{port}"})
+        async with asyncio.timeout(WAIT_S):
+            while len(listener.received) < 2:
+                await asyncio.sleep(0.01)
