--- a/tests/soak/regressions.py
+++ b/tests/soak/regressions.py
@@ -14,4 +14,17 @@
         "a pause that a restarted target asked for was forgotten when the"
         " announcement of its new incarnation arrived later",
     ),
+    (
+        7,
+        6.0,
+        "an engine that ended just after an order was not managed any more",
+    ),
+    *(
+        (
+            seed,
+            15.0,
+            "a popular prompt part stayed blamed for what fatal ones did",
+        )
+        for seed in (9502, 9503, 9507, 9705, 9707, 9709, 9710, 9712)
+    ),
 ]
