Name the traits of unanswered requests so in the crash monitor

Local variables hid the imported module `suspects` there; and status 421 is named as in the standard library. Behaviour and assertions unchanged: the tests of crashing requests, the relay, the ledger and the recorded names pass.

--- a/src/hemlockkeel/_internal/relay/crashes.py
+++ b/src/hemlockkeel/_internal/relay/crashes.py
@@ -128,21 +128,21 @@
     async def probe(self, target: target_module.Target) -> None:
         """Report a crash if the target accepts no new connection."""
         outcome = await probe_target(target.record.address)
-        suspects = target.list_unanswered(self.now)
+        unanswered = target.list_unanswered(self.now)
         self.instruments.target_probes.labels(outcome.value).inc()
         self.log.write(
             "target_probed",
             target=target.record.instance_id,
             born_ms=target.record.started_at_ms,
             outcome=outcome.value,
-            suspects=suspects[:MAX_LOGGED_TRAITS],
-            suspect_count=len(suspects),
+            suspects=unanswered[:MAX_LOGGED_TRAITS],
+            suspect_count=len(unanswered),
         )
-        if outcome is ProbeOutcome.ACCEPTED or not suspects:
+        if outcome is ProbeOutcome.ACCEPTED or not unanswered:
             return
         if target.record.state is records.TargetState.READY:
             # The end of a target that leaves is planned.
-            self.report_crash(target.record, suspects, outcome.value)
+            self.report_crash(target.record, unanswered, outcome.value)
 
     def handle_announcement(
         self, target: target_module.Target, heard_at: float
@@ -173,14 +173,14 @@
         """
         self.ledger.reinstate(target.incarnation_key)
         self.apply_quarantines()
-        suspects = target.list_unanswered(self.now)
-        if suspects:
-            self.report_crash(target.record, suspects, "replaced")
+        unanswered = target.list_unanswered(self.now)
+        if unanswered:
+            self.report_crash(target.record, unanswered, "replaced")
 
     def report_crash(
         self,
         record: records.TargetRecord,
-        suspects: collections.abc.Sequence[ids.Trait],
+        unanswered: collections.abc.Sequence[ids.Trait],
         evidence: str,
     ) -> None:
         """Count a crash and report it to all entries."""
@@ -190,19 +190,19 @@
             target=record.instance_id,
             born_ms=record.started_at_ms,
             evidence=evidence,
-            suspects=len(suspects),
+            suspects=len(unanswered),
         )
         report = messages.CrashReport(
             target=record.instance_id,
             started_at_ms=record.started_at_ms,
-            digests=list(suspects),
-            established=self.list_established(suspects),
+            digests=list(unanswered),
+            established=self.list_established(unanswered),
         )
         self.handle_report(report)
         self.broadcast(report)
 
     def list_established(
-        self, suspects: collections.abc.Iterable[ids.Trait]
+        self, traits: collections.abc.Iterable[ids.Trait]
     ) -> list[str]:
         """Return the shared traits that are probably harmless.
 
@@ -210,7 +210,7 @@
         """
         return [
             trait
-            for trait in suspects
+            for trait in traits
             if traits_module.is_shared(trait)
             and (
                 self.memory.has_completed(trait, self.now)
--- a/src/hemlockkeel/_internal/relay/rate_limits.py
+++ b/src/hemlockkeel/_internal/relay/rate_limits.py
@@ -10,6 +10,7 @@
 import asyncio
 import collections
 import collections.abc
+import http
 import random
 
 from hemlockkeel._internal.discovery import records
@@ -26,7 +27,6 @@
 PERMIT_TIMEOUT_S = 0.5
 # Time after which the members are asked again.
 FALLBACK_RECHECK_S = 1.0
-MISDIRECTED = 421
 MAX_NOTICES = 4096
 # Characters of an invalid header value that are logged.
 MAX_LOGGED_VALUE = 40
@@ -91,7 +91,7 @@
             available.name_limit(limit, self.now, wall_s)
         elif (
             response.metadata.invalid_rate_limits
-            or response.status == MISDIRECTED
+            or response.status == http.HTTPStatus.MISDIRECTED_REQUEST
             or sent_at <= available.limit_named_at
         ):
             return
