--- a/src/hemlockkeel/_internal/discovery/records.py
+++ b/src/hemlockkeel/_internal/discovery/records.py
@@ -64,6 +64,9 @@
     # Time until a target that is being removed ends, seconds; None if
     # unknown.
     remaining_s: float | None = None
+    # Version of the target's software; empty if unknown. Only equal values
+    # are the same version.
+    software_version: str = ""
 
     @property
     def is_bare_tombstone(self) -> bool:
@@ -108,6 +111,7 @@
         "state": record.state.value,
         "sequence": record.sequence,
         "born_ms": record.started_at_ms,
+        "software": record.software_version,
     }
 
 
--- a/src/hemlockkeel/_internal/relay/forwarder.py
+++ b/src/hemlockkeel/_internal/relay/forwarder.py
@@ -86,6 +86,12 @@
         ]
         self.shared.get_budget(service.name).record_request(self.context.now)
         self.shared.crashes.memory.record_arrival(self.context.traits)
+        if self.context.metadata.resumes_stream:
+            self.context.log_event(
+                "stream_resumed",
+                request=self.context.metadata.resumed_request_id,
+                after=self.context.metadata.last_event_id,
+            )
         hold = self.shared.suspects.find_hold(self.context.traits)
         if hold is not None:
             self.context.record_expected_wait(hold.wait_s)
@@ -185,6 +191,7 @@
             "target_chosen",
             target=chosen.record.instance_id,
             sequence=chosen.record.sequence,
+            software=chosen.record.software_version,
             candidates=len(candidates),
             own=chosen.in_flight,
             running=chosen.running,
--- a/src/hemlockkeel/_internal/relay/header_codec.py
+++ b/src/hemlockkeel/_internal/relay/header_codec.py
@@ -35,6 +35,13 @@
     last_event_id: str = ""
     # Ids of the parts that other requests may have in common with this one.
     shared_parts: tuple[str, ...] = ()
+    # Request that brought the first event of the stream that is resumed.
+    resumed_request_id: str = ""
+
+    @property
+    def resumes_stream(self) -> bool:
+        """Return whether the caller has the beginning of the stream."""
+        return bool(self.last_event_id or self.resumed_request_id)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/hemlockkeel/platform/api.py
+++ b/src/hemlockkeel/platform/api.py
@@ -98,4 +98,5 @@
         models,
         fields.get_number(source, "coldLeftMs", 0.0) / MS_PER_S,
         remaining,
+        fields.get_string(source, "version"),
     )
--- a/src/hemlockkeel/platform/headers.py
+++ b/src/hemlockkeel/platform/headers.py
@@ -44,6 +44,7 @@
             tuple(read_prompt_parts(values.get(b"x-prompt-prefix", ""))),
             values.get(b"last-event-id", ""),
             tuple(read_shared_parts(values.get(b"x-prompt-prefix", ""))),
+            values.get(b"resumes", "").strip(),
         )
 
     def make_request_headers(
--- a/tests/functional/test_coordinator.py
+++ b/tests/functional/test_coordinator.py
@@ -23,6 +23,7 @@
 WAIT_S = 20.0
 HEARTBEAT = {
     "service": "s",
+    "version": "v1",
     "address": "10.0.0.9:8080",
     "zone": "dc1",
     "state": "ready",
--- a/tests/functional/test_platform_processes.py
+++ b/tests/functional/test_platform_processes.py
@@ -147,6 +147,7 @@
         heartbeat = json.dumps(
             {
                 "service": "s",
+                "version": "v1",
                 "address": self.target.address,
                 "zone": "dc1",
                 "state": "ready",
