--- a/tests/lib/relay_fleet.py
+++ b/tests/lib/relay_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import pathlib
+import socket
 import tempfile
 import unittest
 
@@ -39,6 +40,8 @@
         self.targets: list[ending_target.EndingTarget] = []
         self.announced: list[records.TargetRecord] = []
         self.route_changes: dict[str, object] = {}
+        # Services that the routes share their requests among.
+        self.services = (SERVICE,)
         self.retry_limits = budget.RetryBudgetLimits(1.0, 10.0, 100.0)
         self.make_reserve_share = shares.WholeReserve
 
@@ -135,7 +138,9 @@
                 "timeout_s": 5.0,
                 "first_byte_slo_s": 0.3,
                 "priority": 0,
-                "shares": (table.TrafficShare(SERVICE, 1.0),),
+                "shares": tuple(
+                    table.TrafficShare(name, 1.0) for name in self.services
+                ),
                 "max_attempts": 1,
                 "resumable": False,
             }
@@ -144,7 +149,7 @@
         return table.Configuration(
             1,
             routes,
-            [table.Service(SERVICE, 500, None)],
+            [table.Service(name, 500, None) for name in self.services],
             table.RequestLimits(4096, 100_000, 0.5, 5.0),
         )
 
@@ -209,30 +214,29 @@
         timeout_s: float = 5.0,
         leave_after_s: float | None = None,
         extra: str = "",
+        request_id: str = "r1",
     ) -> bytes:
         """Send a request; return the response, or b"" if the caller left.
 
+        A response that is reset is returned as far as it has arrived.
+
         ``extra`` are complete lines of its head.
         """
         server = self.entries[entry].caller_listener.server
         assert server is not None
         port = server.sockets[0].getsockname()[1]
-        reader, writer = await asyncio.open_connection("127.0.0.1", port)
-        writer.write(
+        head = (
             f"POST /{path} HTTP/1.1\r\nHost: a.example\r\n"
-            "X-Request-Id: r1\r\n"
+            f"X-Request-Id: {request_id}\r\n"
             f"X-Request-Deadline: {int(timeout_s * 1000)}\r\n"
             f"Content-Length: {len(body)}\r\n{extra}"
-            "Connection: close\r\n\r\n".encode()
-            + body
+            "Connection: close\r\n\r\n"
         )
         try:
             async with asyncio.timeout(leave_after_s or WAIT_S):
-                return await reader.read()
+                return await exchange_bytes(port, head.encode() + body)
         except TimeoutError:
             return b""
-        finally:
-            writer.transport.abort()
 
     async def settle(self) -> None:
         """Wait until the entries have probed and reported."""
@@ -246,3 +250,22 @@
         async with asyncio.timeout(WAIT_S):
             while not check():
                 await asyncio.sleep(0.01)
+
+
+async def exchange_bytes(port: int, sent: bytes) -> bytes:
+    """Send bytes; return all that arrives until the close or a reset.
+
+    A stream reader would drop what has arrived just before a reset.
+    """
+    loop = asyncio.get_running_loop()
+    received = b""
+    with socket.socket() as sock:
+        sock.setblocking(False)
+        await loop.sock_connect(sock, ("127.0.0.1", port))
+        try:
+            await loop.sock_sendall(sock, sent)
+            while data := await loop.sock_recv(sock, 65536):
+                received += data
+        except ConnectionError:
+            return received
+    return received
