Go on with a broken stream only at the software version that began it

What callers saw: one response with events of two software versions. An entry whose target breaks a stream off on a resumable route chose the next target by cost alone.

The first event fixes the origin of the response, service and version, and only targets that match it are candidates from then on. Without one, the response is broken off at once, so that its caller can come back; before the first event any version may be tried, as nothing has been forwarded. Versions are compared as they are announced.

--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -1,5 +1,6 @@
 """One attempt to get a response to a request from one target."""
 
+from hemlockkeel._internal.discovery import stream_origins
 from hemlockkeel._internal.links import link
 from hemlockkeel._internal.links import messages
 from hemlockkeel._internal.models import outcomes
@@ -439,19 +440,25 @@
                     self.context.adapter_key,
                     self.context.metadata.prompt_parts,
                 )
-                self.context.start_stream(response)
+                self.context.start_stream(response, self.make_origin())
             await self.context.connection.send_data(complete_events)
         if not splitter.at_boundary:
             raise exchange.InvalidResponseError("stream ended inside an event")
         if response.ends_with_connection and not splitter.count:
             raise exchange.InvalidResponseError("stream ended without events")
         if not self.context.connection.response_started:
-            self.context.start_stream(response)
+            self.context.start_stream(response, self.make_origin())
         self.context.connection.end_stream()
         self.target.record_result(False, self.context.now)
         self.context.record_response(response.status, "target", True)
         return results.Completed()
 
+    def make_origin(self) -> stream_origins.StreamOrigin:
+        """Return what begins a stream at the target."""
+        return stream_origins.StreamOrigin(
+            self.service.name, self.target.record.software_version
+        )
+
 
 class PendingPrefill:
     """Prompt tokens of one request that a target has not prefilled yet."""
--- a/src/hemlockkeel/_internal/relay/forwarder.py
+++ b/src/hemlockkeel/_internal/relay/forwarder.py
@@ -174,6 +174,7 @@
             self.context.metadata,
             self.context.now,
             self.tried_targets,
+            self.context.origin,
         )
         candidates = self.separate_suspects(candidates)
         requirements = self.make_requirements()
--- a/src/hemlockkeel/_internal/relay/request_context.py
+++ b/src/hemlockkeel/_internal/relay/request_context.py
@@ -3,6 +3,7 @@
 import asyncio
 import http
 
+from hemlockkeel._internal.discovery import stream_origins
 from hemlockkeel._internal.discovery import traits
 from hemlockkeel._internal.models import outcomes
 from hemlockkeel._internal.relay import caller
@@ -56,6 +57,8 @@
         self.sends = 0
         # Splits the event stream that is forwarded, if there is one.
         self.splitter: events.EventSplitter | None = None
+        # What began the stream that is forwarded, if there is one.
+        self.origin: stream_origins.StreamOrigin | None = None
         self.first_byte_s: float | None = None
         self.adapter_wait_s = 0.0
         # Expected wait for an adapter slot at the selected target.
@@ -75,8 +78,16 @@
         """Return the requested adapter as MODEL/NAME."""
         return f"{self.metadata.model}/{self.metadata.adapter}"
 
-    def start_stream(self, response: exchange.ResponseHead) -> None:
-        """Send the head of an event stream to the caller."""
+    def start_stream(
+        self,
+        response: exchange.ResponseHead,
+        origin: stream_origins.StreamOrigin,
+    ) -> None:
+        """Send the head of an event stream to the caller.
+
+        ``origin`` is that of the response.
+        """
+        self.origin = origin
         self.record_first_byte()
         self.connection.start_stream(
             response.status, headers.drop_hop_by_hop(response.headers)
--- a/src/hemlockkeel/_internal/relay/target_registry.py
+++ b/src/hemlockkeel/_internal/relay/target_registry.py
@@ -4,6 +4,7 @@
 import collections.abc
 
 from hemlockkeel._internal.discovery import records
+from hemlockkeel._internal.discovery import stream_origins
 from hemlockkeel._internal.links import messages
 from hemlockkeel._internal.relay import availability
 from hemlockkeel._internal.relay import header_codec
@@ -212,10 +213,12 @@
         metadata: header_codec.RequestMetadata,
         now: float,
         excluded: set[records.InstanceId],
+        origin: stream_origins.StreamOrigin | None = None,
     ) -> list[target_selection.Candidate]:
         """Return the targets of a service that may get a request.
 
-        Targets in ``excluded`` are left out.
+        Targets in ``excluded`` are left out, and those that may not go on
+        with the stream that has this ``origin``, if one is given.
         """
         adapter = (
             f"{metadata.model}/{metadata.adapter}" if metadata.adapter else ""
@@ -226,6 +229,8 @@
         ):
             if record.instance_id in excluded:
                 continue
+            if origin is not None and not origin.matches(record):
+                continue
             target = self.targets[record.instance_id]
             if target.availability.find_refusal(now) is not None:
                 continue
--- a/tests/functional/test_stream_versions.py
+++ b/tests/functional/test_stream_versions.py
@@ -81,11 +81,11 @@
             await self.wait_for(
                 lambda entry=entry: (
                     not entry.control_links.list_links()
-                    or key in entry.registry.targets
+                    or (key in entry.registry.targets
                     and entry.registry.targets[key].record.started_at_ms
                     == target.started_at_ms
                     and entry.registry.targets[key].record.state
-                    is records.TargetState.READY
+                    is records.TargetState.READY)
                 )
             )
 
