Keep the protocol of a control member with its link

Entries kept a set of the members that understand rate limits beside the links to them; more messages are about to depend on what a member understands. The link knows its peer's protocol already on the accepting side, so the entry stores it there and asks for the links to capable members. No behaviour changes.

--- a/src/hemlockkeel/_internal/links/dialer.py
+++ b/src/hemlockkeel/_internal/links/dialer.py
@@ -202,6 +202,18 @@
             if dialer.link is not None and dialer.link.is_silent(now)
         }
 
+    def list_capable(self, protocol: int) -> dict[str, link.Link]:
+        """Return the connected links to peers of a protocol, by address.
+
+        That is, of ``protocol`` or a newer one.
+        """
+        links = {a: dialer.link for a, dialer in self.dialers.items()}
+        return {
+            address: peer
+            for address, peer in links.items()
+            if peer is not None and peer.protocol >= protocol
+        }
+
     def list_links(self) -> list[link.Link]:
         """Return the links that are connected."""
         links = [dialer.link for dialer in self.dialers.values()]
--- a/src/hemlockkeel/_internal/links/link.py
+++ b/src/hemlockkeel/_internal/links/link.py
@@ -42,7 +42,8 @@
 
     On an accepted link, the attributes from ``role`` to ``ping_interval_s``
     describe the peer as its `messages.Hello` did; they are empty before. On an
-    outgoing link, ``ping_interval_s`` is that of the own pings.
+    outgoing link, ``ping_interval_s`` is that of the own pings, and
+    ``protocol`` what a control member's `messages.MembersUpdate` said.
     ``on_connected`` is called once the connection is there.
     """
 
@@ -56,7 +57,7 @@
         self.name = ""
         self.data_centre = ""
         self.target_address = ""
-        # Newest messages that the peer understands.
+        # Newest messages that the peer understands; 0 until it has said so.
         self.protocol = 0
         self.ping_interval_s = DEFAULT_PING_INTERVAL_S
         self.last_call_id = 0
--- a/src/hemlockkeel/_internal/relay/process.py
+++ b/src/hemlockkeel/_internal/relay/process.py
@@ -83,6 +83,7 @@
             ):
                 self.entry.configuration_receiver.handle_message(peer, message)
             case messages.MembersUpdate():
+                peer.protocol = message.protocol
                 self.entry.on_members_update(address, message)
             case messages.VersionsUpdate():
                 self.entry.adapter_client.record_versions(message)
@@ -98,7 +99,6 @@
 
     def on_disconnected(self, address: str) -> None:
         self.entry.shared.reserve_share.forget_member(address)
-        self.entry.rate_limits.forget_issuer(address)
 
 
 class AgentListener(dialer.Listener):
@@ -284,7 +284,6 @@
         self, address: str, message: messages.MembersUpdate
     ) -> None:
         """Store the control members and the number of entries."""
-        self.rate_limits.record_issuer(address, message.protocol)
         share = self.shared.reserve_share
         share.record_announcement(
             address,
--- a/src/hemlockkeel/_internal/relay/rate_limits.py
+++ b/src/hemlockkeel/_internal/relay/rate_limits.py
@@ -52,8 +52,6 @@
         self.next_at: collections.OrderedDict[
             records.IncarnationKey, float
         ] = collections.OrderedDict()
-        # Members that understand the messages of this module.
-        self.issuers: set[str] = set()
         # Limits of targets that others were told.
         self.noticed: collections.OrderedDict[
             records.IncarnationKey, float
@@ -123,21 +121,14 @@
             started_at_ms=target.record.started_at_ms,
             limit=limit,
         )
-        for address in self.issuers:
-            peer = self.control.get(address)
-            if peer is not None:
-                peer.send(notice)
+        for peer in self.list_issuers().values():
+            peer.send(notice)
 
     # What control members say
 
-    def record_issuer(self, address: str, protocol: int) -> None:
-        """Record which messages a member understands."""
-        if protocol >= messages.PERMIT_PROTOCOL:
-            self.issuers.add(address)
-
-    def forget_issuer(self, address: str) -> None:
-        """Record that the link to a member is closed."""
-        self.issuers.discard(address)
+    def list_issuers(self) -> dict[str, link.Link]:
+        """Return the links to the members that issue permits, by address."""
+        return self.control.list_capable(messages.PERMIT_PROTOCOL)
 
     def handle_notice(
         self,
@@ -227,22 +218,20 @@
         Returns None if no member can be asked.
         """
         name = target.record.instance_id
-        connected = [a for a in self.issuers if self.control.get(a)]
-        if not connected:
+        issuers = self.list_issuers()
+        if not issuers:
             return None
         issuer = max(
-            connected,
+            issuers,
             key=lambda address: routing.get_rendezvous_hash(name, address),
         )
-        peer = self.control.get(issuer)
-        assert peer is not None
         call = messages.AcquirePermit(
             target=name,
             started_at_ms=target.record.started_at_ms,
             limit=limit,
         )
         try:
-            reply = await peer.call(call, PERMIT_TIMEOUT_S)
+            reply = await issuers[issuer].call(call, PERMIT_TIMEOUT_S)
         except (link.LinkClosedError, TimeoutError) as error:
             self.log.write(
                 "permit_call_failed", peer=issuer, reason=str(error)
--- a/tests/functional/test_stream_versions.py
+++ b/tests/functional/test_stream_versions.py
@@ -6,6 +6,7 @@
 import time
 
 from hemlockkeel._internal.discovery import records
+from hemlockkeel._internal.relay import target_registry
 from tests.lib import relay_fleet
 from tests.lib import streaming_target
 
@@ -47,6 +48,19 @@
     )
 
 
+def is_known(
+    registry: target_registry.TargetRegistry,
+    target: streaming_target.StreamingTarget,
+) -> bool:
+    """Return whether an entry knows a target's incarnation as ready."""
+    known = registry.targets.get(records.InstanceId(target.name))
+    return (
+        known is not None
+        and known.record.started_at_ms == target.started_at_ms
+        and known.record.state is records.TargetState.READY
+    )
+
+
 class StreamCase(relay_fleet.RelayFleetCase):
     """Base of the tests: three entries and two control members."""
 
@@ -76,16 +90,11 @@
         self, target: streaming_target.StreamingTarget
     ) -> None:
         """Wait until every entry knows a target's incarnation."""
-        key = records.InstanceId(target.name)
         for entry in self.entries:
             await self.wait_for(
-                lambda entry=entry: (
+                lambda entry=entry: (  # type: ignore[misc]
                     not entry.control_links.list_links()
-                    or (key in entry.registry.targets
-                    and entry.registry.targets[key].record.started_at_ms
-                    == target.started_at_ms
-                    and entry.registry.targets[key].record.state
-                    is records.TargetState.READY)
+                    or is_known(entry.registry, target)
                 )
             )
 
@@ -97,7 +106,7 @@
         for entry in self.entries:
             known = entry.registry.targets[records.InstanceId(target.name)]
             await self.wait_for(
-                lambda known=known: (
+                lambda known=known: (  # type: ignore[misc]
                     known.record.state is records.TargetState.GONE
                 )
             )
