Resume a caller's stream only at the version that began it, at any entry

What callers saw: the rest of a stream written by another software version than its beginning. An entry that got Last-Event-Id chose any target: it did not know where the stream began, least of all if another entry or an earlier process of it had forwarded the first event.

An entry that forwards a first event stores service and version under the id of the request, and tells three control members (rendezvous hash of the id); it tells them again when a link comes up. The stream goes on at that origin, in the service that began it even if the route is split, or is refused at once. If nobody knows it, it goes on only if a majority of the members has said so and the entry has seen one version only, for twice the route's timeout, of the only service of the route. New streams wait for none of this.

Messages are sent only to members of protocol 2.

--- a/src/hemlockkeel/_internal/coordinator/process.py
+++ b/src/hemlockkeel/_internal/coordinator/process.py
@@ -19,6 +19,7 @@
 from hemlockkeel._internal.coordinator import send_permits
 from hemlockkeel._internal.coordinator import sender
 from hemlockkeel._internal.coordinator import settings as settings_module
+from hemlockkeel._internal.coordinator import stream_origins
 from hemlockkeel._internal.coordinator import subscribers
 from hemlockkeel._internal.coordinator import targets
 from hemlockkeel._internal.discovery import records
@@ -112,6 +113,7 @@
             self.subscribers, self.peers
         )
         self.send_permits = send_permits.SendPermits(random.Random())
+        self.stream_origins = stream_origins.StreamOrigins()
         self.sender.peers = self.peers
         self.sender.cluster_id = self.node.cluster_id
         self.api = http_service.HttpListener(self)
@@ -282,6 +284,7 @@
             await asyncio.sleep(MEMBERS_INTERVAL_S)
             self.registry.table.expire(self.loop.time())
             self.crash_reports.ledger.expire(self.loop.time())
+            self.stream_origins.table.expire(self.loop.time())
             now = self.loop.time()
             for notice in self.send_permits.take_delayed_notices(now):
                 self.subscribers.send_to_permit_users(notice)
@@ -315,6 +318,8 @@
             self.handle_rate_limit(message)
         elif isinstance(message, messages.CrashCleared):
             self.crash_reports.handle_cleared(message)
+        elif isinstance(message, messages.StreamsBegun):
+            self.stream_origins.record(message, self.loop.time())
         elif isinstance(message, messages.FetchConfiguration):
             peer.send(self.subscribers.configuration_update)
 
@@ -371,8 +376,10 @@
     async def on_call(
         self, peer: link.Link, message: messages.AnyMessage
     ) -> None:
-        outcome: messages.Outcome | messages.SendPermit
+        outcome: messages.Outcome | messages.SendPermit | messages.OriginReply
         match message:
+            case messages.FindOrigin():
+                outcome = self.stream_origins.find(message, self.loop.time())
             case messages.AcquirePermit():
                 outcome = self.issue_permit(peer, message)
             case messages.Propose():
--- a/src/hemlockkeel/_internal/discovery/stream_origins.py
+++ b/src/hemlockkeel/_internal/discovery/stream_origins.py
@@ -1,8 +1,15 @@
 """Where streams began: what may write the rest of them."""
 
+import collections
+import collections.abc
+
 import msgspec
 
 from hemlockkeel._internal.discovery import records
+from hemlockkeel._internal.models import ids
+
+# Versions of a service that are remembered; a service has few at a time.
+MAX_VERSIONS = 64
 
 
 class StreamOrigin(msgspec.Struct, frozen=True, array_like=True):
@@ -21,3 +28,86 @@
             record.service == self.service
             and record.software_version == self.software_version
         )
+
+
+class OriginTable:
+    """The origins of streams that callers may still resume.
+
+    A stream is known by the id of the request that brought its first event.
+    Times are loop times in seconds. Beyond ``capacity`` streams, the ones
+    added first are dropped.
+    """
+
+    def __init__(self, capacity: int) -> None:
+        self.capacity = capacity
+        # Origins, with the time until which each is kept.
+        self.origins: collections.OrderedDict[
+            ids.RequestId, tuple[StreamOrigin, float]
+        ] = collections.OrderedDict()
+
+    def add(
+        self,
+        request_id: ids.RequestId,
+        origin: StreamOrigin,
+        expires_at: float,
+    ) -> None:
+        """Store where a stream began; keep it the longer of two times."""
+        _, known_until = self.origins.get(request_id, (origin, expires_at))
+        self.origins[request_id] = (origin, max(known_until, expires_at))
+        self.origins.move_to_end(request_id)
+        if len(self.origins) > self.capacity:
+            self.origins.popitem(last=False)
+
+    def find(
+        self, request_id: ids.RequestId, now: float
+    ) -> StreamOrigin | None:
+        """Return where a stream began; None if that is not known."""
+        origin, expires_at = self.origins.get(request_id, (None, 0.0))
+        return origin if now < expires_at else None
+
+    def forget(self, request_id: ids.RequestId) -> None:
+        """Drop a stream, if it is known."""
+        self.origins.pop(request_id, None)
+
+    def list_current(
+        self, now: float
+    ) -> collections.abc.Iterator[tuple[ids.RequestId, StreamOrigin, float]]:
+        """Yield each stream with its origin and the time it is kept for."""
+        for request_id, (origin, expires_at) in self.origins.items():
+            if now < expires_at:
+                yield request_id, origin, expires_at - now
+
+    def expire(self, now: float) -> None:
+        """Drop the streams that are not kept any longer."""
+        expired = [
+            request_id
+            for request_id, (_, expires_at) in self.origins.items()
+            if now >= expires_at
+        ]
+        for request_id in expired:
+            del self.origins[request_id]
+
+
+class VersionHistory:
+    """When the software versions of services were last announced.
+
+    Times are any that do not decrease, in seconds.
+    """
+
+    def __init__(self) -> None:
+        self.last_seen: dict[records.ServiceName, dict[str, float]] = {}
+
+    def add(self, record: records.TargetRecord, at: float) -> None:
+        """Add an announcement."""
+        versions = self.last_seen.setdefault(record.service, {})
+        known_at = versions.pop(record.software_version, at)
+        versions[record.software_version] = max(known_at, at)
+        if len(versions) > MAX_VERSIONS:
+            del versions[min(versions, key=lambda each: versions[each])]
+
+    def list_since(
+        self, service: records.ServiceName, since: float
+    ) -> list[str]:
+        """Return the versions of a service announced at a time or later."""
+        versions = self.last_seen.get(service, {})
+        return [version for version, at in versions.items() if at >= since]
--- a/src/hemlockkeel/_internal/links/messages.py
+++ b/src/hemlockkeel/_internal/links/messages.py
@@ -3,11 +3,15 @@
 import msgspec
 
 from hemlockkeel._internal.discovery import records
+from hemlockkeel._internal.discovery import stream_origins
+from hemlockkeel._internal.models import ids
 
-# Processes without a message close a link on which it arrives. Version from
-# which on they understand rate limits and permits; 0 is that of older ones.
+# Processes without a message close a link on which it arrives. Versions from
+# which on they understand rate limits and permits, and the origins of streams;
+# 0 is that of older ones.
 PERMIT_PROTOCOL = 1
-PROTOCOL = PERMIT_PROTOCOL
+ORIGIN_PROTOCOL = 2
+PROTOCOL = ORIGIN_PROTOCOL
 
 
 class Message(
@@ -266,6 +270,35 @@
     limit: float | None = None
 
 
+class BegunStream(msgspec.Struct, frozen=True, array_like=True):
+    """A stream of which an entry has forwarded events."""
+
+    # Id of the request that brought its first event.
+    request_id: ids.RequestId
+    origin: stream_origins.StreamOrigin
+    # Time for which its caller may resume it, seconds.
+    lifetime_s: float
+
+
+class StreamsBegun(Message, frozen=True, tag=True, kw_only=True):
+    """Tells a control member where streams began."""
+
+    streams: list[BegunStream]
+
+
+class FindOrigin(Message, frozen=True, tag=True, kw_only=True):
+    """Asks a control member where a stream began."""
+
+    request_id: ids.RequestId
+
+
+class OriginReply(Message, frozen=True, tag=True, kw_only=True):
+    """Reply to `FindOrigin`."""
+
+    # None if the member does not know the stream.
+    origin: stream_origins.StreamOrigin | None = None
+
+
 AnyMessage = (
     Ping
     | Pong
@@ -291,6 +324,9 @@
     | RateLimitNotice
     | AcquirePermit
     | SendPermit
+    | StreamsBegun
+    | FindOrigin
+    | OriginReply
 )
 
 DECODER: msgspec.msgpack.Decoder[AnyMessage] = msgspec.msgpack.Decoder(
--- a/src/hemlockkeel/_internal/relay/forwarder.py
+++ b/src/hemlockkeel/_internal/relay/forwarder.py
@@ -8,11 +8,13 @@
 import http
 
 from hemlockkeel._internal.discovery import records
+from hemlockkeel._internal.models import ids
 from hemlockkeel._internal.models import outcomes
 from hemlockkeel._internal.relay import attempt
 from hemlockkeel._internal.relay import caller
 from hemlockkeel._internal.relay import request_context
 from hemlockkeel._internal.relay import results
+from hemlockkeel._internal.relay import resumption
 from hemlockkeel._internal.relay import shared_state
 from hemlockkeel._internal.relay import target as target_module
 from hemlockkeel._internal.relay import target_selection
@@ -81,17 +83,12 @@
                 results.Cause.STOPPING, "this entry is stopping"
             )
             return
-        service = configuration.services[
-            self.context.route.choose_service(self.shared.rng)
-        ]
+        name = await self.choose_service(self.context.route)
+        if name is None:
+            return
+        service = configuration.services[name]
         self.shared.get_budget(service.name).record_request(self.context.now)
         self.shared.crashes.memory.record_arrival(self.context.traits)
-        if self.context.metadata.resumes_stream:
-            self.context.log_event(
-                "stream_resumed",
-                request=self.context.metadata.resumed_request_id,
-                after=self.context.metadata.last_event_id,
-            )
         hold = self.shared.suspects.find_hold(self.context.traits)
         if hold is not None:
             self.context.record_expected_wait(hold.wait_s)
@@ -112,6 +109,44 @@
             )
             raise
 
+    async def choose_service(
+        self, route: table.Route
+    ) -> records.ServiceName | None:
+        """Return the service for the request, or refuse it.
+
+        A stream goes on in the service that began it.
+        """
+        metadata = self.context.metadata
+        if not (
+            metadata.resumes_stream and route.kind is table.RouteKind.STREAM
+        ):
+            return route.choose_service(self.shared.rng)
+        lookup = await self.shared.origins.find(
+            ids.RequestId(metadata.resumed_request_id)
+        )
+        services = resumption.list_services(route)
+        view = self.shared.registry.get_version_view(
+            services, resumption.get_lifetime_s(route)
+        )
+        outcome = resumption.choose_origin(services, lookup, view)
+        refused = isinstance(outcome, resumption.Refusal)
+        event = "stream_not_resumed" if refused else "stream_resumed"
+        self.shared.instruments.events.labels(event).inc()
+        self.context.log_event(
+            event,
+            request=metadata.resumed_request_id,
+            after=metadata.last_event_id,
+            origin=lookup.origin,
+            conclusive=lookup.conclusive,
+            seen=view.versions,
+            seen_all=view.complete,
+        )
+        if isinstance(outcome, resumption.Refusal):
+            self.context.refuse(outcome.cause, outcome.reason)
+            return None
+        self.context.set_origin(outcome)
+        return outcome.service
+
     def handle_deadline(self) -> None:
         """Respond 503 or 504, or abort a stream that has started."""
         if self.context.connection.response_started:
@@ -224,7 +259,7 @@
     def record_hold(self, service: table.Service) -> None:
         """Record when callers may return if no target wants requests now."""
         ends_at = self.shared.registry.find_hold_end(
-            service.name, self.context.now
+            service.name, self.context.now, self.context.origin
         )
         if ends_at is not None:
             self.context.hold_s = max(0.0, ends_at - self.context.now)
@@ -241,6 +276,12 @@
                 results.Cause.TARGET_HELD,
                 "all targets asked for a pause or limit their requests",
             )
+        origin = self.context.origin
+        if origin is not None and not self.shared.registry.may_return(origin):
+            return (
+                results.Cause.ORIGIN_GONE,
+                "no target has the version that began the stream any more",
+            )
         return results.Cause.NO_TARGET, "no target left"
 
     def may_retry(self, route: table.Route, service: table.Service) -> bool:
--- a/src/hemlockkeel/_internal/relay/process.py
+++ b/src/hemlockkeel/_internal/relay/process.py
@@ -16,6 +16,7 @@
 from hemlockkeel._internal.relay import crashes
 from hemlockkeel._internal.relay import forwarder
 from hemlockkeel._internal.relay import header_codec
+from hemlockkeel._internal.relay import origin_directory
 from hemlockkeel._internal.relay import rate_limits
 from hemlockkeel._internal.relay import shared_state
 from hemlockkeel._internal.relay import target_registry as registry_module
@@ -83,7 +84,10 @@
             ):
                 self.entry.configuration_receiver.handle_message(peer, message)
             case messages.MembersUpdate():
-                peer.protocol = message.protocol
+                if peer.protocol < message.protocol:
+                    # The first update on this link.
+                    peer.protocol = message.protocol
+                    self.entry.shared.origins.send_all(peer)
                 self.entry.on_members_update(address, message)
             case messages.VersionsUpdate():
                 self.entry.adapter_client.record_versions(message)
@@ -187,6 +191,7 @@
             settings.data_centre,
             settings.retry_limits,
             reserve_share.ReserveShare(settings.retry_limits.window_s),
+            origin_directory.OriginDirectory(self.control_links, log),
             clock.SuspendAwareClock(),
         )
         self.caller_listener = http_service.HttpListener(self)
@@ -247,6 +252,7 @@
             self.registry.expire(now)
             self.crashes.probe_silent_targets(self.registry.targets.values())
             self.crashes.expire()
+            self.shared.origins.expire()
             self.connect_agents()
 
     async def run_silence_checks(self) -> None:
--- a/src/hemlockkeel/_internal/relay/request_context.py
+++ b/src/hemlockkeel/_internal/relay/request_context.py
@@ -5,6 +5,7 @@
 
 from hemlockkeel._internal.discovery import stream_origins
 from hemlockkeel._internal.discovery import traits
+from hemlockkeel._internal.models import ids
 from hemlockkeel._internal.models import outcomes
 from hemlockkeel._internal.relay import caller
 from hemlockkeel._internal.relay import events
@@ -12,10 +13,16 @@
 from hemlockkeel._internal.relay import header_codec
 from hemlockkeel._internal.relay import headers
 from hemlockkeel._internal.relay import results
+from hemlockkeel._internal.relay import resumption
 from hemlockkeel._internal.relay import shared_state
 from hemlockkeel._internal.routes import table
 from hemlockkeel._internal.utils import digests
 
+# Causes of refusals that a later attempt would meet as well; these name no
+# time to come back.
+FINAL_CAUSES = frozenset(
+    {results.Cause.ORIGIN_GONE, results.Cause.ORIGIN_UNKNOWN}
+)
 # Bounds of the Retry-After header of a refusal, in seconds. The value is
 # random so that callers refused together do not retry together.
 RETRY_AFTER_S = (0.15, 0.6)
@@ -87,12 +94,30 @@
 
         ``origin`` is that of the response.
         """
-        self.origin = origin
+        if self.origin is None:
+            self.set_origin(origin)
         self.record_first_byte()
         self.connection.start_stream(
             response.status, headers.drop_hop_by_hop(response.headers)
         )
 
+    def set_origin(self, origin: stream_origins.StreamOrigin) -> None:
+        """Bind the stream to what began it, and remember that.
+
+        A stream that is resumed is known by the request that began it.
+        """
+        self.origin = origin
+        if self.route is None or not self.route.resumable:
+            return
+        request_id = (
+            self.metadata.resumed_request_id or self.metadata.request_id
+        )
+        self.shared.origins.record(
+            ids.RequestId(request_id),
+            origin,
+            resumption.get_lifetime_s(self.route),
+        )
+
     def forward_response(self, buffered: results.BufferedResponse) -> None:
         """Send a target's complete response to the caller."""
         self.record_first_byte()
@@ -119,7 +144,13 @@
         self.expected_wait_s = wait_s if known is None else min(known, wait_s)
 
     def refuse(self, cause: results.Cause, reason: str) -> None:
-        """Respond 503 with Retry-After to a request that has not run."""
+        """Respond 503 to a request that has not run.
+
+        Retry-After tells when it may succeed, unless the cause is final.
+        """
+        if cause in FINAL_CAUSES:
+            self.respond(http.HTTPStatus.SERVICE_UNAVAILABLE, cause, reason)
+            return
         bounds = RETRY_AFTER_S
         if self.expected_wait_s is not None:
             bounds = (self.expected_wait_s / 2, self.expected_wait_s * 3 / 2)
--- a/src/hemlockkeel/_internal/relay/results.py
+++ b/src/hemlockkeel/_internal/relay/results.py
@@ -28,6 +28,10 @@
     QUARANTINED = "quarantined"
     SUSPECTED = "suspected"
     STOPPING = "stopping"
+    # The rest of a stream cannot be written any more.
+    ORIGIN_GONE = "origin_gone"
+    ORIGIN_UNKNOWN = "origin_unknown"
+    ORIGIN_UNAVAILABLE = "origin_unavailable"
 
 
 @dataclasses.dataclass
--- /dev/null
+++ b/src/hemlockkeel/_internal/relay/resumption.py
@@ -0,0 +1,91 @@
+"""Decides where a stream goes on that a caller resumes.
+
+The decisions have no side effects.
+"""
+
+import collections.abc
+import dataclasses
+
+from hemlockkeel._internal.discovery import records
+from hemlockkeel._internal.discovery import stream_origins
+from hemlockkeel._internal.relay import results
+from hemlockkeel._internal.routes import table
+
+# Time for which a stream may be resumed, as a multiple of its route's timeout.
+# An attempt ends at the timeout, and callers do not wait much longer in all.
+LIFETIME_TIMEOUTS = 2.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Lookup:
+    """What the entry and the control members know of a stream."""
+
+    # None if it is not known.
+    origin: stream_origins.StreamOrigin | None
+    # Whether enough members have answered to conclude that nobody knows it.
+    conclusive: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class VersionView:
+    """The software versions that an entry has seen for a stream's lifetime."""
+
+    # By service.
+    versions: collections.abc.Mapping[
+        records.ServiceName, collections.abc.Sequence[str]
+    ]
+    # Whether it has been in contact with control for that long.
+    complete: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Refusal:
+    """The stream cannot go on."""
+
+    cause: results.Cause
+    reason: str
+
+
+def get_lifetime_s(route: table.Route) -> float:
+    """Return for how long a caller may resume a stream of a route."""
+    return LIFETIME_TIMEOUTS * route.timeout_s
+
+
+def list_services(route: table.Route) -> list[records.ServiceName]:
+    """Return the services that a route's requests may go to."""
+    return [share.service for share in route.shares if share.weight > 0]
+
+
+def choose_origin(
+    services: collections.abc.Sequence[records.ServiceName],
+    lookup: Lookup,
+    view: VersionView,
+) -> stream_origins.StreamOrigin | Refusal:
+    """Return what may write the rest of a stream.
+
+    ``services`` are those of its route. If nobody knows where the stream
+    began, it goes on only if a single version can have begun it.
+    """
+    if lookup.origin is not None:
+        if lookup.origin.service in services:
+            return lookup.origin
+        return Refusal(
+            results.Cause.ORIGIN_GONE,
+            "the route does not lead to the service that began the stream",
+        )
+    if not lookup.conclusive:
+        return Refusal(
+            results.Cause.ORIGIN_UNAVAILABLE,
+            "control cannot be asked which version began the stream",
+        )
+    possible = [
+        stream_origins.StreamOrigin(service, version)
+        for service in services
+        for version in view.versions.get(service, ())
+    ]
+    if len(possible) == 1 and view.complete:
+        return possible[0]
+    return Refusal(
+        results.Cause.ORIGIN_UNKNOWN,
+        "it is not known which version began the stream",
+    )
--- a/src/hemlockkeel/_internal/relay/shared_state.py
+++ b/src/hemlockkeel/_internal/relay/shared_state.py
@@ -6,6 +6,7 @@
 from hemlockkeel._internal.relay import adapters
 from hemlockkeel._internal.relay import crashes
 from hemlockkeel._internal.relay import header_codec
+from hemlockkeel._internal.relay import origin_directory
 from hemlockkeel._internal.relay import rate_limits
 from hemlockkeel._internal.relay import suspects
 from hemlockkeel._internal.relay import target_registry as registry_module
@@ -32,6 +33,7 @@
     data_centre: str
     retry_limits: budget.RetryBudgetLimits
     reserve_share: reserve_share.ReserveShare
+    origins: origin_directory.OriginDirectory
     # Counts the time for which the instance is suspended; the event loop's
     # clock may not.
     clock: clock.Clock
--- a/src/hemlockkeel/_internal/relay/target_registry.py
+++ b/src/hemlockkeel/_internal/relay/target_registry.py
@@ -10,6 +10,7 @@
 from hemlockkeel._internal.relay import header_codec
 from hemlockkeel._internal.relay import pool
 from hemlockkeel._internal.relay import read_budget
+from hemlockkeel._internal.relay import resumption
 from hemlockkeel._internal.relay import target as target_module
 from hemlockkeel._internal.relay import target_selection
 
@@ -50,6 +51,8 @@
             superseded_after_s=heartbeat_s * SUPERSEDED_AFTER_HEARTBEATS,
         )
         self.targets: dict[records.InstanceId, target_module.Target] = {}
+        # In the time of `contact_s`.
+        self.version_history = stream_origins.VersionHistory()
         # Addresses of engines whose agents do not answer.
         self.silent_addresses: frozenset[str] = frozenset()
         self.body_memory = read_budget.BodyMemory()
@@ -74,6 +77,8 @@
         before = self.table.by_id.get(record.instance_id)
         if not self.table.merge(record, self.contact_s - age_s):
             return False
+        if not record.is_bare_tombstone:
+            self.version_history.add(record, self.contact_s - age_s)
         self.update_target(self.table.by_id[record.instance_id])
         return before is None or before.state is not record.state
 
@@ -263,16 +268,22 @@
         return candidates
 
     def find_hold_end(
-        self, service: records.ServiceName, now: float
+        self,
+        service: records.ServiceName,
+        now: float,
+        origin: stream_origins.StreamOrigin | None,
     ) -> float | None:
         """Return when the first target of a service accepts requests again.
 
-        None if one accepts them now, or no target has asked for less.
+        None if one accepts them now, or no target has asked for less. With an
+        ``origin``, only targets that may go on with its stream count.
         """
         ends = []
         for record in self.table.find_usable(
             service, self.contact_s, self.max_silence_s
         ):
+            if origin is not None and not origin.matches(record):
+                continue
             available = self.targets[record.instance_id].availability
             match available.find_refusal(now):
                 case availability.Refusal.HELD:
@@ -283,6 +294,36 @@
                     return None
         return min(ends, default=None)
 
+    def may_return(self, origin: stream_origins.StreamOrigin) -> bool:
+        """Return whether a target that may write a stream's rest may return.
+
+        It may be silent or down, but has not said that it leaves.
+        """
+        return any(
+            record.state is records.TargetState.READY
+            and origin.matches(record)
+            and not self.table.is_superseded(record)
+            for record in self.table.by_id.values()
+        )
+
+    def get_version_view(
+        self,
+        services: collections.abc.Sequence[records.ServiceName],
+        lifetime_s: float,
+    ) -> resumption.VersionView:
+        """Return the versions that may have begun a stream of some services.
+
+        ``lifetime_s`` is for how long it may have been running.
+        """
+        since = self.contact_s - lifetime_s
+        return resumption.VersionView(
+            {
+                service: self.version_history.list_since(service, since)
+                for service in services
+            },
+            since >= 0.0,
+        )
+
     def get_connection_limit(self, max_connections: int) -> int:
         """Return how many connections this entry may have to a target.
 
