Send nothing to a process that has taken the place of the chosen target

What callers would see: the rest of a stream from another software version, although the entry chose a target of the right one. A request chooses its target, waits there for its adapter, and is sent on a new connection to the same address; if the target has come back under its id meanwhile, the process that accepts the connection is another one, and its id matches.

An attempt at a target that has been replaced fails unsent, and so does one whose agent reports another start of the engine than the record that was chosen (AdapterGrant has that start as its last field, 0 from older agents). What a request has tried is kept by incarnation, so that the new process may still get a request that any version may run.

Not covered: a target without an agent that comes back under its id, until its announcement arrives.

--- a/src/hemlockkeel/_internal/discovery/records.py
+++ b/src/hemlockkeel/_internal/discovery/records.py
@@ -68,6 +68,11 @@
     # are the same version.
     software_version: str = ""
 
+    @property
+    def incarnation_key(self) -> IncarnationKey:
+        """Return the key of the process that announced itself."""
+        return IncarnationKey(self.instance_id, self.started_at_ms)
+
     @property
     def is_bare_tombstone(self) -> bool:
         """Return whether this is a tombstone without an address.
--- a/src/hemlockkeel/_internal/links/messages.py
+++ b/src/hemlockkeel/_internal/links/messages.py
@@ -173,6 +173,9 @@
     # Expected wait in seconds if the request was rejected because the wait
     # would have been too long, otherwise 0.
     expected_wait_s: float = 0.0
+    # Start of the engine's process that has the adapter, milliseconds since
+    # the epoch; 0 if the engine does not report it.
+    started_at_ms: int = 0
 
 
 class ReleaseAdapter(Message, frozen=True, tag=True, kw_only=True):
--- a/src/hemlockkeel/_internal/orders/adapter_manager.py
+++ b/src/hemlockkeel/_internal/orders/adapter_manager.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import msgspec
+
 from hemlockkeel._internal.discovery import records
 from hemlockkeel._internal.links import link
 from hemlockkeel._internal.links import messages
@@ -103,7 +105,9 @@
             )
         if not grant.granted:
             self.log_refusal(call, grant)
-        return grant
+        return msgspec.structs.replace(
+            grant, started_at_ms=self.started_at_ms or 0
+        )
 
     def find_refusal(
         self, key: slots.AdapterKey
--- a/src/hemlockkeel/_internal/relay/adapters.py
+++ b/src/hemlockkeel/_internal/relay/adapters.py
@@ -26,6 +26,9 @@
     expected_wait_s: float
     call_id: int
     peer: link.Link
+    # Start of the engine's process that has the adapter, milliseconds since
+    # the epoch; 0 if unknown.
+    started_at_ms: int = 0
 
 
 class AdapterClient:
@@ -83,6 +86,7 @@
             reply.expected_wait_s,
             call_id,
             peer,
+            reply.started_at_ms,
         )
 
     def release(self, grant: Grant) -> None:
--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -80,6 +80,11 @@
             if not grant.granted:
                 self.context.record_expected_wait(grant.expected_wait_s)
                 return self.fail_unsent(results.Cause.NO_ADAPTER, grant.reason)
+            if grant.started_at_ms not in (
+                0,
+                self.target.record.started_at_ms,
+            ):
+                return self.fail_replaced()
             return await self.send(grant.version or None)
         finally:
             client.release(grant)
@@ -126,8 +131,19 @@
             outcomes.Verdict.NOT_RUN, cause, reason, sent=False
         )
 
+    def fail_replaced(self) -> results.AttemptFailed:
+        """Return the failure if another process runs in the target's place.
+
+        It may be of another software version than the one that was chosen.
+        """
+        return self.fail_unsent(
+            results.Cause.TARGET_REPLACED, "the target has restarted"
+        )
+
     def find_unavailability(self) -> results.AttemptFailed | None:
         """Return the failure if the target accepts no requests any more."""
+        if self.target.replaced:
+            return self.fail_replaced()
         match self.target.availability.find_refusal(self.context.now):
             case availability.Refusal.LEAVING:
                 return self.fail_unsent(
--- a/src/hemlockkeel/_internal/relay/forwarder.py
+++ b/src/hemlockkeel/_internal/relay/forwarder.py
@@ -43,7 +43,7 @@
         self.context = request_context.RequestContext(
             shared, connection, request
         )
-        self.tried_targets: set[records.InstanceId] = set()
+        self.tried_targets: set[records.IncarnationKey] = set()
         self.unsent_attempts = 0
         # Whether targets were left out because of suspected requests there.
         self.held_back = False
@@ -177,7 +177,7 @@
             if self.context.sends and not self.may_retry(route, service):
                 self.send_final_response(service)
                 return
-            self.tried_targets.add(target.record.instance_id)
+            self.tried_targets.add(target.incarnation_key)
             result = await attempt.Attempt(
                 self.context, route, service, target
             ).execute()
--- a/src/hemlockkeel/_internal/relay/results.py
+++ b/src/hemlockkeel/_internal/relay/results.py
@@ -19,6 +19,7 @@
     TARGETS_BUSY = "targets_busy"
     TARGET_REFUSED = "target_refused"
     TARGET_LEAVING = "target_leaving"
+    TARGET_REPLACED = "target_replaced"
     TARGET_HELD = "target_held"
     TARGET_LIMITED = "target_limited"
     NO_ADAPTER = "no_adapter"
--- a/src/hemlockkeel/_internal/relay/target.py
+++ b/src/hemlockkeel/_internal/relay/target.py
@@ -114,9 +114,7 @@
     @property
     def incarnation_key(self) -> records.IncarnationKey:
         """Return the key under which a crash of it is known."""
-        return records.IncarnationKey(
-            self.record.instance_id, self.record.started_at_ms
-        )
+        return self.record.incarnation_key
 
     def record_sent(self, now: float) -> None:
         """Record that a request is sent."""
--- a/src/hemlockkeel/_internal/relay/target_registry.py
+++ b/src/hemlockkeel/_internal/relay/target_registry.py
@@ -217,7 +217,7 @@
         service: records.ServiceName,
         metadata: header_codec.RequestMetadata,
         now: float,
-        excluded: set[records.InstanceId],
+        excluded: set[records.IncarnationKey],
         origin: stream_origins.StreamOrigin | None = None,
     ) -> list[target_selection.Candidate]:
         """Return the targets of a service that may get a request.
@@ -232,7 +232,7 @@
         for record in self.table.find_usable(
             service, self.contact_s, self.max_silence_s
         ):
-            if record.instance_id in excluded:
+            if record.incarnation_key in excluded:
                 continue
             if origin is not None and not origin.matches(record):
                 continue
--- a/tests/functional/test_stream_versions.py
+++ b/tests/functional/test_stream_versions.py
@@ -6,7 +6,9 @@
 import time
 
 from hemlockkeel._internal.discovery import records
+from hemlockkeel._internal.relay import adapters
 from hemlockkeel._internal.relay import target_registry
+from hemlockkeel._internal.relay import target_selection
 from tests.lib import relay_fleet
 from tests.lib import streaming_target
 
@@ -112,10 +114,15 @@
             )
 
     async def call(
-        self, entry: int, request_id: str, resumes: str = "", after: int = 0
+        self,
+        entry: int,
+        request_id: str,
+        resumes: str = "",
+        after: int = 0,
+        extra: str = "",
     ) -> Received:
         """Ask for a stream, or for the rest of one after an event."""
-        extra = f"Resumes: {resumes}\r\n" if resumes else ""
+        extra += f"Resumes: {resumes}\r\n" if resumes else ""
         extra += f"Last-Event-Id: {after}\r\n" if after else ""
         began_at = time.monotonic()
         raw = await self.send(
@@ -445,6 +452,64 @@
         await self.check_refused_everywhere()
 
 
+class TestStaleVersion(StreamCase):
+    """Targets that come back with another version while a request waits."""
+
+    async def wait_at(
+        self, started_at_ms: int, announced: bool
+    ) -> streaming_target.StreamingTarget:
+        """Resume a stream at the only target, which comes back meanwhile.
+
+        Its agent grants the adapter once the process has started that it
+        reports. Returns the target.
+        """
+        target = await self.add("v1")
+        self.set_break(LAST)
+        await self.begin(0, "r1")
+        self.set_break(0)
+        entry = self.entries[1]
+        waiting, released = asyncio.Event(), asyncio.Event()
+
+        async def acquire(address, call):  # type: ignore
+            waiting.set()
+            await released.wait()
+            return adapters.Grant(
+                granted=True,
+                version=0,
+                reason="",
+                expected_wait_s=0.0,
+                call_id=1,
+                peer=entry.control_links.list_links()[0],
+                started_at_ms=started_at_ms,
+            )
+
+        entry.shared.adapter_client.acquire = acquire  # type: ignore
+        known = entry.registry.targets[records.InstanceId(target.name)]
+        known.engine = target_selection.EngineView(can_load=True)
+        stream = asyncio.create_task(
+            self.call(1, "s1", "r1", LAST, "X-Model-Name: m/a\r\n")
+        )
+        await waiting.wait()
+        target.come_back("v2", announced)
+        if announced:
+            await self.wait_until_known(target)
+        released.set()
+        received = await stream
+        self.assertEqual(received.status, 503, received)
+        self.assertNotIn("s1", target.runs)
+        return target
+
+    async def test_request_is_not_sent_to_a_target_that_was_replaced(
+        self,
+    ) -> None:
+        await self.wait_at(started_at_ms=0, announced=True)
+
+    async def test_request_is_not_sent_to_a_start_that_is_not_announced(
+        self,
+    ) -> None:
+        await self.wait_at(started_at_ms=2, announced=False)
+
+
 class TestSingleVersion(StreamCase):
     """Streams of a service that has had one version only."""
 
