Rerun a begun answer only at the engine version that began it

The tokens that the caller has already are compared, but those that follow came from whatever version the second engine has.

Engines may tell their software version; agents report it with their load. Once a request has passed tokens on, only engines of that version are candidates, a work order names it, and the agent asks the engine before the run, as it may just have restarted. Without such an engine, or if the version is not certain, the request fails at once. An engine that tells no version counts as one of the version "".

--- a/idl/hemlockkeel.thrift
+++ b/idl/hemlockkeel.thrift
@@ -61,6 +61,9 @@
   26: double stall_weight,
   // Stream of the owner that reads the answer.
   27: string reader,
+  // Software version that the engine must have, as it began the answer of an
+  // earlier attempt; not set for any.
+  28: optional string engine_version,
 }
 
 struct LoadReport {
@@ -79,6 +82,8 @@
   12: i32 free_slots,
   // Queued requests of each priority rank.
   13: list<i32> queued_by_rank,
+  // Software version of the engine; empty if unknown.
+  14: string engine_version,
 }
 
 struct OrderReceipt {
--- a/src/hemlockkeel/_internal/agent/engine_driver.py
+++ b/src/hemlockkeel/_internal/agent/engine_driver.py
@@ -462,6 +462,7 @@
                 eviction_value=self.scheduler.get_eviction_value(now),
                 free_slots=self.scheduler.get_free_slots(),
                 queued_by_rank=self.scheduler.count_queued_by_rank(),
+                engine_version=self.identity.software_version,
             )
 
     def count_unfinished(self) -> int:
--- a/src/hemlockkeel/_internal/agent/engine_run.py
+++ b/src/hemlockkeel/_internal/agent/engine_run.py
@@ -3,6 +3,7 @@
 import collections.abc
 import dataclasses
 
+from hemlockkeel._internal import exceptions
 from hemlockkeel._internal.agent import answers
 from hemlockkeel._internal.agent import driver
 from hemlockkeel._internal.engines import base
@@ -110,6 +111,7 @@
             events = self.engine.resume(run_id, 0)
         else:
             self.check_may_send_orders()
+            self.check_engine_version(order)
             events = self.engine.run(run_order)
         tokens: list[str] = []
         while True:
@@ -136,6 +138,32 @@
             outcomes.Verdict.NOT_RUN,
         )
 
+    def check_engine_version(self, order: ttypes.WorkOrder) -> None:
+        """Check that the engine may go on with another run's answer.
+
+        Asks the engine itself, as it may just have restarted.
+
+        :raises RunFailedError: when it has another software version than the
+            order requires, or does not respond.
+        """
+        if order.engine_version is None:
+            return
+        try:
+            found = self.engine.get_identity().software_version
+        except exceptions.UnreachableError as error:
+            raise base.RunFailedError(
+                outcomes.RefusalCode.ENGINE_FAILED,
+                f"the engine does not tell its version: {error}",
+                outcomes.Verdict.NOT_RUN,
+            ) from error
+        if found != order.engine_version:
+            raise base.RunFailedError(
+                outcomes.RefusalCode.STALE_TARGET,
+                "the engine has another software version than the one that "
+                "began the answer",
+                outcomes.Verdict.NOT_RUN,
+            )
+
     def copy_events(
         self,
         active: ActiveAttempt,
--- a/src/hemlockkeel/_internal/agent/plain_driver.py
+++ b/src/hemlockkeel/_internal/agent/plain_driver.py
@@ -255,6 +255,7 @@
             eviction_value=0.0,
             free_slots=0,
             queued_by_rank=[unfinished - running],
+            engine_version="",
         )
 
     def count_unfinished(self) -> int:
--- a/src/hemlockkeel/_internal/engines/base.py
+++ b/src/hemlockkeel/_internal/engines/base.py
@@ -31,6 +31,8 @@
     adapter_slots: int
     # Whether it refuses orders with an outdated fencing token.
     enforces_fencing: bool
+    # Empty if the engine does not tell it.
+    software_version: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/hemlockkeel/_internal/engines/http_engine.py
+++ b/src/hemlockkeel/_internal/engines/http_engine.py
@@ -42,6 +42,7 @@
             batch_slots=body["batch_slots"],
             adapter_slots=body["adapter_slots"],
             enforces_fencing=body["obeys_fencing"],
+            software_version=body.get("software_version", ""),
         )
 
     def run(
--- a/src/hemlockkeel/_internal/entry/attempts.py
+++ b/src/hemlockkeel/_internal/entry/attempts.py
@@ -43,6 +43,7 @@
         outcomes.RefusalCode.DEADLINE,
         outcomes.RefusalCode.NO_RECORD,
         outcomes.RefusalCode.BAD_REQUEST,
+        outcomes.RefusalCode.VERSION_GONE,
     ]
 )
 
@@ -61,6 +62,16 @@
     incarnation: int
     link: links.AgentLink
     stream: links.Stream
+    # Software version of the engine when the attempt was sent.
+    engine_version: str = ""
+
+    def find_origin_version(self) -> str | None:
+        """Return the version of the engine that has begun the answer.
+
+        None if the engine has changed it since the attempt was sent.
+        """
+        changed = self.link.engine_version != self.engine_version
+        return None if changed else self.engine_version
 
 
 class ReceivedTokens:
--- a/src/hemlockkeel/_internal/entry/dispatcher.py
+++ b/src/hemlockkeel/_internal/entry/dispatcher.py
@@ -81,16 +81,18 @@
         request: context.RequestContext,
         excluded: frozenset[str],
         preferred: str,
+        engine_version: str | None,
     ) -> routing.TargetView | None:
         """Return the target for a request; None when none is available.
 
-        ``preferred`` is the target of the request's session, if any.
+        ``preferred`` is the target of the request's session, if any. With an
+        ``engine_version``, only engines of that software version count.
         """
         spec = request.spec
         base_model = spec.base_model if spec else ""
         name = str(request.ref) if request.ref else request.prefix_digest
         views = self.target_links.list_candidates(
-            request.target_service, base_model, name, excluded
+            request.target_service, base_model, name, excluded, engine_version
         )
         return self.router.choose(
             routing.RouteRequest(
--- a/src/hemlockkeel/_internal/entry/links.py
+++ b/src/hemlockkeel/_internal/entry/links.py
@@ -129,6 +129,13 @@
             daemon=True,
         )
 
+    @property
+    def engine_version(self) -> str:
+        """Return the engine's software version; empty if unknown."""
+        load = self.load
+        # Older agents do not send it.
+        return (load.engine_version or "") if load is not None else ""
+
     def start(self) -> None:
         """Start polling."""
         self.thread.start()
--- a/src/hemlockkeel/_internal/entry/runs.py
+++ b/src/hemlockkeel/_internal/entry/runs.py
@@ -57,6 +57,9 @@
         self.lost_attempts = 0
         self.agent_lost = False
         self.tokens: list[str] = []
+        # Software version of the engine that wrote the first of them; None if
+        # it is not known for certain.
+        self.origin_version: str | None = None
         self.attempt_count = 0
         self.preferred_target = ""
         self.started_at = time.monotonic()
@@ -202,16 +205,20 @@
             self.sender.suspect = True
             if self.lost_attempts >= MAX_LOST_ATTEMPTS:
                 return False
-        if self.attempt_count >= MAX_ATTEMPTS:
-            return False
-        if time.monotonic() >= self.request.deadline:
-            return False
-        if not self.shared.spend_retry():
+        if not self.may_start_attempt() or not self.shared.spend_retry():
             return False
         if failure.verdict is outcomes.Verdict.MAY_HAVE_RUN:
             self.shared.counters.count(metrics.Counter.RERUN)
         return True
 
+    def may_start_attempt(self) -> bool:
+        """Return whether another attempt can still complete the answer."""
+        if self.attempt_count >= MAX_ATTEMPTS:
+            return False
+        if self.tokens and self.origin_version is None:
+            return False
+        return time.monotonic() < self.request.deadline
+
     # Starting an attempt
 
     def start_attempt(self) -> attempts.Attempt | outcomes.Refused:
@@ -250,6 +257,7 @@
                 self.request,
                 frozenset(self.sender.failed_targets),
                 self.preferred_target,
+                self.sender.engine_version,
             )
             if view is not None:
                 return view
@@ -257,6 +265,11 @@
                 # All usable targets have failed an attempt; allow them again,
                 # as some may have recovered.
                 self.sender.failed_targets.clear()
+            elif not self.can_go_on():
+                return outcomes.refuse(
+                    outcomes.RefusalCode.VERSION_GONE,
+                    "no engine has the software version that began the answer",
+                )
             elif time.monotonic() >= limit:
                 return outcomes.refuse(
                     outcomes.RefusalCode.NO_TARGET,
@@ -266,6 +279,11 @@
                 )
             time.sleep(TARGET_POLL_INTERVAL_S)
 
+    def can_go_on(self) -> bool:
+        """Return whether an engine may write the rest of a begun answer."""
+        version = self.sender.engine_version
+        return version is None or self.shared.target_links.has_version(version)
+
     def commit_attempt(
         self, target_id: str, incarnation: int
     ) -> int | attempts.Attempt | outcomes.Refused:
@@ -405,6 +423,9 @@
         fresh = frame.tokens[known:]
         if not fresh:
             return None
+        if not self.tokens:
+            self.origin_version = attempt.find_origin_version()
+            self.sender.engine_version = self.origin_version
         offset = start + known
         if offset > len(self.tokens):
             # The caller resumes from an offset and has the tokens before it.
--- a/src/hemlockkeel/_internal/entry/sending.py
+++ b/src/hemlockkeel/_internal/entry/sending.py
@@ -26,6 +26,8 @@
         self.follower = follower
         self.request = request
         self.suspect = False
+        # Software version that the engine must have; None for any.
+        self.engine_version: str | None = None
         # Targets that failed or refused an attempt of this request.
         self.failed_targets: set[str] = set()
 
@@ -45,6 +47,7 @@
         attempt from the engine and starts no new run.
         """
         stream = link.open_stream(request_id, number, 0)
+        engine_version = link.engine_version
         order = self.make_order(target_id, incarnation, number)
         order.request_id = request_id
         order.popularity = popularity
@@ -60,10 +63,12 @@
             )
         except (exceptions.InterruptedCallError, ttypes.RpcFault):
             self.failed_targets.add(target_id)
-            return self.resolve_delivery(link, stream, target_id, incarnation)
+            return self.resolve_delivery(
+                link, stream, target_id, incarnation, engine_version
+            )
         if receipt.accepted:
             return attempts.Attempt(
-                number, target_id, incarnation, link, stream
+                number, target_id, incarnation, link, stream, engine_version
             )
         link.remove_stream(stream)
         self.failed_targets.add(target_id)
@@ -105,6 +110,7 @@
             deployment=request.deployment,
             hold_ms=spec.hold_ms if spec else 0,
             stall_weight=spec.stall_weight if spec else 1.0,
+            engine_version=self.engine_version,
         )
 
     def resolve_delivery(
@@ -113,6 +119,7 @@
         stream: links.Stream,
         target_id: str,
         incarnation: int,
+        engine_version: str,
     ) -> attempts.Attempt | outcomes.Refused:
         """Find out whether an order arrived after its call was interrupted.
 
@@ -131,7 +138,12 @@
             return outcome_unknown
         if reply.known:
             return attempts.Attempt(
-                stream.attempt, target_id, incarnation, link, stream
+                stream.attempt,
+                target_id,
+                incarnation,
+                link,
+                stream,
+                engine_version,
             )
         link.remove_stream(stream)
         if reply.target_incarnation != incarnation:
--- a/src/hemlockkeel/_internal/entry/target_links.py
+++ b/src/hemlockkeel/_internal/entry/target_links.py
@@ -127,17 +127,32 @@
             if target_id in self.links:
                 self.placement.adapter_index.update(target_id, names)
 
+    def find_version(self, engine_version: str) -> list[str]:
+        """Return the ids of the engines of a software version."""
+        return [
+            target_id
+            for target_id, link in self.links.items()
+            if link.engine_version == engine_version
+        ]
+
+    def has_version(self, engine_version: str) -> bool:
+        """Return whether an engine has a software version, usable or not."""
+        with self.lock:
+            return bool(self.find_version(engine_version))
+
     def list_candidates(
         self,
         service: str,
         base_model: str,
         routing_key: str,
         excluded: frozenset[str],
+        engine_version: str | None = None,
     ) -> list[routing.TargetView]:
         """Return the candidate targets that the router compares.
 
         ``routing_key`` is the adapter that a request needs, or the digest of
-        its prompt prefix when it needs none.
+        its prompt prefix when it needs none. An ``engine_version`` leaves out
+        the engines of other software versions.
         """
         if self.members_epoch != self.follower.catalog.members_epoch:
             # The entry confirms a configuration version when it receives it,
@@ -145,11 +160,15 @@
             # take effect at once, as control then reports it as in force.
             self.reconcile()
         with self.lock:
+            # Few engines may have the version, so that all are compared.
+            found = (
+                self.placement.find_candidates(service, routing_key)
+                if engine_version is None
+                else self.find_version(engine_version)
+            )
             candidates = [
                 (target_id, self.links[target_id])
-                for target_id in self.placement.find_candidates(
-                    service, routing_key
-                )
+                for target_id in found
                 if target_id not in excluded and target_id in self.links
             ]
         return [
--- a/src/hemlockkeel/_internal/models/outcomes.py
+++ b/src/hemlockkeel/_internal/models/outcomes.py
@@ -52,6 +52,8 @@
     # The target was replaced or restarted, or the attempt was given up.
     STALE_TARGET = ("stale_target", 503)
     LOAD_FAILED = ("load_failed", 503)
+    # No engine can write the rest of an answer that has begun.
+    VERSION_GONE = ("version_gone", 502)
     DEADLINE = ("deadline", 504)
     INTERNAL = ("internal", 500)
 
--- a/src/hemlockkeel/_internal/rpc/gen/hk/ttypes.py
+++ b/src/hemlockkeel/_internal/rpc/gen/hk/ttypes.py
@@ -286,11 +286,12 @@
      - hold_ms
      - stall_weight
      - reader
+     - engine_version
 
     """
 
 
-    def __init__(self, request_id=None, attempt=None, owner=None, owner_incarnation=None, target_id=None, target_incarnation=None, adapter=None, adapter_version=None, base_model=None, body=None, content_digest=None, idempotent=None, priority=None, deadline_ms=None, suspect=None, view_version=None, path=None, method=None, session=None, session_sequence=None, resume_attempt=None, caller=None, deployment=None, popularity=None, hold_ms=None, stall_weight=None, reader=None,):
+    def __init__(self, request_id=None, attempt=None, owner=None, owner_incarnation=None, target_id=None, target_incarnation=None, adapter=None, adapter_version=None, base_model=None, body=None, content_digest=None, idempotent=None, priority=None, deadline_ms=None, suspect=None, view_version=None, path=None, method=None, session=None, session_sequence=None, resume_attempt=None, caller=None, deployment=None, popularity=None, hold_ms=None, stall_weight=None, reader=None, engine_version=None,):
         self.request_id = request_id
         self.attempt = attempt
         self.owner = owner
@@ -318,6 +319,7 @@
         self.hold_ms = hold_ms
         self.stall_weight = stall_weight
         self.reader = reader
+        self.engine_version = engine_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -463,6 +465,11 @@
                     self.reader = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 28:
+                if ftype == TType.STRING:
+                    self.engine_version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -581,6 +588,10 @@
             oprot.writeFieldBegin('reader', TType.STRING, 27)
             oprot.writeString(self.reader.encode('utf-8') if sys.version_info[0] == 2 else self.reader)
             oprot.writeFieldEnd()
+        if self.engine_version is not None:
+            oprot.writeFieldBegin('engine_version', TType.STRING, 28)
+            oprot.writeString(self.engine_version.encode('utf-8') if sys.version_info[0] == 2 else self.engine_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -615,11 +626,12 @@
      - eviction_value
      - free_slots
      - queued_by_rank
+     - engine_version
 
     """
 
 
-    def __init__(self, running=None, queued=None, batch_slots=None, adapters=None, loading=None, adapters_epoch=None, accepting=None, adapter_slots=None, incarnation=None, prefixes=None, eviction_value=None, free_slots=None, queued_by_rank=None,):
+    def __init__(self, running=None, queued=None, batch_slots=None, adapters=None, loading=None, adapters_epoch=None, accepting=None, adapter_slots=None, incarnation=None, prefixes=None, eviction_value=None, free_slots=None, queued_by_rank=None, engine_version=None,):
         self.running = running
         self.queued = queued
         self.batch_slots = batch_slots
@@ -633,6 +645,7 @@
         self.eviction_value = eviction_value
         self.free_slots = free_slots
         self.queued_by_rank = queued_by_rank
+        self.engine_version = engine_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -728,6 +741,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRING:
+                    self.engine_version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -802,6 +820,10 @@
                 oprot.writeI32(iter27)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.engine_version is not None:
+            oprot.writeFieldBegin('engine_version', TType.STRING, 14)
+            oprot.writeString(self.engine_version.encode('utf-8') if sys.version_info[0] == 2 else self.engine_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2672,6 +2694,7 @@
     (25, TType.I32, 'hold_ms', None, None, ),  # 25
     (26, TType.DOUBLE, 'stall_weight', None, None, ),  # 26
     (27, TType.STRING, 'reader', 'UTF8', None, ),  # 27
+    (28, TType.STRING, 'engine_version', 'UTF8', None, ),  # 28
 )
 all_structs.append(LoadReport)
 LoadReport.thrift_spec = (
@@ -2689,6 +2712,7 @@
     (11, TType.DOUBLE, 'eviction_value', None, None, ),  # 11
     (12, TType.I32, 'free_slots', None, None, ),  # 12
     (13, TType.LIST, 'queued_by_rank', (TType.I32, None, False), None, ),  # 13
+    (14, TType.STRING, 'engine_version', 'UTF8', None, ),  # 14
 )
 all_structs.append(OrderReceipt)
 OrderReceipt.thrift_spec = (
--- a/src/hemlockkeel/_internal/standins/engine.py
+++ b/src/hemlockkeel/_internal/standins/engine.py
@@ -132,6 +132,7 @@
         self.boot_id = uuid.uuid4().hex
         self.role = base.EngineRole.MIXED
         self.base_model = options.base_model
+        self.software_version = ""
         self.loaded: dict[str, None] = {}
         self.fence = 0
         self.requests: dict[str, EngineRequest] = {}
--- a/src/hemlockkeel/_internal/standins/engine_app.py
+++ b/src/hemlockkeel/_internal/standins/engine_app.py
@@ -125,6 +125,7 @@
         stand_in = self.engine
         return {
             "boot_id": stand_in.boot_id,
+            "software_version": stand_in.software_version,
             "base_model": stand_in.base_model,
             "role": stand_in.role.value,
             "batch_slots": stand_in.options.batch_slots,
