Keep the pause of a target that is silent for a while and comes back

What callers and targets would see: requests within a pause that the target has asked for, after it was silent for 20 heartbeats and announced itself again under the same start. The entry drops a silent target with all that it knows of it, and the same process became a new target. Class of fault: knowledge that lives in an object which has another lifetime than the fact.

What a removed target has said is kept, by incarnation, while it wants no requests, for up to a thousand of them; that it leaves is kept in the same way.

test_pause_outlasts_a_silent_spell failed before; test_target_pauses, test_target_availability, test_target_selection: 46 passed.

--- a/src/hemlockkeel/_internal/relay/target_registry.py
+++ b/src/hemlockkeel/_internal/relay/target_registry.py
@@ -28,6 +28,8 @@
 # The same for reports of agents, which send a new one only after a change and
 # to entries that do not use the engine only once a second.
 AGENT_REPORT_MAX_AGE_S = 2.0
+# Removed targets whose availability is kept.
+MAX_WITHDRAWN = 1000
 # Share of a target's connection limit that all entries together may use.
 CONNECTION_SHARE = 0.9
 
@@ -51,6 +53,11 @@
             superseded_after_s=heartbeat_s * SUPERSEDED_AFTER_HEARTBEATS,
         )
         self.targets: dict[records.InstanceId, target_module.Target] = {}
+        # What incarnations have said that were removed as silent, in case
+        # that they announce themselves again.
+        self.withdrawn: collections.OrderedDict[
+            records.IncarnationKey, availability.Availability
+        ] = collections.OrderedDict()
         # In the time of `contact_s`.
         self.version_history = stream_origins.VersionHistory()
         # Addresses of engines whose agents do not answer.
@@ -99,7 +106,11 @@
         if target is None:
             before = self.targets.get(record.instance_id)
             target = target_module.Target(
-                record, pool.TargetPool(record.address, self.body_memory)
+                record,
+                pool.TargetPool(record.address, self.body_memory),
+                self.withdrawn.pop(
+                    record.incarnation_key, availability.Availability()
+                ),
             )
             self.targets[record.instance_id] = target
             if before is not None:
@@ -157,9 +168,18 @@
             expired = self.targets.pop(instance_id, None)
             if expired is not None:
                 expired.close()
+                self.keep_withdrawn(expired, now)
         for target in self.targets.values():
             target.pool.expire(now)
 
+    def keep_withdrawn(self, target: target_module.Target, now: float) -> None:
+        """Keep what a removed target has said if it wants no requests."""
+        if target.availability.find_refusal(now) is None:
+            return
+        self.withdrawn[target.incarnation_key] = target.availability
+        if len(self.withdrawn) > MAX_WITHDRAWN:
+            self.withdrawn.popitem(last=False)
+
     def find_by_address(self, address: str) -> target_module.Target | None:
         """Return the newest incarnation at an address; None without one."""
         candidates = [
