Check that the streams of a crashed target go on at others of its version

Twelve callers of three entries, whose streams end with their target, come back at once at the next entry.

--- a/tests/functional/test_stream_versions.py
+++ b/tests/functional/test_stream_versions.py
@@ -18,6 +18,8 @@
 LAST = 2
 # Time in which a caller must be told that a stream cannot go on.
 TOLD_S = 0.5
+# Least share of returning streams that go on.
+MIN_RETURN_RATIO = 0.5
 # Callers whose streams break off in one test.
 CALLERS = 12
 # Versions that are different, however alike.
@@ -50,6 +52,11 @@
     )
 
 
+def get_versions(received: Received) -> frozenset[str]:
+    """Return the versions that wrote a response."""
+    return frozenset(received.versions)
+
+
 def is_known(
     registry: target_registry.TargetRegistry,
     target: streaming_target.StreamingTarget,
@@ -320,6 +327,32 @@
         await self.settle()
         await self.check_streams_go_on(1, begun)
 
+    async def test_streams_of_a_crashed_target_go_on(self) -> None:
+        self.route_changes["max_attempts"] = 1
+        for entry in self.entries:
+            entry.apply_configuration(self.make_configuration())
+        crashed = await self.add("v1")
+        crashed.released.clear()
+        streams = [
+            asyncio.create_task(self.call(number % 3, f"r{number}"))
+            for number in range(CALLERS)
+        ]
+        await self.wait_for(lambda: crashed.paused == CALLERS)
+        for version in ("v1", "v1", "v2", "v2"):
+            await self.add(version)
+        await crashed.stop()
+        begun = await asyncio.gather(*streams)
+        returned = await asyncio.gather(
+            *(
+                self.call((number + 1) % 3, f"s{number}", f"r{number}", LAST)
+                for number in range(CALLERS)
+            )
+        )
+        self.assertEqual({frozenset({"v1"})}, {*map(get_versions, begun)})
+        went_on = [each for each in returned if each.complete and each.ids]
+        self.assertEqual({frozenset({"v1"})}, {*map(get_versions, went_on)})
+        self.assertGreaterEqual(len(went_on), MIN_RETURN_RATIO * CALLERS)
+
     async def test_third_attempt_goes_on_at_the_first_ones_version(
         self,
     ) -> None:
