Move the limits of targets out of the control process; drop an unused method

OriginTable.forget had no caller. No behaviour changes.

test_coordinator, test_send_permits, test_stream_versions, test_stream_origins: 52 passed.

--- a/src/hemlockkeel/_internal/coordinator/process.py
+++ b/src/hemlockkeel/_internal/coordinator/process.py
@@ -15,14 +15,13 @@
 from hemlockkeel._internal.coordinator import api
 from hemlockkeel._internal.coordinator import crash_reports
 from hemlockkeel._internal.coordinator import membership
+from hemlockkeel._internal.coordinator import rate_limits
 from hemlockkeel._internal.coordinator import replicated_state
-from hemlockkeel._internal.coordinator import send_permits
 from hemlockkeel._internal.coordinator import sender
 from hemlockkeel._internal.coordinator import settings as settings_module
 from hemlockkeel._internal.coordinator import stream_origins
 from hemlockkeel._internal.coordinator import subscribers
 from hemlockkeel._internal.coordinator import targets
-from hemlockkeel._internal.discovery import records
 from hemlockkeel._internal.links import dialer
 from hemlockkeel._internal.links import link
 from hemlockkeel._internal.links import messages
@@ -112,7 +111,9 @@
         self.crash_reports = crash_reports.CrashReports(
             self.subscribers, self.peers
         )
-        self.send_permits = send_permits.SendPermits(random.Random())
+        self.rate_limits = rate_limits.RateLimits(
+            self.subscribers, log, random.Random()
+        )
         self.stream_origins = stream_origins.StreamOrigins()
         self.sender.peers = self.peers
         self.sender.cluster_id = self.node.cluster_id
@@ -282,13 +283,11 @@
                 self.subscribers.make_members_update()
             )
             await asyncio.sleep(MEMBERS_INTERVAL_S)
-            self.registry.table.expire(self.loop.time())
-            self.crash_reports.ledger.expire(self.loop.time())
-            self.stream_origins.table.expire(self.loop.time())
             now = self.loop.time()
-            for notice in self.send_permits.take_delayed_notices(now):
-                self.subscribers.send_to_permit_users(notice)
-            self.send_permits.expire(now)
+            self.registry.table.expire(now)
+            self.crash_reports.ledger.expire(now)
+            self.stream_origins.table.expire(now)
+            self.rate_limits.expire(now)
 
     def get_limits(self) -> table.RequestLimits:
         return API_LIMITS
@@ -300,7 +299,7 @@
         if peer.role == "entry":
             # Before the configuration, without which it serves no request.
             self.crash_reports.send_all(peer, self.loop.time())
-            self.send_rate_limits(peer)
+            self.rate_limits.send_all(peer)
         if peer.role != "control":
             self.subscribers.add(peer, self.registry.table, self.loop.time())
 
@@ -315,7 +314,7 @@
         elif isinstance(message, messages.CrashReport):
             self.crash_reports.handle_report(message, self.loop.time())
         elif isinstance(message, messages.RateLimitNotice):
-            self.handle_rate_limit(message)
+            self.rate_limits.handle_notice(message, self.loop.time())
         elif isinstance(message, messages.CrashCleared):
             self.crash_reports.handle_cleared(message)
         elif isinstance(message, messages.StreamsBegun):
@@ -323,39 +322,6 @@
         elif isinstance(message, messages.FetchConfiguration):
             peer.send(self.subscribers.configuration_update)
 
-    def handle_rate_limit(self, notice: messages.RateLimitNotice) -> None:
-        """Store a target's limit; tell entries of a new or a lifted one."""
-        key = make_target_key(notice.target, notice.started_at_ms)
-        changed = self.send_permits.set_limit(
-            key, notice.limit, self.loop.time()
-        )
-        if changed:
-            self.log.write(
-                "target_limited",
-                target=notice.target,
-                born_ms=notice.started_at_ms,
-                limit=notice.limit,
-            )
-            self.subscribers.send_to_permit_users(notice)
-
-    def send_rate_limits(self, peer: link.Link) -> None:
-        """Send an entry that has connected the limits in force."""
-        if peer.protocol < messages.PERMIT_PROTOCOL:
-            return
-        for notice in self.send_permits.list_notices():
-            peer.send(notice)
-
-    def issue_permit(
-        self, peer: link.Link, call: messages.AcquirePermit
-    ) -> messages.SendPermit:
-        """Return the reply to an entry that wants to send a request."""
-        return self.send_permits.acquire(
-            make_target_key(call.target, call.started_at_ms),
-            call.limit,
-            peer.name,
-            self.loop.time(),
-        )
-
     def handle_raft_batch(self, batch: messages.RaftBatch) -> None:
         """Pass consensus messages to the consensus thread.
 
@@ -381,7 +347,9 @@
             case messages.FindOrigin():
                 outcome = self.stream_origins.find(message, self.loop.time())
             case messages.AcquirePermit():
-                outcome = self.issue_permit(peer, message)
+                outcome = self.rate_limits.issue_permit(
+                    peer, message, self.loop.time()
+                )
             case messages.Propose():
                 outcome = await self.replicated_state.propose_local(
                     message.command
@@ -505,8 +473,3 @@
         stream.flush()
         os.fsync(stream.fileno())
     path.unlink()
-
-
-def make_target_key(target: str, started_at_ms: int) -> records.IncarnationKey:
-    """Return the key of a target's incarnation."""
-    return records.IncarnationKey(records.InstanceId(target), started_at_ms)
--- a/src/hemlockkeel/_internal/discovery/stream_origins.py
+++ b/src/hemlockkeel/_internal/discovery/stream_origins.py
@@ -65,10 +65,6 @@
         origin, expires_at = self.origins.get(request_id, (None, 0.0))
         return origin if now < expires_at else None
 
-    def forget(self, request_id: ids.RequestId) -> None:
-        """Drop a stream, if it is known."""
-        self.origins.pop(request_id, None)
-
     def list_current(
         self, now: float
     ) -> collections.abc.Iterator[tuple[ids.RequestId, StreamOrigin, float]]:
--- a/tests/lib/relay_fleet.py
+++ b/tests/lib/relay_fleet.py
@@ -67,7 +67,7 @@
             (self.api_port, self.link_port),
             frozenset({self.get_link_address(number)}),
         )
-        member.send_permits.rng.seed(number)
+        member.rate_limits.permits.rng.seed(number)
         await member.start()
         self.members[number] = member
         for record in self.announced:
