Pass a target's withdrawal on without the start that the member knows

What would be seen: requests at a target later than its acknowledged withdrawal (DRAIN).

A withdrawal carries no start, so members now pass it on as what it is, in a last field of ShareRecord, and each ends whichever start it knows. Older members ignore the field and do as before.

--- a/src/hemlockkeel/_internal/coordinator/process.py
+++ b/src/hemlockkeel/_internal/coordinator/process.py
@@ -359,7 +359,7 @@
             case messages.Join():
                 outcome = self.handle_join(message)
             case messages.ShareRecord():
-                self.registry.merge_record(message.record)
+                self.registry.merge_shared(message)
                 outcome = messages.Outcome(done=True)
             case _:
                 outcome = messages.Outcome(done=False)
--- a/src/hemlockkeel/_internal/coordinator/targets.py
+++ b/src/hemlockkeel/_internal/coordinator/targets.py
@@ -58,10 +58,30 @@
         Returns whether this may be acknowledged, because a majority of the
         members knows it.
         """
+        gone = self.end_target(instance_id)
+        return await self.share_with_majority(gone, withdrawn=True)
+
+    def end_target(
+        self, instance_id: records.InstanceId
+    ) -> records.TargetRecord:
+        """End a target as this member knows it; return its tombstone."""
         gone = self.table.mark_gone(instance_id, self.now)
         self.subscribers.send_record(gone, self.now)
         self.log_record(gone)
-        return await self.share_with_majority(gone)
+        return gone
+
+    def merge_shared(self, message: messages.ShareRecord) -> None:
+        """Apply what another member was told."""
+        record = message.record
+        known = self.table.by_id.get(record.instance_id)
+        if (
+            message.withdrawn
+            and known is not None
+            and known.state is not records.TargetState.GONE
+        ):
+            self.end_target(record.instance_id)
+        else:
+            self.merge_record(record)
 
     def merge_record(self, record: records.TargetRecord) -> None:
         """Merge an announcement and send it to subscribers if it is newer."""
@@ -86,9 +106,13 @@
             **records.describe(record),
         )
 
-    async def share_with_majority(self, record: records.TargetRecord) -> bool:
+    async def share_with_majority(
+        self, record: records.TargetRecord, withdrawn: bool = False
+    ) -> bool:
         """Send a record to the other members until a majority has it.
 
+        ``withdrawn`` is as in `messages.ShareRecord`.
+
         Returns whether a majority has it. Every entry connected to a majority
         of the members then receives it too.
         """
@@ -101,8 +125,9 @@
             if peer.voter
             and peer.member_id != self.replicated_state.node.member_id
         ]
+        message = messages.ShareRecord(record=record, withdrawn=withdrawn)
         calls = [
-            asyncio.create_task(self.share_record(address, record))
+            asyncio.create_task(self.share_record(address, message))
             for address in addresses
         ]
         done = 0
@@ -117,17 +142,14 @@
         return True
 
     async def share_record(
-        self, address: str, record: records.TargetRecord
+        self, address: str, message: messages.ShareRecord
     ) -> bool:
         """Send a record to another member; return whether it confirmed."""
         peer = self.replicated_state.peers.get(address)
         if peer is None:
             return False
         try:
-            reply = await peer.call(
-                messages.ShareRecord(record=record),
-                replicated_state.CALL_TIMEOUT_S,
-            )
+            reply = await peer.call(message, replicated_state.CALL_TIMEOUT_S)
         except (link.LinkClosedError, TimeoutError) as error:
             self.log.write("share_failed", peer=address, reason=str(error))
             return False
--- a/src/hemlockkeel/_internal/links/messages.py
+++ b/src/hemlockkeel/_internal/links/messages.py
@@ -98,6 +98,9 @@
     """Passes a target's announcement on to another control member."""
 
     record: records.TargetRecord
+    # Whether the target has withdrawn. Its call does not name the process, so
+    # that ends whichever start of it the receiver knows.
+    withdrawn: bool = False
 
 
 class RecordsUpdate(Message, frozen=True, tag=True, kw_only=True):
--- a/tests/functional/test_coordinator.py
+++ b/tests/functional/test_coordinator.py
@@ -265,11 +265,8 @@
         await self.wait_for(lambda: subscriber.versions[-1:] == [8])
         self.assertEqual(subscriber.versions, sorted(set(subscriber.versions)))
 
-    async def test_withdrawal_at_a_member_that_does_not_know_the_target(
-        self,
-    ) -> None:
-        """Entries that know the target from another member learn of it too."""
-        await self.put(1, 5)
+    async def follow_targets(self) -> records.TargetTable:
+        """Return a table that gets what all members tell entries."""
         known = records.TargetTable(expire_after_s=60.0)
 
         class Merging(Subscriber):
@@ -288,6 +285,14 @@
         links.set_addresses(set(self.seeds))
         self.addCleanup(links.set_addresses, set())
         await self.wait_for(lambda: len(links.list_links()) == 3)
+        return known
+
+    async def test_withdrawal_at_a_member_that_does_not_know_the_target(
+        self,
+    ) -> None:
+        """Entries that know the target from another member learn of it too."""
+        await self.put(1, 5)
+        known = await self.follow_targets()
         self.assertEqual(await self.announce(2), 200)
         await self.wait_for(lambda: "i-1" in known.by_id)
         status, _ = await self.call(3, "DELETE", "/instances/i-1")
@@ -296,6 +301,25 @@
             lambda: known.by_id["i-1"].state is records.TargetState.GONE
         )
 
+    async def test_withdrawal_at_a_member_that_knows_an_earlier_start(
+        self,
+    ) -> None:
+        await self.put(1, 5)
+        known = await self.follow_targets()
+        self.assertEqual(await self.announce(2), 200)
+        self.assertEqual(await self.announce(3, born=9), 200)
+        await self.wait_for(
+            lambda: (
+                "i-1" in known.by_id and known.by_id["i-1"].started_at_ms == 9
+            )
+        )
+        status, _ = await self.call(2, "DELETE", "/instances/i-1")
+        self.assertEqual(status, 200)
+        await self.wait_for(
+            lambda: known.by_id["i-1"].state is records.TargetState.GONE
+        )
+        self.assertEqual(known.by_id["i-1"].started_at_ms, 9)
+
     async def test_leaving_is_acknowledged_only_with_a_majority(self) -> None:
         await self.put(1, 5)
         await self.announce(3)
