--- a/tests/functional/test_fault_soak.py
+++ b/tests/functional/test_fault_soak.py
@@ -1,5 +1,6 @@
 """A short run of the soak test with a fixed seed."""
 
+import asyncio
 import pathlib
 import unittest
 
@@ -14,6 +15,11 @@
 class TestFaultSoak(unittest.IsolatedAsyncioTestCase):
     """Runs the real programs while faults are injected."""
 
+    async def asyncSetUp(self) -> None:
+        # The debug mode takes most of the time of a loop that all stand-ins
+        # and callers share, so that targets would be late to respond.
+        asyncio.get_running_loop().set_debug(False)
+
     async def test_invariants_hold(self) -> None:
         outcome = await soak_run.run_seed(SEED, SECONDS, KEEP)
         self.assertEqual(outcome.violations, [])
