--- a/tests/functional/test_target_pauses.py
+++ b/tests/functional/test_target_pauses.py
@@ -5,6 +5,7 @@
 
 from hemlockkeel._internal.discovery import records
 from hemlockkeel._internal.relay import target_selection
+from tests.lib import announcements
 from tests.lib import fake_target
 from tests.lib import relay_fleet
 
@@ -42,15 +43,11 @@
     def make_record(self) -> records.TargetRecord:
         """Return the next announcement."""
         self.sequence += 1
-        return records.TargetRecord(
-            records.InstanceId(self.name),
+        return announcements.make_record(
+            self.name,
             relay_fleet.SERVICE,
             self.server.address,
-            "dc1",
-            records.TargetState.READY,
             self.sequence,
-            1,
-            64,
             software_version=self.version,
         )
 
--- a/tests/lib/ending_target.py
+++ b/tests/lib/ending_target.py
@@ -6,6 +6,7 @@
 import socket
 
 from hemlockkeel._internal.discovery import records
+from tests.lib import announcements
 from tests.lib import fake_target
 
 # The request's path decides what the target does with it.
@@ -91,14 +92,13 @@
         """Announce the present incarnation."""
         self.sequence += 1
         self.announce(
-            records.TargetRecord(
-                records.InstanceId(self.name),
+            announcements.make_record(
+                self.name,
                 self.service,
                 self.server.address,
-                "dc1",
-                state,
                 self.sequence,
                 self.started_at_ms,
+                state,
                 self.slots,
             )
         )
--- a/tests/lib/streaming_target.py
+++ b/tests/lib/streaming_target.py
@@ -4,6 +4,7 @@
 import collections.abc
 
 from hemlockkeel._internal.discovery import records
+from tests.lib import announcements
 from tests.lib import fake_target
 
 # Events of each stream; the last one ends it.
@@ -51,15 +52,13 @@
         """Announce the present incarnation."""
         self.sequence += 1
         self.announce(
-            records.TargetRecord(
-                records.InstanceId(self.name),
+            announcements.make_record(
+                self.name,
                 self.service,
                 self.server.address,
-                "dc1",
-                state,
                 self.sequence,
                 self.started_at_ms,
-                64,
+                state,
                 software_version=self.version,
             )
         )
