Judge the soak's recovery by the same requests as before

Since the resumable streams, their requests counted in the share that must be served again, and kinds could be more than the expected ones. Both are as they were: only the kinds of before count, and all of them must be served. test_fault_soak, test_soak_checks: 25 passed.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -190,11 +190,13 @@
             recent = [
                 sent
                 for sent in self.history.requests
-                if sent.sent_at > faults_ended_at and not sent.parts
+                if sent.sent_at > faults_ended_at
+                and sent.kind in kinds
+                and not sent.parts
             ]
             served = {sent.kind for sent in recent if is_served(sent)}
             share = sum(map(is_served, recent)) / max(1, len(recent))
-            if served >= kinds and share > MIN_SERVED_RATIO:
+            if served == kinds and share > MIN_SERVED_RATIO:
                 return True
         return False
 
