--- a/review/standins.py
+++ b/review/standins.py
@@ -20,6 +20,9 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HOST = "a.example"
 HEARTBEAT_S = 1.2
+# Exit code of a case whose rule was broken, which run.sh turns into 1: an
+# error of Python itself ends with 1 as well, and must not count.
+BROKEN_CODE = 10
 BOUNDS = {
     "seedLagS": 3,
     "reuseAfterS": 2,
@@ -476,7 +479,7 @@
     verdict = "BROKEN" if broken else "held"
     fleet.record.write(f"verdict: {verdict}: {text}")
     print(f"{verdict}: {text}")
-    return 1 if broken else 0
+    return BROKEN_CODE if broken else 0
 
 
 def run(folder, scenario, limit_s=115.0, **options):
@@ -484,6 +487,9 @@
 
     async def guarded():
         fleet = Fleet(folder, **options)
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(limit_s):
                 return await scenario(
