Refuse responses whose head or chunk framing ends early

What callers saw: a target or an engine that stopped inside the head of its response and closed was taken to have answered 200 with an empty body; a load order that was cut counted as carried out.

Cause: http.client takes the end of the connection for the empty line that ends a head, and for the end of trailers; without the lines that were cut the response has no length, so that the same end completes its body.

A body without a length still ends with its connection (a test of its own). The relay's parser refuses every cut already (test_every_truncation_is_detected).

The reader below http.client sees each line of the framing, so that all clients that use it (engines, plain services, operators, `request`) are covered at once.

--- a/src/hemlockkeel/_internal/utils/bounded_http.py
+++ b/src/hemlockkeel/_internal/utils/bounded_http.py
@@ -3,6 +3,8 @@
 `http.client` reads interim responses, trailers and bodies without a limit, and
 its timeout applies to each read on its own. A server that always sends a
 little more would never be given up.
+
+It also takes the end of a connection for the end of a head or of trailers.
 """
 
 import http.client
@@ -23,6 +25,10 @@
     """The server has sent more, or for longer, than is read from it."""
 
 
+class ResponseCutError(http.client.HTTPException):
+    """The connection has ended inside the head or the framing of a body."""
+
+
 class BoundedSocketFile(io.RawIOBase):
     """Reads a limited number of bytes from a socket within a time limit."""
 
@@ -53,6 +59,33 @@
         super().close()
 
 
+class FramedReader(io.BufferedReader):
+    """Reads the lines of heads, chunk sizes and trailers as whole ones.
+
+    A connection that ends before a head begins is left to the caller.
+    """
+
+    # Whether the lines that are read frame a message; cleared for a body
+    # without chunks, whose last line may have no end.
+    is_framing = True
+    in_head = False
+
+    def readline(self, limit: int | None = -1, /) -> bytes:
+        """Return the next line.
+
+        :raises ResponseCutError: when the connection ends before it does.
+        """
+        line = super().readline(limit)
+        if not self.is_framing:
+            return line
+        too_long = limit is not None and 0 <= limit <= len(line)
+        if not line.endswith(b"\n") and not too_long:
+            if line or self.in_head:
+                raise ResponseCutError("response ended inside its framing")
+        self.in_head = line not in (b"\r\n", b"\n", b"")
+        return line
+
+
 class BoundedResponse(http.client.HTTPResponse):
     """A response whose size and time are limited.
 
@@ -76,10 +109,12 @@
         )
         self.file.ends_at = now + head_max_s
         self.body_ends_at = None if max_s is None else now + max_s
-        self.fp = io.BufferedReader(self.file)
+        self.reader = FramedReader(self.file)
+        self.fp = self.reader
 
     def begin(self) -> None:
         super().begin()
+        self.reader.is_framing = bool(self.chunked)
         self.file.ends_at = self.body_ends_at
 
 
--- a/tests/unit/test_bounded_http.py
+++ b/tests/unit/test_bounded_http.py
@@ -109,6 +109,86 @@
             list(engine.read_events(connection))
 
 
+class CuttingServer(EndlessServer):
+    """Sends the beginning of a response to each client, and closes."""
+
+    def __init__(self, data: bytes) -> None:
+        self.data = data
+        super().__init__(b"", b"", 0.0)
+
+    def serve(self) -> None:
+        while True:
+            try:
+                client, _ = self.socket.accept()
+            except OSError:
+                return
+            with client:
+                client.recv(65536)
+                client.sendall(self.data)
+                client.shutdown(socket.SHUT_WR)
+                # Closing with unread data would reset the connection.
+                client.settimeout(TIMEOUT_S)
+                with contextlib.suppress(OSError):
+                    while client.recv(65536):
+                        continue
+
+
+class TestCutResponses(unittest.TestCase):
+    """Responses of servers that close the connection inside them."""
+
+    FIELDS = b"Content-Type: application/json\r\nX-Request-Id: r1\r\n"
+    RESPONSES = {
+        "length": HEAD + FIELDS + b"Content-Length: 2\r\n\r\n{}",
+        "chunks": HEAD
+        + FIELDS
+        + b"Transfer-Encoding: chunked\r\n\r\n002\r\n{}\r\n0\r\n"
+        + b"X-Trailer: 1\r\n\r\n",
+        "interim": b"HTTP/1.1 100 Continue\r\nX-A: 1\r\n\r\n"
+        + HEAD
+        + b"Content-Length: 2\r\n\r\n{}",
+    }
+
+    def start(self, data: bytes) -> CuttingServer:
+        server = CuttingServer(data)
+        self.addCleanup(server.stop)
+        return server
+
+    def read(self, server: CuttingServer) -> bytes:
+        """Return the body of a response."""
+        connection = bounded_http.Connection(
+            "127.0.0.1", server.port, TIMEOUT_S
+        )
+        with contextlib.closing(connection):
+            connection.request("GET", "/")
+            return connection.getresponse().read()
+
+    def test_cut_head_or_framing_is_not_a_whole_response(self) -> None:
+        whole = []
+        for name, data in self.RESPONSES.items():
+            server = self.start(data)
+            self.assertEqual(self.read(server), b"{}", name)
+            for size in range(len(data)):
+                server.data = data[:size]
+                with contextlib.suppress(OSError, http.client.HTTPException):
+                    whole.append((data[:size], self.read(server)))
+        self.assertEqual(whole, [])
+
+    def test_body_without_length_ends_with_its_connection(self) -> None:
+        for body in (b"", b"{}", b"line\nno end"):
+            with self.subTest(body=body):
+                server = self.start(HEAD + self.FIELDS + b"\r\n" + body)
+                self.assertEqual(self.read(server), body)
+
+    def test_cut_head_of_an_engine_is_no_success(self) -> None:
+        data = self.RESPONSES["length"]
+        server = self.start(data)
+        engine = http_engine.HttpEngine("127.0.0.1", server.port)
+        for size in range(data.index(b"\r\n\r\n") + 4):
+            server.data = data[:size]
+            with self.assertRaises(exceptions.UnreachableError):
+                engine.load_model("m", ids.Fence(1))
+
+
 class RefusingServer(EndlessServer):
     """Refuses every request and counts them."""
 
