Answer the requests of a stopping entry before its process ends

What callers saw: requests in progress at the end of the grace, and those taken late whose time ended in its last 0.1 s, were cut with no answer, among them some that must not run twice.

Cause: late requests were taken up to the moment at which the process stops to wait, although an answer may come 0.1 s after the deadline; and nothing answered for what was left then.

The limit for late requests includes the time of their last answer.

The entry begins to refuse 2.75 s after SIGTERM, no longer at the very moment up to which requests may be cut, so that a late timer lets none through.

--- a/src/hemlockkeel/_internal/relay/forwarder.py
+++ b/src/hemlockkeel/_internal/relay/forwarder.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import http
 
 from hemlockkeel._internal.discovery import records
@@ -45,6 +46,8 @@
         )
         self.tried_targets: set[records.IncarnationKey] = set()
         self.unsent_attempts = 0
+        # Ends the attempts; None before they begin.
+        self.timeout: asyncio.Timeout | None = None
         # Whether targets were left out because of suspected requests there.
         self.held_back = False
         self.last_result: (
@@ -78,7 +81,8 @@
             wait_s = min(wait_s, self.context.metadata.timeout_s)
         self.context.deadline_at = self.context.request.arrived_at + wait_s
         stops_at = self.shared.stops_at
-        if stops_at is not None and self.context.deadline_at > stops_at:
+        answered_at = self.context.deadline_at + DEADLINE_GRACE_S
+        if stops_at is not None and answered_at > stops_at:
             self.context.refuse(
                 results.Cause.STOPPING, "this entry is stopping"
             )
@@ -97,7 +101,7 @@
         try:
             async with asyncio.timeout_at(
                 self.context.deadline_at + DEADLINE_GRACE_S
-            ):
+            ) as self.timeout:
                 await self.try_targets(self.context.route, service)
         except TimeoutError:
             self.handle_deadline()
@@ -109,6 +113,16 @@
             )
             raise
 
+    def give_up(self) -> None:
+        """End the request with a final response, since the entry ends."""
+        self.context.deadline_at = min(
+            self.context.deadline_at, self.context.now
+        )
+        if self.timeout is not None and self.timeout.when() is not None:
+            with contextlib.suppress(RuntimeError):
+                # It has ended or expired by itself.
+                self.timeout.reschedule(self.context.now)
+
     def handle_error(self, error: Exception) -> None:
         """Respond after an unexpected error, unless a response has begun."""
         self.context.log_event("request_failed", fault=repr(error))
--- a/src/hemlockkeel/_internal/relay/process.py
+++ b/src/hemlockkeel/_internal/relay/process.py
@@ -36,11 +36,12 @@
 SILENCE_CHECK_INTERVAL_S = 0.25
 DRAIN_POLL_INTERVAL_S = 0.02
 # Time after SIGTERM until the load balancer sends new callers elsewhere: two
-# failed checks a second apart, and one more that was already on its way.
-BALANCER_NOTICE_S = 3.0
-# The process stops waiting for responses in progress this long before the
-# platform kills it.
+# failed checks a second apart, and part of one that was already on its way.
+BALANCER_NOTICE_S = 2.75
+# The process ends this long before the platform kills it.
 STOP_MARGIN_S = 0.3
+# Time in which the last responses are sent before the process ends.
+FINAL_RESPONSES_S = 0.2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -154,6 +155,7 @@
             )
         )
         self.stopping = False
+        self.forwarders: set[forwarder.Forwarder] = set()
         self.members = announced_members.AnnouncedMembers()
         self.registry = registry_module.TargetRegistry(settings.heartbeat_s)
         hello = messages.Hello(
@@ -226,19 +228,32 @@
 
         New callers arrive until the load balancer has noticed. After that,
         requests that cannot end in time are refused, so that callers can
-        retry them at another entry.
+        retry them at another entry. Those that have not ended shortly before
+        the process does get a final response.
         """
         loop = asyncio.get_running_loop()
-        deadline_at = loop.time() + self.settings.grace_s - STOP_MARGIN_S
+        ends_at = loop.time() + self.settings.grace_s - STOP_MARGIN_S
         self.stopping = True
         await asyncio.sleep(min(BALANCER_NOTICE_S, self.settings.grace_s / 2))
-        self.shared.stops_at = deadline_at
+        self.shared.stops_at = ends_at - FINAL_RESPONSES_S
         self.caller_listener.close_idle()
-        while self.caller_listener.count_busy() and loop.time() < deadline_at:
-            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+        await self.wait_until_idle(self.shared.stops_at)
+        self.give_up_requests()
+        await self.wait_until_idle(ends_at)
         self.caller_listener.stop_listening()
         self.log.write("drained", unfinished=self.caller_listener.count_busy())
 
+    async def wait_until_idle(self, limit_at: float) -> None:
+        """Wait until no request is in flight, or until a loop time."""
+        loop = asyncio.get_running_loop()
+        while self.caller_listener.count_busy() and loop.time() < limit_at:
+            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+
+    def give_up_requests(self) -> None:
+        """Let all requests that are not complete be answered now."""
+        for each in self.forwarders:
+            each.give_up()
+
     def reload(self) -> None:
         self.settings = self.read_settings(self.settings_path)
         self.connect_control()
@@ -389,11 +404,14 @@
         request: caller.CallerRequest,
     ) -> None:
         work = forwarder.Forwarder(self.shared, connection, request)
+        self.forwarders.add(work)
         try:
             await work.run()
         except Exception as error:
             work.handle_error(error)
             raise
+        finally:
+            self.forwarders.discard(work)
 
     def on_connection_closed(
         self, connection: caller.CallerConnection
--- a/src/hemlockkeel/_internal/relay/shared_state.py
+++ b/src/hemlockkeel/_internal/relay/shared_state.py
@@ -38,8 +38,8 @@
     # clock may not.
     clock: clock.Clock
     configuration: table.Configuration | None = None
-    # Loop time at which the process ends; set during a shutdown once the
-    # balancer has had time to move callers to other entries.
+    # Loop time at which the last responses are sent; set during a shutdown
+    # once the balancer has had time to move callers to other entries.
     stops_at: float | None = None
     budgets: dict[str, budget.RetryBudget] = dataclasses.field(
         default_factory=dict
--- /dev/null
+++ b/tests/functional/test_graceful_stop.py
@@ -0,0 +1,103 @@
+"""Requests that come, or are in progress, while an entry stops."""
+
+import asyncio
+import dataclasses
+import math
+
+from tests.functional import test_relay
+from tests.lib import fake_target
+
+GRACE_S = 2.0
+# After SIGTERM, when new requests are refused if they cannot end in time.
+LATE_S = 1.1
+WAIT_S = 10.0
+BODY = b"12345"
+
+
+class StopCase(test_relay.RelayCase):
+    """An entry that stops beside a target that never responds."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.entry.settings = dataclasses.replace(
+            self.entry.settings, grace_s=GRACE_S
+        )
+        self.configure(timeout_s=30.0)
+        self.target = await self.add_target(self.handle)
+
+    async def handle(
+        self,
+        target: fake_target.FakeTarget,
+        request: fake_target.ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        await asyncio.sleep(math.inf)
+        return False
+
+    def begin_stop(self) -> asyncio.Task[None]:
+        """Begin as on SIGTERM; all connections end with the process."""
+
+        async def stop() -> None:
+            await self.entry.stop()
+            for connection in list(self.entry.caller_listener.connections):
+                connection.channel.abort()
+
+        return asyncio.create_task(stop())
+
+    async def send(
+        self, path: str, timeout_s: float, parts: tuple[bytes, ...] = (BODY,)
+    ) -> bytes:
+        """Send a request whose body never ends if parts are missing."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        self.addCleanup(writer.transport.abort)
+        writer.write(
+            f"POST /{path}/x HTTP/1.1\r\nHost: a.example\r\n"
+            f"X-Request-Id: r1\r\nContent-Length: {len(BODY)}\r\n"
+            f"X-Request-Deadline: {int(timeout_s * 1000)}\r\n\r\n".encode()
+        )
+        for part in parts:
+            writer.write(part)
+        received = b""
+        async with asyncio.timeout(WAIT_S):
+            try:
+                while data := await reader.read(65536):
+                    received += data
+            except ConnectionError:
+                return received
+        return received
+
+    def check_refused(self, response: bytes) -> None:
+        """Check that a response says that the request has not run."""
+        self.assertTrue(response.startswith(b"HTTP/1.1 503"), response)
+        self.assertIn(b"onnection: close", response)
+
+
+class TestLateRequests(StopCase):
+    """Guards against a stop that cuts requests without any answer."""
+
+    async def test_requests_late_in_the_grace_are_all_answered(self) -> None:
+        running = asyncio.create_task(self.send("idempotent", 20.0))
+        stopping = self.begin_stop()
+        await asyncio.sleep(LATE_S)
+        # Among them are those whose time ends with that of the process.
+        sent = [
+            asyncio.create_task(self.send(path, 0.02 * number))
+            for number in range(1, 40)
+            for path in ("once", "stream")
+        ]
+        await stopping
+        responses = await asyncio.gather(running, *sent)
+        statuses = {response[:12] for response in responses}
+        self.assertEqual(statuses, {b"HTTP/1.1 503", b"HTTP/1.1 504"})
+
+    async def test_running_requests_are_answered_before_the_process_ends(
+        self,
+    ) -> None:
+        paths = ("once", "idempotent", "stream")
+        running = [asyncio.create_task(self.send(p, 20.0)) for p in paths]
+        async with asyncio.timeout(WAIT_S):
+            while len(self.target.received) < len(paths):
+                await asyncio.sleep(0.01)
+        await self.begin_stop()
+        for response in await asyncio.gather(*running):
+            self.assertTrue(response.startswith(b"HTTP/1.1 504"), response)
