Refuse requests whose bodies are still coming when an entry ends

What callers saw: a request of which a part had arrived was cut with no answer at the end of the grace, so that they could not tell that it had not run.

Cause: only requests that had arrived whole had anybody to answer for them.

The reading of a request that has begun has a limit of its own, which the stop of the process sets.

--- a/src/hemlockkeel/_internal/relay/caller.py
+++ b/src/hemlockkeel/_internal/relay/caller.py
@@ -76,6 +76,8 @@
         self.received_bytes = 0
         self.idle = True
         self.request_task: asyncio.Task[None] | None = None
+        # Ends the reading of a request that has begun; None at other times.
+        self.reading: asyncio.Timeout | None = None
         # Whether the head of the response has been sent.
         self.response_started = False
         bytes_channel.on_end = self.on_end
@@ -160,6 +162,30 @@
         if not await self.wait_for_bytes(limits.idle_timeout_s):
             return None
         self.idle = False
+        try:
+            async with asyncio.timeout(None) as self.reading:
+                return await self.read_started_request(limits)
+        except TimeoutError as error:
+            raise RequestRejectedError(
+                http.HTTPStatus.SERVICE_UNAVAILABLE,
+                "request not received before the process ends",
+            ) from error
+        finally:
+            self.reading = None
+
+    def refuse_incomplete(self) -> None:
+        """Refuse the request of which a part has been read, if there is one."""
+        if self.reading is not None:
+            self.reading.reschedule(asyncio.get_running_loop().time())
+
+    async def read_started_request(
+        self, limits: table.RequestLimits
+    ) -> CallerRequest | None:
+        """Return the request whose first bytes have been read.
+
+        :raises RequestRejectedError: as `read_request` does.
+        :raises ConnectionError: when the caller closes before its end.
+        """
         now = asyncio.get_running_loop().time()
         try:
             async with asyncio.timeout(limits.header_timeout_s):
--- a/src/hemlockkeel/_internal/relay/process.py
+++ b/src/hemlockkeel/_internal/relay/process.py
@@ -251,6 +251,7 @@
 
     def give_up_requests(self) -> None:
         """Let all requests that are not complete be answered now."""
+        self.caller_listener.refuse_incomplete()
         for each in self.forwarders:
             each.give_up()
 
--- a/src/hemlockkeel/_internal/utils/http_service.py
+++ b/src/hemlockkeel/_internal/utils/http_service.py
@@ -59,6 +59,11 @@
             if connection.idle:
                 task.cancel()
 
+    def refuse_incomplete(self) -> None:
+        """Refuse the requests that have not arrived completely."""
+        for connection in self.connections:
+            connection.refuse_incomplete()
+
     def count_busy(self) -> int:
         """Return the number of connections with a request in flight.
 
--- a/src/hemlockkeel/_internal/utils/web_server.py
+++ b/src/hemlockkeel/_internal/utils/web_server.py
@@ -74,6 +74,11 @@
             for channel in channels
         )
 
+    def count_incomplete(self) -> int:
+        """Return the number of requests of which a part has arrived."""
+        channels = list(self.server.active_channels.values())
+        return sum(channel.request is not None for channel in channels)
+
     def stop(self) -> None:
         """Stop the server and close open connections.
 
--- a/tests/functional/test_graceful_stop.py
+++ b/tests/functional/test_graceful_stop.py
@@ -101,3 +101,19 @@
         await self.begin_stop()
         for response in await asyncio.gather(*running):
             self.assertTrue(response.startswith(b"HTTP/1.1 504"), response)
+
+
+class TestIncompleteRequests(StopCase):
+    """Guards against the same while bodies are still coming."""
+
+    async def test_request_whose_body_is_still_coming_is_refused(
+        self,
+    ) -> None:
+        begun = asyncio.create_task(self.send("once", 20.0, (BODY[:2],)))
+        stopping = self.begin_stop()
+        await asyncio.sleep(LATE_S)
+        late = asyncio.create_task(self.send("once", 20.0, (BODY[:2],)))
+        await stopping
+        self.check_refused(await begun)
+        self.check_refused(await late)
+        self.assertEqual(self.target.received, [])
