Keep connections whose request has arrived when idle ones are closed

What callers saw: a request on a kept connection that arrived just as the stopping entry closed its idle connections was read and cut with no answer.

Cause: a connection counted as idle until its handler had run, although its bytes had been taken from the socket.

Evidence: the test closes idle connections between the two; the response was b"" before and is 503 now.

--- a/src/hemlockkeel/_internal/utils/http_service.py
+++ b/src/hemlockkeel/_internal/utils/http_service.py
@@ -54,9 +54,12 @@
             self.server.close()
 
     def close_idle(self) -> None:
-        """Close connections that have no request in flight."""
+        """Close connections that have no request in flight.
+
+        One whose request has arrived but has not been looked at stays open.
+        """
         for connection, task in list(self.connections.items()):
-            if connection.idle:
+            if connection.idle and not connection.channel.received:
                 task.cancel()
 
     def refuse_incomplete(self) -> None:
--- a/tests/functional/test_graceful_stop.py
+++ b/tests/functional/test_graceful_stop.py
@@ -117,3 +117,19 @@
         self.check_refused(await begun)
         self.check_refused(await late)
         self.assertEqual(self.target.received, [])
+
+    async def test_request_that_has_just_arrived_is_not_cut_as_idle(
+        self,
+    ) -> None:
+        request = asyncio.create_task(self.send("once", 20.0))
+        listener = self.entry.caller_listener
+        async with asyncio.timeout(WAIT_S):
+            while not any(
+                connection.idle and connection.channel.received
+                for connection in listener.connections
+            ):
+                await asyncio.sleep(0)
+        self.entry.stopping = True
+        self.entry.shared.stops_at = asyncio.get_running_loop().time()
+        listener.close_idle()
+        self.check_refused(await request)
