Wait for the bodies of requests that the product's stopping entry has begun

What callers saw: after the notice for the balancer, a request whose body was still coming ended with a reset.

Cause: the drain counted requests in flight and unsent responses, not requests of which only a part had arrived.

Evidence: the test sends the rest of a body after the notice: reset by the entry before, now 503 with the verdict NOT_RUN. The wait is limited to 5 s, as a caller may never send the rest.

--- a/src/hemlockkeel/_internal/entry/process.py
+++ b/src/hemlockkeel/_internal/entry/process.py
@@ -35,6 +35,9 @@
 # Time for the load balancer to see the failing readiness check before the
 # entry stops accepting connections.
 BALANCER_NOTICE_S = 1.0
+# Time that a stopping entry gives callers to finish the requests that they
+# have begun to send, so that it can refuse them.
+INCOMPLETE_REQUESTS_S = 5.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -137,13 +140,20 @@
     def drain(self) -> None:
         """Refuse new requests and wait until those in flight have finished.
 
-        Also waits until their responses have been sent.
+        Also waits until their responses have been sent, and for a limited
+        time for the rest of requests that have arrived in part.
         """
         self.follower.leave()
         self.stopping.wait(self.settings.balancer_notice_s)
-        while (
-            self.count_unfinished() > 0 or self.web.count_unsent() > 0
-        ) and not self.stopping.is_set():
+        incomplete_until = time.monotonic() + INCOMPLETE_REQUESTS_S
+        while not self.stopping.is_set() and (
+            self.count_unfinished() > 0
+            or self.web.count_unsent() > 0
+            or (
+                self.web.count_incomplete() > 0
+                and time.monotonic() < incomplete_until
+            )
+        ):
             self.stopping.wait(DRAIN_POLL_INTERVAL_S)
         self.recorder.stop()
 
--- a/tests/functional/test_graceful_stop.py
+++ b/tests/functional/test_graceful_stop.py
@@ -2,9 +2,18 @@
 
 import asyncio
 import dataclasses
+import http.client
+import json
 import math
+import socket
+import threading
+import unittest
 
+from hemlockkeel._internal.follower import follower
+from hemlockkeel._internal.models import outcomes
 from tests.functional import test_relay
+from tests.lib import calls
+from tests.lib import clusters
 from tests.lib import fake_target
 
 GRACE_S = 2.0
@@ -133,3 +142,57 @@
         self.entry.shared.stops_at = asyncio.get_running_loop().time()
         listener.close_idle()
         self.check_refused(await request)
+
+
+class TestProductEntry(unittest.TestCase):
+    """Guards against the same at the entry of the product's own path."""
+
+    def setUp(self) -> None:
+        self.cluster = clusters.Cluster()
+        self.addCleanup(self.cluster.stop)
+        self.entry = self.cluster.dev.entries[0]
+
+    def begin_stop(self) -> threading.Thread:
+        """Begin as on SIGTERM, which ends with the process."""
+
+        def stop() -> None:
+            self.entry.drain()
+            self.entry.stop()
+
+        stopping = threading.Thread(target=stop)
+        stopping.start()
+        calls.wait_until(
+            lambda: (
+                self.entry.follower.get_state()
+                is not follower.FollowerState.READY
+            ),
+            "the entry leaves",
+        )
+        return stopping
+
+    def test_request_whose_body_is_still_coming_is_refused(self) -> None:
+        body = json.dumps({"model": "letter-1@1", "prompt": "p"}).encode()
+        with socket.create_connection(
+            ("127.0.0.1", self.entry.web.port), WAIT_S
+        ) as sock:
+            sock.sendall(
+                b"POST /v1/completions HTTP/1.1\r\nHost: h\r\n"
+                b"Content-Length: %d\r\n\r\n" % len(body) + body[:5]
+            )
+            calls.wait_until(
+                lambda: self.entry.web.count_incomplete() == 1,
+                "a part has arrived",
+            )
+            stopping = self.begin_stop()
+            # Longer than the notice for the balancer.
+            stopping.join(3 * self.entry.settings.balancer_notice_s)
+            sock.sendall(body[5:])
+            response = http.client.HTTPResponse(sock)
+            response.begin()
+            self.assertEqual(response.status, 503)
+            self.assertEqual(
+                response.getheader("Hemlockkeel-Verdict"),
+                outcomes.Verdict.NOT_RUN.label,
+            )
+        stopping.join(WAIT_S)
+        self.assertFalse(stopping.is_alive())
