--- a/src/hemlockkeel/_internal/relay/caller.py
+++ b/src/hemlockkeel/_internal/relay/caller.py
@@ -174,7 +174,7 @@
             self.reading = None
 
     def refuse_incomplete(self) -> None:
-        """Refuse the request of which a part has been read, if there is one."""
+        """Refuse the request of which a part has arrived, if any."""
         if self.reading is not None:
             self.reading.reschedule(asyncio.get_running_loop().time())
 
