Propose a change once although its callers send it again

Cause: a caller tries again after 0.9 s at the latest, and each try appended the whole configuration to the log once more, so that the next ones waited even longer.

Evidence: the test's second try was proposed again before (1 of 3 tests failed); now it waits for the first one.

Only commands are shared: they are the same for all that send the same bytes.

--- a/src/hemlockkeel/_internal/coordinator/replicated_state.py
+++ b/src/hemlockkeel/_internal/coordinator/replicated_state.py
@@ -37,6 +37,8 @@
         self.catalogue = replicated
         self.peers = peers
         self.log = log
+        # Commands that were proposed here and are not committed yet.
+        self.in_progress: dict[bytes, asyncio.Future[node.Applied]] = {}
 
     async def read(self) -> messages.Outcome:
         """Return the newest committed configuration.
@@ -86,9 +88,7 @@
             return messages.Outcome(done=False)
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S):
-                applied = await asyncio.wrap_future(
-                    self.node.propose(data, kind)
-                )
+                applied = await asyncio.shield(self.start_proposal(data, kind))
         except (
             node.NotLeaderError,
             exceptions.ControlUnavailableError,
@@ -101,6 +101,27 @@
             return messages.Outcome(done=False)
         return messages.Outcome(done=True, index=applied.index)
 
+    def start_proposal(
+        self, data: bytes, kind: consensus_messages.EntryKind
+    ) -> asyncio.Future[node.Applied]:
+        """Return the future of a proposal, which goes on if callers leave.
+
+        A command that is sent again while it is in progress is not proposed
+        again: the log would hold it once more, and all others would wait for
+        that.
+        """
+        known = self.in_progress.get(data)
+        if known is not None:
+            return known
+        proposed = asyncio.wrap_future(self.node.propose(data, kind))
+        proposed.add_done_callback(consume_result)
+        if kind is consensus_messages.EntryKind.COMMAND:
+            self.in_progress[data] = proposed
+            proposed.add_done_callback(
+                lambda _: self.in_progress.pop(data, None)
+            )
+        return proposed
+
     def read_local(self) -> messages.Outcome:
         """Return the newest configuration if this member has a leader lease.
 
@@ -133,3 +154,9 @@
         if isinstance(reply, messages.Outcome):
             return reply
         return messages.Outcome(done=False)
+
+
+def consume_result(proposed: asyncio.Future[node.Applied]) -> None:
+    """Mark the error of a proposal as seen, if it has one."""
+    if not proposed.cancelled():
+        proposed.exception()
--- /dev/null
+++ b/tests/unit/test_replicated_state.py
@@ -0,0 +1,78 @@
+"""Proposals of a control member on behalf of its callers."""
+
+import asyncio
+import concurrent.futures
+import types
+import typing
+import unittest
+import unittest.mock
+
+import msgspec
+
+from hemlockkeel._internal.consensus import core
+from hemlockkeel._internal.consensus import node
+from hemlockkeel._internal.coordinator import replicated_state
+from hemlockkeel._internal.routes import catalogue
+from tests.lib import logs
+
+CHANGE = catalogue.PutConfiguration(7, b"body")
+
+
+class TestRepeatedCommand(unittest.IsolatedAsyncioTestCase):
+    """Guards against logs that hold a change once for each of its callers."""
+
+    def setUp(self) -> None:
+        self.proposed: list[concurrent.futures.Future[node.Applied]] = []
+        member = types.SimpleNamespace(
+            core=types.SimpleNamespace(state=core.State.LEADER),
+            propose=self.propose,
+            get_leader_address=lambda: "",
+        )
+        self.state = replicated_state.ReplicatedState(
+            typing.cast(typing.Any, member),
+            catalogue.Catalogue(lambda: None),
+            typing.cast(typing.Any, None),
+            logs.make_log(),
+        )
+
+    def propose(
+        self, data: bytes, kind: object
+    ) -> concurrent.futures.Future[node.Applied]:
+        self.proposed.append(concurrent.futures.Future())
+        return self.proposed[-1]
+
+    async def test_command_in_progress_is_not_proposed_again(self) -> None:
+        with unittest.mock.patch.object(
+            replicated_state, "CALL_TIMEOUT_S", 0.02
+        ):
+            self.assertIsNone(await self.state.propose(CHANGE))
+        repeated = asyncio.create_task(self.state.propose(CHANGE))
+        await asyncio.sleep(0)
+        self.assertEqual(len(self.proposed), 1)
+        self.proposed[0].set_result(node.Applied(5, None))
+        self.assertEqual(await repeated, 5)
+
+    async def test_command_that_has_failed_is_proposed_again(self) -> None:
+        first = asyncio.create_task(self.state.propose(CHANGE))
+        await asyncio.sleep(0)
+        self.proposed[0].set_exception(node.NotLeaderError(""))
+        self.assertIsNone(await first)
+        second = asyncio.create_task(self.state.propose(CHANGE))
+        await asyncio.sleep(0)
+        self.proposed[1].set_result(node.Applied(6, None))
+        self.assertEqual(await second, 6)
+
+    async def test_other_commands_are_proposed(self) -> None:
+        other = msgspec.structs.replace(CHANGE, version=8)
+        tasks = [
+            asyncio.create_task(self.state.propose(each))
+            for each in (CHANGE, other)
+        ]
+        await asyncio.sleep(0)
+        for number, future in enumerate(self.proposed):
+            future.set_result(node.Applied(number, None))
+        self.assertEqual(await asyncio.gather(*tasks), [0, 1])
+
+
+if __name__ == "__main__":
+    unittest.main()
