Keep in contact with other control members while the disk is busy

Cause: the consensus thread sends the heartbeats and waits for the disk.

The event loop sends the leader's heartbeats meanwhile, and followers answer them at once. The answer extends the lease, so a follower records the contact with it and grants no vote (a test of its own). After a second the disk counts as stopped and the leader gives way, as before.

--- a/src/hemlockkeel/_internal/consensus/core.py
+++ b/src/hemlockkeel/_internal/consensus/core.py
@@ -206,6 +206,45 @@
         for peer in self.other_peers:
             self.send_append(peer, now, heartbeat=True)
 
+    def make_heartbeats(self, now: float) -> list[messages.AppendRequest]:
+        """Return a heartbeat to each peer if this member is the leader."""
+        if self.state is not State.LEADER:
+            return []
+        leader = replication.LeaderState(
+            self.term, self.commit_index, self.snapshot
+        )
+        return [
+            self.replicator.make_append_request(peer, leader, [], now)
+            for peer in self.other_peers
+        ]
+
+    def acknowledge_busy(
+        self, message: messages.AppendRequest, now: float
+    ) -> messages.AppendReply | None:
+        """Return the reply to the leader while the disk is busy.
+
+        Like any reply it extends the leader's lease, so that this member may
+        vote for no other one meanwhile. None for a request that is not of the
+        leader which this member follows.
+        """
+        if (
+            message.receiver != self.member_id
+            or message.term != self.term
+            or message.sender != self.leader_id
+            or self.state is not State.FOLLOWER
+        ):
+            return None
+        self.record_leader_contact(message.sender, now)
+        return messages.AppendReply(
+            term=self.term,
+            sender=self.member_id,
+            receiver=message.sender,
+            success=True,
+            index=0,
+            sent_at=message.sent_at,
+            busy=True,
+        )
+
     def get_quorum_ack_time(self, now: float) -> float:
         """Return the latest send time that a quorum has acknowledged."""
         return self.replicator.get_quorum_ack_time(self.membership, now)
@@ -636,6 +675,10 @@
         self, message: messages.AppendReply, now: float
     ) -> None:
         """Update a peer's progress and send it the entries it lacks."""
+        if message.busy:
+            if self.state is State.LEADER and message.term == self.term:
+                self.replicator.record_busy(message)
+            return
         progress = self.record_reply(message)
         if progress is None:
             return
--- a/src/hemlockkeel/_internal/consensus/messages.py
+++ b/src/hemlockkeel/_internal/consensus/messages.py
@@ -135,12 +135,15 @@
     """Reply to `AppendRequest`.
 
     On success, ``index`` is the last entry known to match the leader's log,
-    otherwise a hint after which entry the leader should continue.
+    otherwise a hint after which entry the leader should continue. With
+    ``busy`` it says nothing about entries: the receiver still follows the
+    leader, and handles the request once its disk has finished.
     """
 
     success: bool
     index: int
     sent_at: float
+    busy: bool = False
 
 
 class SnapshotChunk(Message, frozen=True, tag=True, kw_only=True):
--- a/src/hemlockkeel/_internal/consensus/node.py
+++ b/src/hemlockkeel/_internal/consensus/node.py
@@ -37,6 +37,9 @@
 # Entries kept in the log before a snapshot for members that lag slightly.
 TRAILING_ENTRIES = 500
 TRAILING_BYTES = SNAPSHOT_AFTER_LOG_BYTES // 2
+# Time for which a member whose disk is busy keeps in contact with the others.
+# One whose disk has stopped gives way after it.
+MAX_BUSY_S = 1.0
 # A snapshot because of the bytes of the log has to drop at least as many.
 MIN_DROPPED_BYTES = SNAPSHOT_AFTER_LOG_BYTES // 4
 
@@ -159,6 +162,9 @@
         self.pending: dict[int, tuple[int, Proposal]] = {}
         self.sender_addresses: dict[str, str] = {}
         self.lock = threading.Lock()
+        # Since when the consensus thread waits for the disk; None if it does
+        # not.
+        self.busy_since: float | None = None
         self.stopping = threading.Event()
         self.failed: exceptions.StorageError | None = None
         self.applied_index = 0
@@ -272,10 +278,33 @@
 
         It is dropped if too many bytes wait already; the sender repeats it.
         """
+        self.acknowledge_busy(message)
         size = messages.count_data_bytes(message)
         if not self.inputs.put(ReceivedMessage(message, address), size):
             self.counters.count(metrics.Counter.RAFT_MESSAGES_DROPPED)
 
+    def acknowledge_busy(self, message: messages.AnyMessage) -> None:
+        """Reply to the leader if its message has to wait for the disk."""
+        if not isinstance(message, messages.AppendRequest):
+            return
+        if not self.is_busy():
+            return
+        with self.lock:
+            reply = self.core.acknowledge_busy(message, self.clock.monotonic())
+        if reply is not None:
+            self.send([reply])
+
+    def is_busy(self) -> bool:
+        """Return whether the disk takes longer than heartbeats can wait.
+
+        A disk that takes too long counts as stopped.
+        """
+        since = self.busy_since
+        if since is None:
+            return False
+        busy_s = self.clock.monotonic() - since
+        return self.core.timing.heartbeat_s <= busy_s <= MAX_BUSY_S
+
     def has_lease(self) -> bool:
         """Return whether reads of the local state are linearizable now.
 
@@ -335,8 +364,30 @@
             peer = self.core.membership.get(self.core.leader_id)
         return peer.address if peer else ""
 
+    def keep_contact(self) -> None:
+        """Send the leader's heartbeats while its disk is busy.
+
+        To be called once in a heartbeat interval. The consensus thread can't
+        do it, so that other members would elect another leader, whose disk is
+        as busy.
+        """
+        if not self.is_busy():
+            return
+        with self.lock:
+            heartbeats = self.core.make_heartbeats(self.clock.monotonic())
+        self.send(list(heartbeats))
+
     # Methods of the consensus thread
 
+    @contextlib.contextmanager
+    def disk_operation(self) -> collections.abc.Iterator[None]:
+        """Mark the time in which the disk keeps the consensus thread."""
+        self.busy_since = self.clock.monotonic()
+        try:
+            yield
+        finally:
+            self.busy_since = None
+
     def run(self) -> None:
         """Handle inputs until stopped, or until an error occurs.
 
@@ -438,7 +489,8 @@
             self.install_snapshot(effects)
         elif effects.hard_state or effects.entries:
             started_at = self.clock.monotonic()
-            self.storage.append(effects.hard_state, effects.entries)
+            with self.disk_operation():
+                self.storage.append(effects.hard_state, effects.entries)
             self.counters.time(
                 metrics.Timer.FSYNC, self.clock.monotonic() - started_at
             )
@@ -455,7 +507,10 @@
         """Store a snapshot received from the leader and restore from it."""
         assert effects.snapshot is not None
         meta, data = effects.snapshot
-        self.storage.save_snapshot(meta, data, self.hard_state, self.core.log)
+        with self.disk_operation():
+            self.storage.save_snapshot(
+                meta, data, self.hard_state, self.core.log
+            )
         self.restore(meta, data)
         self.log_event(
             "control_snapshot_installed",
@@ -550,9 +605,10 @@
             )
             snapshot = self.core.snapshot
         assert snapshot is not None
-        self.storage.save_snapshot(
-            snapshot[0], snapshot[1], self.hard_state, self.core.log
-        )
+        with self.disk_operation():
+            self.storage.save_snapshot(
+                snapshot[0], snapshot[1], self.hard_state, self.core.log
+            )
         self.log_event(
             "control_snapshot_written",
             index=snapshot[0].index,
--- a/src/hemlockkeel/_internal/consensus/replication.py
+++ b/src/hemlockkeel/_internal/consensus/replication.py
@@ -207,6 +207,18 @@
             progress.in_flight = False
         return progress
 
+    def record_busy(self, reply: messages.AppendReply) -> None:
+        """Record that a peer has received a request and handles it later.
+
+        What is unanswered is not sent again meanwhile.
+        """
+        progress = self.progress.get(reply.sender)
+        if progress is None:
+            return
+        progress.acked_sent_at = max(progress.acked_sent_at, reply.sent_at)
+        if progress.in_flight:
+            progress.last_sent_at = max(progress.last_sent_at, reply.sent_at)
+
     @staticmethod
     def record_snapshot_reply(
         progress: Progress, reply: messages.SnapshotReply
--- a/src/hemlockkeel/_internal/control/process.py
+++ b/src/hemlockkeel/_internal/control/process.py
@@ -113,6 +113,12 @@
             name="control-loop",
             daemon=True,
         )
+        self.contact_thread = threading.Thread(
+            target=supervision.keep_thread_running,
+            args=(self.run_contact_loop, self.stopping),
+            name="control-contact",
+            daemon=True,
+        )
 
     @property
     def address(self) -> str:
@@ -130,6 +136,7 @@
         self.rpc.start()
         self.admin.start()
         self.thread.start()
+        self.contact_thread.start()
         logs.log_event(
             "control_started",
             member=self.node.member_id,
@@ -144,6 +151,11 @@
             self.leader_loop.step(self.clock.monotonic())
             self.promote_learner()
 
+    def run_contact_loop(self) -> None:
+        """Keep in contact with other members while the disk is busy."""
+        while not self.stopping.wait(self.settings.timing.heartbeat_s):
+            self.node.keep_contact()
+
     def promote_learner(self) -> None:
         """If this member leads, make a learner that caught up a voter."""
         with self.node.lock:
@@ -180,5 +192,6 @@
         self.rpc.stop()
         self.node.stop()
         self.sender.stop()
-        if self.thread.is_alive():
-            self.thread.join(2.0)
+        for each in (self.thread, self.contact_thread):
+            if each.is_alive():
+                each.join(2.0)
--- a/src/hemlockkeel/_internal/coordinator/process.py
+++ b/src/hemlockkeel/_internal/coordinator/process.py
@@ -143,6 +143,7 @@
         self.tasks = [
             self.loop.create_task(supervision.keep_running(work, self.log))
             for work in (
+                self.run_contact_loop,
                 self.run_leader_loop,
                 self.run_join_loop,
                 self.run_publication,
@@ -244,6 +245,12 @@
 
     # Membership and disk
 
+    async def run_contact_loop(self) -> None:
+        """Keep in contact with the other members while the disk is busy."""
+        while True:
+            await asyncio.sleep(self.settings.timing.heartbeat_s)
+            self.node.keep_contact()
+
     async def run_leader_loop(self) -> None:
         """Propose membership changes while leading, until the disk fails."""
         while True:
--- a/tests/unit/test_consensus_node.py
+++ b/tests/unit/test_consensus_node.py
@@ -12,6 +12,7 @@
 from hemlockkeel._internal.consensus import log as log_module
 from hemlockkeel._internal.consensus import messages
 from hemlockkeel._internal.consensus import node
+from hemlockkeel._internal.consensus import replication
 from hemlockkeel._internal.routes import catalogue
 from hemlockkeel._internal.utils import clock
 from hemlockkeel._internal.utils import metrics
@@ -117,6 +118,123 @@
         self.assertTrue(future.done())
 
 
+class RecordingSender(node.Sender):
+    """Keeps the messages."""
+
+    def __init__(self) -> None:
+        self.sent: list[messages.AnyMessage] = []
+
+    def send(self, address: str, batch: list[messages.AnyMessage]) -> None:
+        self.sent += batch
+
+
+class TestBusyDisk(unittest.TestCase):
+    """Guards against elections while the disks of a leader's peers work."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.clock = FakeClock()
+        self.sender = RecordingSender()
+        peers = tuple(messages.Peer(name, f"{name}:1") for name in "abc")
+        self.node = node.Node(
+            pathlib.Path(folder.name),
+            "b:1",
+            LastCommand(),
+            self.sender,
+            core.Timing(),
+            metrics.Metrics(),
+            self.clock,
+            initial_cluster=node.InitialCluster("b", "cluster", peers),
+            log_event=lambda event, **fields: None,
+        )
+        self.addCleanup(self.node.storage.close)
+        self.receive(self.make_heartbeat())
+        self.node.step(self.node.collect_inputs())
+        self.sender.sent.clear()
+
+    def make_heartbeat(self) -> messages.AppendRequest:
+        """Return a heartbeat of leader a in term 2."""
+        return messages.AppendRequest(
+            term=2,
+            sender="a",
+            receiver="b",
+            previous_index=1,
+            previous_term=1,
+            entries=[],
+            commit=1,
+            sent_at=self.clock.now,
+        )
+
+    def receive(self, message: messages.AnyMessage) -> None:
+        self.node.receive(message, f"{message.sender}:1")
+
+    def be_busy(self, seconds: float) -> None:
+        """Let the disk be busy since a time."""
+        self.node.busy_since = self.clock.now
+        self.clock.now += seconds
+
+    def test_follower_replies_at_once_and_votes_for_no_other(self) -> None:
+        self.be_busy(0.7)
+        request = messages.VoteRequest(
+            term=3,
+            sender="c",
+            receiver="b",
+            last_index=1,
+            last_term=1,
+            pre=True,
+        )
+        # It was queued before the heartbeat that extends the lease.
+        self.receive(request)
+        self.receive(self.make_heartbeat())
+        (reply,) = self.sender.sent
+        assert isinstance(reply, messages.AppendReply)
+        self.assertTrue(reply.busy)
+        self.assertEqual(reply.sent_at, self.clock.now)
+        self.node.busy_since = None
+        self.node.step(self.node.collect_inputs())
+        self.assertFalse(
+            [
+                each
+                for each in self.sender.sent
+                if isinstance(each, messages.VoteReply)
+            ]
+        )
+        self.assertIs(self.node.core.state, core.State.FOLLOWER)
+
+    def test_only_the_leader_that_it_follows_gets_a_reply(self) -> None:
+        self.be_busy(0.7)
+        heartbeat = self.make_heartbeat()
+        for changes in ({"sender": "c"}, {"term": 1}, {"term": 3}):
+            self.receive(msgspec.structs.replace(heartbeat, **changes))
+        self.assertEqual(self.sender.sent, [])
+
+    def test_disk_that_has_stopped_gives_no_reply(self) -> None:
+        self.be_busy(node.MAX_BUSY_S + 0.1)
+        self.receive(self.make_heartbeat())
+        self.assertEqual(self.sender.sent, [])
+
+    def test_busy_reply_says_nothing_about_entries(self) -> None:
+        replicator = replication.Replicator("a", log_module.Log(), 0.1)
+        replicator.set_peers(["b"])
+        progress = replicator.progress["b"]
+        progress.in_flight, progress.last_sent_at = True, 1.0
+        replicator.record_busy(
+            messages.AppendReply(
+                term=2,
+                sender="b",
+                receiver="a",
+                success=True,
+                index=0,
+                sent_at=1.5,
+                busy=True,
+            )
+        )
+        self.assertTrue(progress.in_flight)
+        self.assertEqual((progress.match_index, progress.next_index), (0, 1))
+        self.assertEqual(progress.acked_sent_at, 1.5)
+
+
 class TestReadsWhileApplying(unittest.TestCase):
     """The only member of a cluster restarts with commands in its log."""
 
