Let streams be taken up that began at an entry which missed a release

What callers saw: an entry stood still while targets came back under their ids as another version.

Cause: the announcement of a new start dropped the claims on the process that had begun a stream, although they are about that very process; and members answered "unknown" for streams whose origin would be known with the next announcement.

A test at three entries got no Retry-After before.

A test is replaced: it demanded that a claim is never confirmed by another start than the one announced when it was made. The claim is confirmed then, and names the start that was announced at last, never the earlier one; that is checked, as is a claim on connections that an announcement contradicts.

New fields of messages are the last ones and have defaults.

--- a/src/hemlockkeel/_internal/coordinator/stream_origins.py
+++ b/src/hemlockkeel/_internal/coordinator/stream_origins.py
@@ -22,11 +22,14 @@
             self.table.add(
                 stream.request_id, stream.origin, now + stream.lifetime_s
             )
+        for request_id in message.pending:
+            self.table.add_pending(request_id, now)
 
     def find(
         self, call: messages.FindOrigin, now: float
     ) -> messages.OriginReply:
         """Return the reply to an entry whose caller resumes a stream."""
         return messages.OriginReply(
-            origin=self.table.find(call.request_id, now)
+            origin=self.table.find(call.request_id, now),
+            pending=self.table.is_pending(call.request_id, now),
         )
--- a/src/hemlockkeel/_internal/discovery/stream_origins.py
+++ b/src/hemlockkeel/_internal/discovery/stream_origins.py
@@ -27,6 +27,11 @@
         )
 
 
+# Time within which a target whose connections were lost is identified again:
+# its next announcement, and the time for which that is under way.
+PENDING_S = 3.0
+
+
 class OriginTable:
     """The origins of streams that callers may still resume.
 
@@ -41,6 +46,30 @@
         self.origins: collections.OrderedDict[
             ids.RequestId, tuple[StreamOrigin, float]
         ] = collections.OrderedDict()
+        # Streams whose origin will be known, with the time until which that
+        # is expected.
+        self.pending: collections.OrderedDict[ids.RequestId, float] = (
+            collections.OrderedDict()
+        )
+
+    def add_pending(self, request_id: ids.RequestId, now: float) -> None:
+        """Store that the origin of a stream will be known soon."""
+        self.pending[request_id] = now + PENDING_S
+        self.pending.move_to_end(request_id)
+        if len(self.pending) > self.capacity:
+            self.pending.popitem(last=False)
+
+    def list_pending(self, now: float) -> list[ids.RequestId]:
+        """Return the streams whose origin is expected to be known."""
+        return [
+            request_id
+            for request_id, expected_until in self.pending.items()
+            if now < expected_until
+        ]
+
+    def is_pending(self, request_id: ids.RequestId, now: float) -> bool:
+        """Return whether the origin of a stream is expected to be known."""
+        return now < self.pending.get(request_id, 0.0)
 
     def add(
         self,
@@ -79,3 +108,5 @@
         ]
         for request_id in expired:
             del self.origins[request_id]
+        while self.pending and next(iter(self.pending.values())) <= now:
+            self.pending.popitem(last=False)
--- a/src/hemlockkeel/_internal/links/messages.py
+++ b/src/hemlockkeel/_internal/links/messages.py
@@ -301,6 +301,8 @@
     """Tells a control member where streams began."""
 
     streams: list[BegunStream]
+    # Streams whose origin will be told once their target is identified.
+    pending: list[ids.RequestId] = msgspec.field(default_factory=list)
 
 
 class FindOrigin(Message, frozen=True, tag=True, kw_only=True):
@@ -314,6 +316,8 @@
 
     # None if the member does not know the stream.
     origin: stream_origins.StreamOrigin | None = None
+    # Whether an entry has announced that the origin will be known soon.
+    pending: bool = False
 
 
 AnyMessage = (
--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -37,6 +37,8 @@
         self.route = route
         self.service = service
         self.target = target
+        # Whether the target's process was known when the request was sent.
+        self.was_identified = False
 
     async def execute(self) -> results.AttemptResult:
         """Make the attempt, with the adapter loaded if one is needed."""
@@ -251,6 +253,7 @@
             request_headers.append((b"Content-Length", length))
         sent_at = self.context.now
         broken = False
+        self.was_identified = target.identified
         target.record_sent(sent_at)
         target.add_request(self.context.traits)
         target.in_flight_prefill_tokens += prefill_tokens
@@ -483,11 +486,29 @@
 
     def start_stream(self, response: exchange.ResponseHead) -> None:
         """Send the head of an event stream that begins at the target."""
-        origin = stream_origins.StreamOrigin(
-            self.service.name, self.target.record.software_version
+        if self.was_identified or self.target.identity is None:
+            self.context.start_stream(
+                response, lambda: self.make_origin(self.target)
+            )
+            return
+        registry = self.context.shared.registry
+        self.context.start_stream(
+            response,
+            lambda: self.make_origin(
+                registry.targets.get(
+                    self.target.record.instance_id, self.target
+                )
+            ),
+            self.target.identity,
+        )
+
+    def make_origin(
+        self, target: target_module.Target
+    ) -> stream_origins.StreamOrigin:
+        """Return the origin of what a target writes, as it is announced."""
+        return stream_origins.StreamOrigin(
+            self.service.name, target.record.software_version
         )
-        identity = None if self.target.identified else self.target.identity
-        self.context.start_stream(response, origin, identity)
 
 
 class PendingPrefill:
--- a/src/hemlockkeel/_internal/relay/origin_directory.py
+++ b/src/hemlockkeel/_internal/relay/origin_directory.py
@@ -56,6 +56,13 @@
         for peer in self.choose_holders(request_id):
             peer.send(message)
 
+    def record_pending(self, request_id: ids.RequestId) -> None:
+        """Tell control members that it will be known where a stream began."""
+        self.table.add_pending(request_id, self.now)
+        message = messages.StreamsBegun(streams=[], pending=[request_id])
+        for peer in self.choose_holders(request_id):
+            peer.send(message)
+
     def choose_holders(
         self, request_id: ids.RequestId
     ) -> collections.abc.Iterator[link.Link]:
@@ -79,8 +86,11 @@
             messages.BegunStream(*each)
             for each in self.table.list_current(self.now)
         ]
-        if streams and peer.protocol >= messages.ORIGIN_PROTOCOL:
-            peer.send(messages.StreamsBegun(streams=streams))
+        pending = self.table.list_pending(self.now)
+        if peer.protocol < messages.ORIGIN_PROTOCOL:
+            return
+        if streams or pending:
+            peer.send(messages.StreamsBegun(streams=streams, pending=pending))
 
     async def find(self, request_id: ids.RequestId) -> resumption.Lookup:
         """Return what this entry or any control member knows of a stream.
@@ -92,8 +102,11 @@
             return resumption.Lookup(origin, True)
         if not request_id:
             return resumption.Lookup(None, True)
+        if self.table.is_pending(request_id, self.now):
+            return resumption.Lookup(None, True, pending=True)
         members = self.control.list_capable(messages.ORIGIN_PROTOCOL)
         answered = 0
+        pending = False
         questions = [
             asyncio.ensure_future(self.ask(address, peer, request_id))
             for address, peer in members.items()
@@ -104,12 +117,14 @@
                 if reply is not None and reply.origin is not None:
                     return resumption.Lookup(reply.origin, True)
                 answered += reply is not None
+                pending = pending or (reply is not None and reply.pending)
         finally:
             for question in questions:
                 question.cancel()
         silent = len(self.control.dialers) - answered
         # The stream may be known to those that have not answered.
-        return resumption.Lookup(None, silent < min(COPIES, answered))
+        conclusive = silent < min(COPIES, answered)
+        return resumption.Lookup(None, conclusive, pending)
 
     async def ask(
         self, address: str, peer: link.Link, request_id: ids.RequestId
--- a/src/hemlockkeel/_internal/relay/process_identity.py
+++ b/src/hemlockkeel/_internal/relay/process_identity.py
@@ -20,7 +20,7 @@
 
 @dataclasses.dataclass
 class Claim:
-    """A statement that is true if the process is the one announced."""
+    """A question about the process, answered once it is identified."""
 
     on_confirmed: collections.abc.Callable[[], None]
     confirmed: bool = False
@@ -72,9 +72,11 @@
         """
         contradicted = False
         if started_at_ms != self.started_at_ms:
+            # Claims stay: they are about the process that is connected,
+            # whichever it is, and the announcements so far are not its own.
             contradicted = self.confirmed
+            self.confirmed = False
             self.started_at_ms = started_at_ms
-            self.drop_claims()
         delay_s = 0.0
         if started_at_ms == self.doubted_start_ms:
             delay_s = ANNOUNCEMENT_DELAY_S
@@ -98,7 +100,11 @@
     def add_claim(
         self, on_confirmed: collections.abc.Callable[[], None]
     ) -> Claim:
-        """Return a claim, which is confirmed at once or later, or never."""
+        """Return a claim, which is confirmed at once or later, or never.
+
+        ``on_confirmed`` is called when the process that runs now turns out to
+        be the one announced last.
+        """
         claim = Claim(on_confirmed)
         if self.confirmed:
             claim.confirmed = True
--- a/src/hemlockkeel/_internal/relay/request_context.py
+++ b/src/hemlockkeel/_internal/relay/request_context.py
@@ -1,6 +1,7 @@
 """State of one request, and its responses to the caller."""
 
 import asyncio
+import collections.abc
 import http
 
 from hemlockkeel._internal.discovery import stream_origins
@@ -95,21 +96,23 @@
     def start_stream(
         self,
         response: exchange.ResponseHead,
-        origin: stream_origins.StreamOrigin,
+        find_origin: collections.abc.Callable[[], stream_origins.StreamOrigin],
         identity: process_identity.ProcessIdentity | None = None,
     ) -> None:
         """Send the head of an event stream to the caller.
 
-        ``origin`` is that of the response, if the target's process turns out
-        to be the one that was announced. Without an ``identity`` it is.
+        ``find_origin`` returns the origin of what the target's process writes
+        once it is known which process that is, and with no ``identity`` now.
         """
         if self.origin is None and identity is None:
-            self.set_origin(origin)
+            self.set_origin(find_origin())
         elif self.origin is None and identity is not None:
-            self.origin = origin
+            self.origin = find_origin()
             self.origin_claim = identity.add_claim(
-                lambda: self.set_origin(origin)
+                lambda: self.set_origin(find_origin())
             )
+            if not self.origin_claim.confirmed:
+                self.record_pending_origin()
         self.record_first_byte()
         self.connection.start_stream(
             response.status, headers.drop_hop_by_hop(response.headers)
@@ -128,15 +131,24 @@
         self.origin = origin
         if self.route is None or not self.route.resumable:
             return
-        request_id = (
-            self.metadata.resumed_request_id or self.metadata.request_id
-        )
         self.shared.origins.record(
-            ids.RequestId(request_id),
+            self.stream_id,
             origin,
             resumption.get_lifetime_s(self.route, self.metadata.timeout_s),
         )
 
+    def record_pending_origin(self) -> None:
+        """Remember that it will be known soon what began the stream."""
+        if self.route is not None and self.route.resumable:
+            self.shared.origins.record_pending(self.stream_id)
+
+    @property
+    def stream_id(self) -> ids.RequestId:
+        """Return the id of the request that began the stream."""
+        return ids.RequestId(
+            self.metadata.resumed_request_id or self.metadata.request_id
+        )
+
     def forward_response(self, buffered: results.BufferedResponse) -> None:
         """Send a target's complete response to the caller."""
         self.record_first_byte()
--- a/src/hemlockkeel/_internal/relay/resumption.py
+++ b/src/hemlockkeel/_internal/relay/resumption.py
@@ -26,6 +26,8 @@
     origin: stream_origins.StreamOrigin | None
     # Whether enough members have answered to conclude that nobody knows it.
     conclusive: bool
+    # Whether its origin will be known soon.
+    pending: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -68,6 +70,11 @@
             results.Cause.ORIGIN_GONE,
             "the route does not lead to the service that began the stream",
         )
+    if lookup.pending:
+        return Refusal(
+            results.Cause.TARGET_UNIDENTIFIED,
+            "the target that began the stream is not identified yet",
+        )
     if not lookup.conclusive:
         return Refusal(
             results.Cause.ORIGIN_UNAVAILABLE,
