--- a/src/hemlockkeel/_internal/consensus/node.py
+++ b/src/hemlockkeel/_internal/consensus/node.py
@@ -40,8 +40,11 @@
 # Time for which a member whose disk is busy keeps in contact with the others.
 # One whose disk has stopped gives way after it.
 MAX_BUSY_S = 1.0
-# A snapshot because of the bytes of the log has to drop at least as many.
+# A snapshot because of the bytes of the log has to drop at least as many, and
+# this share of them, as it rewrites the rest: a log that holds much that is
+# not committed would be rewritten again and again.
 MIN_DROPPED_BYTES = SNAPSHOT_AFTER_LOG_BYTES // 4
+MIN_DROPPED_SHARE = 1 / 3
 
 
 class Applier(abc.ABC):
@@ -592,7 +595,9 @@
             log = self.core.log
             trailing = self.count_trailing_entries()
             kept_bytes = log.count_bytes(self.applied_index - trailing)
-        return self.storage.log_bytes - kept_bytes >= MIN_DROPPED_BYTES
+        dropped_bytes = self.storage.log_bytes - kept_bytes
+        least_bytes = MIN_DROPPED_SHARE * self.storage.log_bytes
+        return dropped_bytes >= max(MIN_DROPPED_BYTES, least_bytes)
 
     def count_trailing_entries(self) -> int:
         """Return how many applied entries a snapshot keeps in the log."""
--- a/tests/functional/test_configuration_soak.py
+++ b/tests/functional/test_configuration_soak.py
@@ -4,11 +4,14 @@
 import pathlib
 import unittest
 
+from tests.soak.configuration import days
 from tests.soak.configuration import run as soak_run
 
 SEED = 8
 PLAN = ["storm", "all killed", "lost answers"]
 STORM_FILES = (350, 450)
+# Time that each sync of a member's disk takes besides.
+SYNC_S = 0.02
 # What a run must at least have seen for its verdict to mean something.
 LEAST_FIGURES = {
     "changes": 100,
@@ -38,6 +41,13 @@
         for name, least in LEAST_FIGURES.items():
             self.assertGreater(figures[name], least)
 
+    async def test_day_of_storms_a_lost_disk_and_a_kill_breaks_no_rule(
+        self,
+    ) -> None:
+        outcome = await days.play(SEED, "short", STORM_FILES[0], SYNC_S, KEEP)
+        self.assertEqual(outcome.violations, [])
+        self.assertGreater(outcome.describe()["changes"], 70)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -14,13 +14,19 @@
 from tests.lib import settings_file
 from tests.soak import checks
 from tests.soak import history
+from tests.soak import limited
 from tests.soak import proxy
 from tests.soak import targets
 
+ENTRY_COUNT = int(os.environ.get("HEMLOCKKEEL_SOAK_ENTRIES", "2"))
+ENGINE_COUNT = int(os.environ.get("HEMLOCKKEEL_SOAK_ENGINES", "2"))
 CONTROL = ("control-1", "control-2", "control-3")
-ENTRIES = ("entry-1", "entry-2")
+ENTRIES = tuple(f"entry-{number}" for number in range(1, ENTRY_COUNT + 1))
 # Services by target; p and q are plain services, e is an engine service.
-TARGETS = {"p1": "p", "p2": "p", "q1": "q", "e1": "e", "e2": "e"}
+TARGETS = {"p1": "p", "p2": "p", "q1": "q"} | {
+    f"e{number}": "e" for number in range(1, ENGINE_COUNT + 1)
+}
+LIMITED_MODULE = "tests.soak.limited"
 # From the exit of a process to its next start.
 RESTART_DELAY_S = 0.3
 # Time within which a process must exit after SIGTERM.
@@ -41,6 +47,10 @@
         # it, in bytes.
         self.incarnation = -1
         self.log_offset = 0
+        # Whether it runs with the limits of the platform's machines.
+        self.limited = False
+        # Time that each sync of the disk takes besides, in seconds.
+        self.sync_s = 0.0
 
     @property
     def is_running(self) -> bool:
@@ -56,11 +66,12 @@
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                "hemlockkeel.platform",
+                LIMITED_MODULE if self.limited else "hemlockkeel.platform",
                 self.role,
                 env={
                     **os.environ,
                     "HEMLOCKKEEL_NODE_FILE": str(self.settings_path),
+                    limited.SYNC_DELAY_VARIABLE: str(self.sync_s),
                 },
                 stdout=log,
                 stderr=log,
@@ -104,6 +115,9 @@
         self.programs: dict[str, Program] = {}
         self.proxies: dict[str, proxy.Proxy] = {}
         self.targets: dict[str, targets.Target] = {}
+        # Time that each sync of a control member takes besides, in seconds;
+        # None if members run without the limits of their machines.
+        self.sync_s: float | None = None
         # Addresses of the proxies in front of each entry, for callers, and of
         # each control member's API, for the operator.
         self.entry_addresses: dict[str, tuple[str, int]] = {}
@@ -144,6 +158,8 @@
             )
         for number, name in enumerate(CONTROL, 1):
             self.add_program(name, "control", (1, number))
+            self.programs[name].limited = self.sync_s is not None
+            self.programs[name].sync_s = self.sync_s or 0.0
         for number, name in enumerate(ENTRIES, 1):
             self.add_program(name, "entry", (2, number))
         for number, (name, service) in enumerate(TARGETS.items(), 1):
--- a/tests/unit/test_log_bounds.py
+++ b/tests/unit/test_log_bounds.py
@@ -1,6 +1,7 @@
 """A member's log on disk and in memory stays bounded in bytes."""
 
 import tracemalloc
+import unittest.mock
 
 import msgspec
 
@@ -55,6 +56,18 @@
         written = 100 * ENTRY_BYTES
         self.assertLess(len(snapshots), written / node.MIN_DROPPED_BYTES)
 
+    def test_large_log_is_rewritten_only_to_drop_much_of_it(self) -> None:
+        """Compactions of what is not committed yet take most of the time."""
+        member = self.start_member()
+        member.storage.log_bytes = 24_000_000
+        log = member.core.log
+        for dropped_bytes, is_due in ((3_000_000, False), (9_000_000, True)):
+            kept_bytes = member.storage.log_bytes - dropped_bytes
+            with unittest.mock.patch.object(
+                log, "count_bytes", return_value=kept_bytes
+            ):
+                self.assertEqual(member.can_drop_many_bytes(), is_due)
+
 
 class TestQueues(test_consensus_node.MemberCase):
     """Data that waits for the consensus thread or for a majority."""
