Fail `hemlockkeel request` when a stream ends without its last event

What callers saw: a stream that was cut off was printed and the command exited with 0; a head that was cut ended in a stack trace.

Cause: the command read to the end of the connection and looked for no end event, and caught errors of the connection only.

--- a/src/hemlockkeel/_internal/commands/request.py
+++ b/src/hemlockkeel/_internal/commands/request.py
@@ -15,6 +15,7 @@
 app = typer.Typer(add_completion=False)
 TIMEOUT_S = 300.0
 DATA_PREFIX = "data: "
+LAST_EVENT = "[DONE]"
 
 
 @app.command()
@@ -59,11 +60,15 @@
         try:
             connection.request("POST", path, body, headers)
             response = connection.getresponse()
-        except OSError as error:
-            text = f"hemlockkeel: cannot connect to {entry_url}: {error}"
+        except (OSError, http.client.HTTPException) as error:
+            text = f"hemlockkeel: no response from {entry_url}: {error}"
             typer.echo(text, err=True)
             raise typer.Exit(exit_codes.UNAVAILABLE) from error
-        print_response(response)
+        try:
+            print_response(response)
+        except (OSError, http.client.HTTPException) as error:
+            typer.echo(f"hemlockkeel: the response ended: {error}", err=True)
+            raise typer.Exit(exit_codes.FAILED) from error
 
 
 def make_request(
@@ -87,7 +92,8 @@
 def print_response(response: http.client.HTTPResponse) -> None:
     """Print a response, event by event if it is streamed.
 
-    :raises typer.Exit: when the status or an event is an error.
+    :raises typer.Exit: when the status or an event is an error, or the stream
+        ends without its last event.
     """
     content_type = response.getheader("Content-Type", "")
     if not content_type.startswith("text/event-stream"):
@@ -96,20 +102,23 @@
         if response.status >= http.client.BAD_REQUEST:
             raise typer.Exit(exit_codes.FAILED)
         return
-    failed = False
+    failed = done = False
     for raw in response:
         line = raw.decode(errors="replace").rstrip("\n")
         failed = failed or line == "event: error"
+        done = done or line == DATA_PREFIX + LAST_EVENT
         if line.startswith(DATA_PREFIX):
             print_event(line[len(DATA_PREFIX) :])
     typer.echo("")
-    if failed:
+    if not failed and not done:
+        typer.echo("hemlockkeel: the stream has no last event", err=True)
+    if failed or not done:
         raise typer.Exit(exit_codes.FAILED)
 
 
 def print_event(text: str) -> None:
     """Print the text of one server-sent event, or its error."""
-    if text == "[DONE]":
+    if text == LAST_EVENT:
         return
     event = json.loads(text)
     if "error" in event:
