Simulate busy disks and early entries in consensus; describe both

The simulated cluster sends a leader's entries before it stores them, as the driver does, and members reply to requests while their disks are busy.

--- a/src/hemlockkeel_bench/raft_simulation.py
+++ b/src/hemlockkeel_bench/raft_simulation.py
@@ -16,6 +16,7 @@
 from hemlockkeel._internal.consensus import core
 from hemlockkeel._internal.consensus import log as log_module
 from hemlockkeel._internal.consensus import messages
+from hemlockkeel._internal.consensus import node
 from hemlockkeel._internal.coordinator import membership
 
 MAX_MESSAGES_IN_FLIGHT = 400
@@ -224,6 +225,27 @@
         member.raft.receive(message, self.read_clock(member))
         self.process_effects(member, crash_point)
 
+    def defer(self, position: int) -> None:
+        """Let a member with a busy disk reply to a message in flight.
+
+        The message itself is delivered later.
+        """
+        if not self.in_flight:
+            return
+        message = self.in_flight[position % len(self.in_flight)]
+        member = self.members.get(message.receiver)
+        pair = frozenset([message.sender, message.receiver])
+        if (
+            not isinstance(message, messages.AppendRequest)
+            or member is None
+            or member.raft is None
+            or pair in self.partitioned_pairs
+        ):
+            return
+        reply = member.raft.acknowledge_busy(message, self.read_clock(member))
+        if reply is not None:
+            self.in_flight.append(reply)
+
     def deliver_all(self) -> None:
         """Deliver the messages in flight in order, without newly sent ones."""
         for _ in range(len(self.in_flight)):
@@ -403,6 +425,11 @@
             effects = raft.take_effects()
             if effects.is_empty:
                 break
+            outgoing = effects.outgoing
+            if effects.hard_state is None:
+                # Entries of a leader go out before it has stored them.
+                early, outgoing = node.separate_requests(outgoing)
+                self.in_flight.extend(early)
             if crash_point is CrashPoint.BEFORE_STORE:
                 self.crash(member)
                 return
@@ -417,7 +444,7 @@
                 raft.on_persisted(
                     effects.entries[-1].index, self.read_clock(member)
                 )
-            self.in_flight.extend(effects.outgoing)
+            self.in_flight.extend(outgoing)
             del self.in_flight[MAX_MESSAGES_IN_FLIGHT:]
             if crash_point is CrashPoint.AFTER_SEND:
                 self.crash(member)
@@ -573,6 +600,7 @@
     actions: list[collections.abc.Callable[[], object]] = [
         lambda: cluster.run(cluster.rng.uniform(0.0, MAX_RUN_DURATION_S)),
         lambda: cluster.drop(position),
+        lambda: cluster.defer(position),
         lambda: cluster.duplicate(position),
         lambda: cluster.deliver(position, crash_point),
         lambda: cluster.tick(member, crash_point),
--- a/tests/unit/test_consensus.py
+++ b/tests/unit/test_consensus.py
@@ -144,6 +144,16 @@
                     raft_simulation.take_random_action(cluster)
                 cluster.heal_and_check()
 
+    def test_lease_holds_while_disks_are_busy(self) -> None:
+        """A busy member's reply extends a lease that it could break."""
+        for seed in range(200, 206):
+            rng = random.Random(seed)
+            cluster = raft_simulation.SimulatedCluster(3, rng)
+            for _ in range(1500):
+                cluster.defer(rng.randrange(1 << 16))
+                raft_simulation.take_random_action(cluster)
+            cluster.heal_and_check()
+
     def test_unstored_votes_violate_an_invariant(self) -> None:
         """The invariant checks detect members that vote twice in a term.
 
