Acknowledge overtaken configurations without storing them again

A caller whose answer came late sent its change again after it had been committed, and it was appended once more with its whole body.

Change: a configuration that is not higher than the one that this member has applied is acknowledged at once; what is applied is committed, so that it changes nothing for good.

--- a/src/hemlockkeel/_internal/coordinator/replicated_state.py
+++ b/src/hemlockkeel/_internal/coordinator/replicated_state.py
@@ -53,9 +53,12 @@
     async def propose(self, command: catalogue.Command) -> int | None:
         """Commit a command and return its log index.
 
-        None means that the outcome is unknown: the command may still be
-        committed later.
+        A configuration that the one in force has overtaken changes nothing,
+        and is not proposed. None means that the outcome is unknown: the
+        command may still be committed later.
         """
+        if self.is_overtaken(command):
+            return self.node.applied_index
         data = msgspec.msgpack.encode(command)
         outcome = await self.propose_local(data)
         if not outcome.done:
@@ -64,6 +67,16 @@
             )
         return outcome.index if outcome.done else None
 
+    def is_overtaken(self, command: catalogue.Command) -> bool:
+        """Return whether a command is known to change nothing.
+
+        What is applied here is committed, so this holds at every member.
+        """
+        return (
+            isinstance(command, catalogue.PutConfiguration)
+            and command.version <= self.catalogue.state.version
+        )
+
     async def propose_local(self, data: bytes) -> messages.Outcome:
         """Commit an encoded command if this member is the leader.
 
