--- a/src/hemlockkeel/_internal/relay/forwarder.py
+++ b/src/hemlockkeel/_internal/relay/forwarder.py
@@ -118,9 +118,9 @@
         self.context.deadline_at = min(
             self.context.deadline_at, self.context.now
         )
-        if self.timeout is not None and self.timeout.when() is not None:
+        if self.timeout is not None:
+            # An error says that the attempts have ended by themselves.
             with contextlib.suppress(RuntimeError):
-                # It has ended or expired by itself.
                 self.timeout.reschedule(self.context.now)
 
     def handle_error(self, error: Exception) -> None:
--- a/tests/soak/configuration/days.py
+++ b/tests/soak/configuration/days.py
@@ -24,16 +24,21 @@
 
 STORM_GAP_S = 0.06
 STORM_DURATION_S = 1.5
-# Routes that a configuration has besides those of its storm, as the bench's.
+# Configurations of a day differ by up to this number of added routes.
 SPREAD = 20
 MAX_DATA_BYTES = 128_000_000
 SAMPLE_INTERVAL_S = 0.05
+# Time without changes before the final fault.
 CALM_S = 4.0
 
 
 @dataclasses.dataclass(frozen=True)
 class Day:
-    """Storms and faults at their times, in seconds from the start."""
+    """Storms and faults at their times, in seconds from the start.
+
+    Disks are lost by the member that has just acknowledged a change; in a kill
+    all control members end at once.
+    """
 
     storms: tuple[float, ...]
     lost_disks: tuple[float, ...] = ()
@@ -42,7 +47,6 @@
 
 DAYS = {
     "short": Day(storms=(0.5, 3.0, 9.5), lost_disks=(3.5,), kills=(10.0,)),
-    # Each disk is lost just after an acknowledgement.
     "disks": Day(
         storms=(4.0, 7.0, 10.0, 13.0, 16.0, 19.0, 22.0),
         lost_disks=(27.0, 43.0),
