--- a/tests/unit/test_bounded_http.py
+++ b/tests/unit/test_bounded_http.py
@@ -43,20 +43,22 @@
         self.thread.start()
 
     def serve(self) -> None:
-        repeated = self.piece * (1 if self.pause_s else 20)
+        """Answer one client after the other until the socket is closed."""
         while True:
             try:
                 client, _ = self.socket.accept()
             except OSError:
                 return
-            with client:
-                try:
-                    client.recv(65536)
-                    client.sendall(self.start)
-                    while not self.pause.wait(self.pause_s):
-                        client.sendall(repeated)
-                except OSError:
-                    continue
+            with client, contextlib.suppress(OSError):
+                client.recv(65536)
+                self.answer(client)
+
+    def answer(self, client: socket.socket) -> None:
+        """Answer a client whose request has been received."""
+        repeated = self.piece * (1 if self.pause_s else 20)
+        client.sendall(self.start)
+        while not self.pause.wait(self.pause_s):
+            client.sendall(repeated)
 
     def stop(self) -> None:
         """Close the sockets and end the thread."""
@@ -116,21 +118,13 @@
         self.data = data
         super().__init__(b"", b"", 0.0)
 
-    def serve(self) -> None:
-        while True:
-            try:
-                client, _ = self.socket.accept()
-            except OSError:
-                return
-            with client:
-                client.recv(65536)
-                client.sendall(self.data)
-                client.shutdown(socket.SHUT_WR)
-                # Closing with unread data would reset the connection.
-                client.settimeout(TIMEOUT_S)
-                with contextlib.suppress(OSError):
-                    while client.recv(65536):
-                        continue
+    def answer(self, client: socket.socket) -> None:
+        client.sendall(self.data)
+        client.shutdown(socket.SHUT_WR)
+        # Closing with unread data would reset the connection.
+        client.settimeout(TIMEOUT_S)
+        while client.recv(65536):
+            continue
 
 
 class TestCutResponses(unittest.TestCase):
@@ -200,16 +194,9 @@
         self.count = 0
         super().__init__(b"", b"", 0.0)
 
-    def serve(self) -> None:
-        while True:
-            try:
-                client, _ = self.socket.accept()
-            except OSError:
-                return
-            with client:
-                client.recv(65536)
-                self.count += 1
-                client.sendall(self.RESPONSE)
+    def answer(self, client: socket.socket) -> None:
+        self.count += 1
+        client.sendall(self.RESPONSE)
 
 
 class RepeatingServer(RefusingServer):
