Read load reports of four figures

Cause: some targets add a fourth figure to their load header, how long work takes there now as a percentage of the usual. read_load took three figures and dropped the whole report otherwise, so that plain targets of such a deployment were chosen without any report. Change: three or more figures are read; the fourth is kept as the slowdown. Nothing decides by it yet.

--- a/src/hemlockkeel/_internal/relay/header_codec.py
+++ b/src/hemlockkeel/_internal/relay/header_codec.py
@@ -67,6 +67,9 @@
     running: int
     waiting: int
     slots: int
+    # How long work takes there at this moment, as a multiple of the usual
+    # time; None if the target does not say.
+    slowdown: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/hemlockkeel/platform/headers.py
+++ b/src/hemlockkeel/platform/headers.py
@@ -1,5 +1,6 @@
 """Decodes and encodes the platform's request and response headers."""
 
+import dataclasses
 import math
 import re
 
@@ -8,6 +9,8 @@
 MS_PER_S = 1000.0
 # Further parts of a prompt are not compared with those of other requests.
 MAX_SHARED_PARTS = 32
+# Requests running, requests waiting and slots.
+LOAD_FIGURES = 3
 # Longer values can only be mistakes.
 DECIMAL = re.compile(r"\d{1,9}(\.\d{0,9})?", re.ASCII)
 # `str.isdigit` also takes superscripts, which `int` refuses.
@@ -189,6 +192,16 @@
 
 
 def read_load(value: str | None) -> header_codec.TargetLoad | None:
-    """Return the load, given as RUNNING,WAITING,SLOTS; None if invalid."""
+    """Return the load; None if invalid.
+
+    It is given as RUNNING,WAITING,SLOTS, and by some targets with the
+    percentage of the usual time that work takes there now. Further figures
+    are ignored.
+    """
     counts = read_counts(value or "")
-    return header_codec.TargetLoad(*counts) if len(counts) == 3 else None
+    if len(counts) < LOAD_FIGURES:
+        return None
+    load = header_codec.TargetLoad(*counts[:LOAD_FIGURES])
+    if len(counts) == LOAD_FIGURES:
+        return load
+    return dataclasses.replace(load, slowdown=counts[LOAD_FIGURES] / 100)
--- a/tests/unit/test_platform.py
+++ b/tests/unit/test_platform.py
@@ -407,6 +407,14 @@
         self.assertFalse(self.header_codec.read_response(503, []).not_run)
         self.assertTrue(self.header_codec.read_response(421, []).not_run)
 
+    def test_load_with_the_time_that_work_takes(self) -> None:
+        """Reports of four figures must not be dropped as invalid."""
+        load = headers.read_load("5,0,64,130")
+        self.assertEqual(load, header_codec.TargetLoad(5, 0, 64, 1.3))
+        self.assertEqual(headers.read_load("5,0,64,130,9"), load)
+        self.assertIsNone(headers.read_load("5,0"))
+        self.assertIsNone(headers.read_load("5,0,64,x"))
+
     def test_invalid_numbers_are_ignored(self) -> None:
         for digits in (b"\xb2", b"-1", b"9" * 5000, b"1e9", b"1_0", b""):
             with self.subTest(digits):
