Authenticate organisations by key; revoke keys within a bound

Cause: configurations may name organisations whose callers identify themselves with a key. Entries ignored that, forwarded the key to targets, and nothing bounded how long an entry goes on with an old configuration.

Change: configurations are read with organisations, quotas, keys as digests and public routes. The entry answers 401 without exactly one known key, before the body where the head decides it, removes keys and organisation headers, names the organisation to the target, and uses its priority. With strict revocation, an entry accepts keys only with a recent proof that its version is the newest: ConfirmVersion to one control member, which shares reads of the version at the leader (Read.version_only, ignored by older leaders). A proof is dated with the time of its call on a clock that counts suspended time. The leader answers such a read only once it has applied what it has committed: another member may have acknowledged a repeated change that a leader with a slow disk has not applied. Errors of the HTTP parser quote the line that they refuse; the quoted part is no longer logged.

PROTOCOL is 3.

--- a/src/hemlockkeel/_internal/coordinator/process.py
+++ b/src/hemlockkeel/_internal/coordinator/process.py
@@ -23,6 +23,7 @@
 from hemlockkeel._internal.coordinator import stream_origins
 from hemlockkeel._internal.coordinator import subscribers
 from hemlockkeel._internal.coordinator import targets
+from hemlockkeel._internal.coordinator import version_reads
 from hemlockkeel._internal.links import dialer
 from hemlockkeel._internal.links import link
 from hemlockkeel._internal.links import messages
@@ -126,6 +127,9 @@
             self.subscribers, log, random.Random()
         )
         self.stream_origins = stream_origins.StreamOrigins()
+        self.version_reads = version_reads.VersionReads(
+            self.replicated_state.read_version
+        )
         self.sender.peers = self.peers
         self.sender.cluster_id = self.node.cluster_id
         self.api = http_service.HttpListener(self)
@@ -470,8 +474,15 @@
     async def on_call(
         self, peer: link.Link, message: messages.AnyMessage
     ) -> None:
-        outcome: messages.Outcome | messages.SendPermit | messages.OriginReply
+        outcome: (
+            messages.Outcome
+            | messages.SendPermit
+            | messages.OriginReply
+            | messages.VersionProof
+        )
         match message:
+            case messages.ConfirmVersion():
+                outcome = await self.version_reads.confirm()
             case messages.FindOrigin():
                 outcome = self.stream_origins.find(message, self.loop.time())
             case messages.AcquirePermit():
@@ -482,6 +493,10 @@
                 outcome = await self.replicated_state.propose_local(
                     message.command
                 )
+            case messages.Read(version_only=True):
+                outcome = await self.replicated_state.read_applied_version(
+                    version_reads.READ_TIMEOUT_S
+                )
             case messages.Read():
                 outcome = self.replicated_state.read_local()
             case messages.Join(leaving=True):
--- a/src/hemlockkeel/_internal/coordinator/replicated_state.py
+++ b/src/hemlockkeel/_internal/coordinator/replicated_state.py
@@ -17,6 +17,7 @@
 
 # Shorter than the second after which callers try another member.
 CALL_TIMEOUT_S = 0.9
+APPLY_CHECK_INTERVAL_S = 0.01
 
 
 class ReplicatedState:
@@ -50,6 +51,34 @@
             outcome = await self.forward_to_leader(messages.Read())
         return outcome
 
+    async def read_version(self, timeout_s: float) -> messages.Outcome:
+        """Return the newest configuration's version, without its body.
+
+        ``done`` is false when no leader answers within ``timeout_s``.
+        """
+        if self.node.has_lease():
+            return await self.read_applied_version(timeout_s)
+        return await self.forward_to_leader(
+            messages.Read(version_only=True), timeout_s
+        )
+
+    async def read_applied_version(self, timeout_s: float) -> messages.Outcome:
+        """Return the newest version if this member has a leader lease.
+
+        Other members may have applied, and acknowledged again, a change that
+        this one has committed but, with a slow disk, not applied.
+        """
+        if not self.node.has_lease():
+            return messages.Outcome(done=False)
+        committed = self.node.core.commit_index
+        try:
+            async with asyncio.timeout(timeout_s):
+                while self.node.applied_index < committed:
+                    await asyncio.sleep(APPLY_CHECK_INTERVAL_S)
+        except TimeoutError:
+            return messages.Outcome(done=False)
+        return messages.Outcome(done=True, index=self.catalogue.state.version)
+
     async def propose(self, command: catalogue.Command) -> int | None:
         """Commit a command and return its log index.
 
@@ -148,7 +177,9 @@
         )
 
     async def forward_to_leader(
-        self, call: messages.Propose | messages.Read | messages.Join
+        self,
+        call: messages.Propose | messages.Read | messages.Join,
+        timeout_s: float = CALL_TIMEOUT_S,
     ) -> messages.Outcome:
         """Send a call to the leader and return its reply.
 
@@ -160,7 +191,7 @@
         if peer is None:
             return messages.Outcome(done=False)
         try:
-            reply = await peer.call(call, CALL_TIMEOUT_S)
+            reply = await peer.call(call, timeout_s)
         except (link.LinkClosedError, TimeoutError) as error:
             self.log.write("leader_silent", leader=address, reason=str(error))
             return messages.Outcome(done=False)
--- a/src/hemlockkeel/_internal/links/messages.py
+++ b/src/hemlockkeel/_internal/links/messages.py
@@ -7,11 +7,12 @@
 from hemlockkeel._internal.models import ids
 
 # Processes without a message close a link on which it arrives. Versions from
-# which on they understand rate limits and permits, and the origins of streams;
-# 0 is that of older ones.
+# which on they understand rate limits and permits, the origins of streams, and
+# proofs of the newest configuration; 0 is that of older ones.
 PERMIT_PROTOCOL = 1
 ORIGIN_PROTOCOL = 2
-PROTOCOL = ORIGIN_PROTOCOL
+PROOF_PROTOCOL = 3
+PROTOCOL = PROOF_PROTOCOL
 
 
 class Message(
@@ -72,6 +73,9 @@
 class Read(Message, frozen=True, tag=True, kw_only=True):
     """Asks the leader for the newest committed configuration."""
 
+    # Whether the reply needs only its version. Older leaders send it all.
+    version_only: bool = False
+
 
 class Join(Message, frozen=True, tag=True, kw_only=True):
     """Asks the receiver to add the sender to the control members.
@@ -320,6 +324,21 @@
     pending: bool = False
 
 
+class ConfirmVersion(Message, frozen=True, tag=True, kw_only=True):
+    """Asks a control member for the newest configuration's version."""
+
+
+class VersionProof(Message, frozen=True, tag=True, kw_only=True):
+    """Reply to `ConfirmVersion`.
+
+    With ``done``, no configuration that was acknowledged before the call was
+    sent has a higher version.
+    """
+
+    done: bool
+    version: int = 0
+
+
 AnyMessage = (
     Ping
     | Pong
@@ -348,6 +367,8 @@
     | StreamsBegun
     | FindOrigin
     | OriginReply
+    | ConfirmVersion
+    | VersionProof
 )
 
 DECODER: msgspec.msgpack.Decoder[AnyMessage] = msgspec.msgpack.Decoder(
--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -119,7 +119,7 @@
             self.context.request.arrived_at,
             self.context.deadline_at,
             self.route.first_byte_slo_s,
-            self.route.priority,
+            self.context.priority,
             self.get_uncached_tokens(),
         )
 
@@ -232,6 +232,10 @@
             if self.target.engine is not None
             else None,
             last_id,
+            self.context.hides_keys,
+            self.context.organisation.name
+            if self.context.organisation is not None
+            else "",
         )
 
     async def perform_exchange(
--- a/src/hemlockkeel/_internal/relay/caller.py
+++ b/src/hemlockkeel/_internal/relay/caller.py
@@ -29,8 +29,9 @@
 
     method: bytes
     target: bytes
-    headers: header_codec.Headers
-    body: bytes
+    # May contain keys, which no log line or error may show.
+    headers: header_codec.Headers = dataclasses.field(repr=False)
+    body: bytes = dataclasses.field(repr=False)
     # Arrival of the first byte, in loop time, seconds.
     arrived_at: float
     http_version: bytes
@@ -202,15 +203,17 @@
         ]
         check_header_size(event, head, limits.header_bytes)
         check_framing(head)
-        body = await self.read_body(head, limits)
-        return CallerRequest(
+        request = CallerRequest(
             bytes(event.method),
             bytes(event.target),
             head,
-            body,
+            b"",
             now,
             bytes(event.http_version),
         )
+        self.handler.check_head(request)
+        request.body = await self.read_body(head, limits)
+        return request
 
     async def wait_for_bytes(self, timeout_s: float) -> bool:
         """Wait for the first bytes of a request.
@@ -236,9 +239,7 @@
         try:
             self.protocol.receive_data(data)
         except h11.RemoteProtocolError as error:
-            raise RequestRejectedError(
-                error.error_status_hint, str(error)
-            ) from error
+            raise reject_invalid(error) from error
 
     async def next_event(self) -> h11.Event | type[h11.PAUSED]:
         """Return the next event of the HTTP parser.
@@ -250,9 +251,7 @@
             try:
                 event = self.protocol.next_event()
             except h11.RemoteProtocolError as error:
-                raise RequestRejectedError(
-                    error.error_status_hint, str(error)
-                ) from error
+                raise reject_invalid(error) from error
             if not isinstance(event, type) or event is h11.PAUSED:
                 return event
             if self.protocol.they_are_waiting_for_100_continue:
@@ -416,6 +415,13 @@
     def is_stopping(self) -> bool:
         """Return whether connections close after the current response."""
 
+    def check_head(self, request: CallerRequest) -> None:
+        """Check a request whose body has not been read yet.
+
+        :raises RequestRejectedError: when it is refused whatever its body.
+        """
+        return
+
     @abc.abstractmethod
     def on_request_rejected(self, status: int, reason: str) -> None:
         """Handle the rejection of a request, with the status it got."""
@@ -439,6 +445,16 @@
     return status in http.HTTPStatus._value2member_map_
 
 
+def reject_invalid(error: h11.RemoteProtocolError) -> RequestRejectedError:
+    """Return the rejection of a request that violates the protocol.
+
+    The parser puts the line that it refuses, which may contain a key, after a
+    colon. It is left out.
+    """
+    reason = str(error).partition(": ")[0]
+    return RequestRejectedError(error.error_status_hint, reason)
+
+
 def check_header_size(
     request: h11.Request, head: header_codec.Headers, limit: int
 ) -> None:
--- a/src/hemlockkeel/_internal/relay/forwarder.py
+++ b/src/hemlockkeel/_internal/relay/forwarder.py
@@ -11,6 +11,7 @@
 from hemlockkeel._internal.discovery import records
 from hemlockkeel._internal.models import ids
 from hemlockkeel._internal.models import outcomes
+from hemlockkeel._internal.relay import admission
 from hemlockkeel._internal.relay import attempt
 from hemlockkeel._internal.relay import caller
 from hemlockkeel._internal.relay import request_context
@@ -59,6 +60,7 @@
 
     async def run(self) -> None:
         """Forward the request and send the caller exactly one response."""
+        await admission.confirm_unknown_key(self.shared, self.context.request)
         configuration = self.shared.configuration
         if configuration is None:
             self.context.refuse(
@@ -76,6 +78,8 @@
                 "no route",
             )
             return
+        if not admission.authenticate(self.context, configuration):
+            return
         wait_s = self.context.route.timeout_s
         if self.context.metadata.timeout_s is not None:
             wait_s = min(wait_s, self.context.metadata.timeout_s)
@@ -219,7 +223,7 @@
             self.context.adapter_key if self.context.metadata.adapter else "",
             self.context.metadata.prompt_tokens,
             self.context.metadata.max_output_tokens,
-            self.context.route.priority if self.context.route else 0,
+            self.context.priority,
         )
 
     def select_target(
--- a/src/hemlockkeel/_internal/relay/header_codec.py
+++ b/src/hemlockkeel/_internal/relay/header_codec.py
@@ -37,6 +37,9 @@
     shared_parts: tuple[str, ...] = ()
     # Request that brought the first event of the stream that is resumed.
     resumed_request_id: str = ""
+    # Keys by which the caller identifies itself; valid only if it is one. No
+    # log line or error may show them.
+    keys: tuple[bytes, ...] = dataclasses.field(default=(), repr=False)
 
     @property
     def resumes_stream(self) -> bool:
@@ -58,6 +61,11 @@
     priority: int | None = None
     # Last event that the caller has received, when a stream is resumed.
     last_event_id: str = ""
+    # Whether to remove the keys and names of organisations that the caller
+    # has sent.
+    hides_keys: bool = False
+    # Organisation that the caller belongs to; empty for none.
+    organisation: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -99,6 +107,10 @@
     def read_request(self, headers: Headers) -> RequestMetadata:
         """Return the metadata in a request's headers."""
 
+    @abc.abstractmethod
+    def read_keys(self, headers: Headers) -> tuple[bytes, ...]:
+        """Return the keys in a request's headers."""
+
     @abc.abstractmethod
     def make_request_headers(
         self, headers: Headers, forwarding: ForwardingMetadata
--- a/src/hemlockkeel/_internal/relay/process.py
+++ b/src/hemlockkeel/_internal/relay/process.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import http
 import pathlib
 import random
 
@@ -13,6 +14,7 @@
 from hemlockkeel._internal.links import link
 from hemlockkeel._internal.links import messages
 from hemlockkeel._internal.relay import adapters
+from hemlockkeel._internal.relay import admission
 from hemlockkeel._internal.relay import caller
 from hemlockkeel._internal.relay import connection_watch
 from hemlockkeel._internal.relay import crashes
@@ -20,8 +22,10 @@
 from hemlockkeel._internal.relay import header_codec
 from hemlockkeel._internal.relay import origin_directory
 from hemlockkeel._internal.relay import rate_limits
+from hemlockkeel._internal.relay import results
 from hemlockkeel._internal.relay import shared_state
 from hemlockkeel._internal.relay import target_registry as registry_module
+from hemlockkeel._internal.relay import version_proofs
 from hemlockkeel._internal.routes import budget
 from hemlockkeel._internal.routes import codec
 from hemlockkeel._internal.routes import reserve_share
@@ -63,6 +67,10 @@
     # From SIGTERM until the process is killed, seconds.
     grace_s: float
     retry_limits: budget.RetryBudgetLimits
+    # Whether no request with a revoked key may run later than `revoke_s`
+    # after the revocation was acknowledged.
+    strict_revoke: bool = False
+    revoke_s: float = 5.0
 
 
 class ControlListener(dialer.Listener):
@@ -90,9 +98,7 @@
                 self.entry.configuration_receiver.handle_message(peer, message)
             case messages.MembersUpdate():
                 if peer.protocol < message.protocol:
-                    # The first update on this link.
-                    peer.protocol = message.protocol
-                    self.entry.shared.origins.send_all(peer)
+                    self.on_first_update(peer, message)
                 self.entry.on_members_update(address, message)
             case messages.VersionsUpdate():
                 self.entry.adapter_client.record_versions(message)
@@ -106,6 +112,15 @@
             case messages.CrashCleared():
                 self.entry.crashes.handle_cleared(message)
 
+    def on_first_update(
+        self, peer: link.Link, message: messages.MembersUpdate
+    ) -> None:
+        """Record what a member understands that has just been connected."""
+        peer.protocol = message.protocol
+        self.entry.shared.origins.send_all(peer)
+        if self.entry.shared.proofs is not None:
+            self.entry.shared.proofs.wake()
+
     def on_disconnected(self, address: str) -> None:
         self.entry.shared.reserve_share.forget_member(address)
         self.entry.members.forget(address)
@@ -202,6 +217,16 @@
             origin_directory.OriginDirectory(self.control_links, log),
             clock.SuspendAwareClock(),
         )
+        if settings.strict_revoke:
+            self.shared.proofs = version_proofs.VersionProofs(
+                self.control_links,
+                self.configuration_receiver,
+                log,
+                self.instruments,
+                self.shared.clock,
+                settings.revoke_s,
+                random.Random(),
+            )
         self.caller_listener = http_service.HttpListener(self)
         self.ready_listener = http_service.HttpListener(
             http_service.ReadinessHandler(self.is_ready)
@@ -224,6 +249,8 @@
         self.silence_task = loop.create_task(
             supervision.keep_running(self.run_silence_checks, self.log)
         )
+        if self.shared.proofs is not None:
+            self.shared.proofs.start()
 
     async def stop(self) -> None:
         """Serve until callers have moved, then finish pending requests.
@@ -266,7 +293,19 @@
 
     def is_ready(self) -> bool:
         """Return whether the load balancer may send callers to this entry."""
-        return not self.stopping and self.shared.configuration is not None
+        return (
+            not self.stopping
+            and self.shared.configuration is not None
+            and self.can_check_keys(self.shared.configuration)
+        )
+
+    def can_check_keys(self, configuration: table.Configuration) -> bool:
+        """Return whether requests with keys will still be accepted soon."""
+        return (
+            configuration.organisations is None
+            or self.shared.proofs is None
+            or self.shared.proofs.is_recent()
+        )
 
     async def run_housekeeping(self) -> None:
         """Expire targets, connections and suspicions periodically."""
@@ -339,6 +378,8 @@
     def apply_configuration(self, configuration: table.Configuration) -> None:
         """Put a received configuration into force."""
         self.shared.configuration = configuration
+        if self.shared.proofs is not None:
+            self.shared.proofs.handle_version(configuration.version)
         self.watch_connections()
 
     def watch_connections(self) -> None:
@@ -399,11 +440,19 @@
         return self.stopping
 
     def on_request_rejected(self, status: int, reason: str) -> None:
+        if status == http.HTTPStatus.UNAUTHORIZED:
+            cause = results.Cause.UNAUTHENTICATED.value
+            self.instruments.answers.labels("none", "401", cause).inc()
+            self.log.write("request_unauthenticated", reason=reason)
+            return
         self.instruments.answers.labels(
             "none", str(int(status)), "unreadable"
         ).inc()
         self.log.write("request_unreadable", status=status, reason=reason)
 
+    def check_head(self, request: caller.CallerRequest) -> None:
+        admission.check_head(self.shared, request)
+
     async def handle_request(
         self,
         connection: caller.CallerConnection,
--- a/src/hemlockkeel/_internal/relay/request_context.py
+++ b/src/hemlockkeel/_internal/relay/request_context.py
@@ -17,6 +17,7 @@
 from hemlockkeel._internal.relay import results
 from hemlockkeel._internal.relay import resumption
 from hemlockkeel._internal.relay import shared_state
+from hemlockkeel._internal.routes import organisations
 from hemlockkeel._internal.routes import table
 from hemlockkeel._internal.utils import digests
 
@@ -28,10 +29,14 @@
 # Bounds of the Retry-After header of a refusal, in seconds. The value is
 # random so that callers refused together do not retry together.
 RETRY_AFTER_S = (0.15, 0.6)
-# The same while a started entry has not received its configuration, or a
-# target's next announcement is due.
+# The same while a started entry has not received its configuration, a
+# target's next announcement is due, or the control members elect a leader.
 STARTING_CAUSES = frozenset(
-    {results.Cause.NO_CONFIGURATION, results.Cause.TARGET_UNIDENTIFIED}
+    {
+        results.Cause.NO_CONFIGURATION,
+        results.Cause.TARGET_UNIDENTIFIED,
+        results.Cause.KEY_PROOF_STALE,
+    }
 )
 RETRY_AFTER_START_S = (0.8, 1.6)
 # Retry-After while all targets have asked for a pause: its end plus a random
@@ -63,6 +68,9 @@
             self.metadata.adapter,
         )
         self.route: table.Route | None = None
+        # Organisation whose key the caller has sent; None without one, and on
+        # public routes.
+        self.organisation: organisations.Organisation | None = None
         # Loop time at which the caller's or the route's timeout ends.
         self.deadline_at = 0.0
         self.verdict = outcomes.Verdict.NOT_RUN
@@ -93,6 +101,26 @@
         """Return the requested adapter as MODEL/NAME."""
         return f"{self.metadata.model}/{self.metadata.adapter}"
 
+    @property
+    def priority(self) -> int:
+        """Return the priority of the organisation, or else of the route."""
+        if self.organisation and self.organisation.priority is not None:
+            return self.organisation.priority
+        return self.route.priority if self.route else 0
+
+    @property
+    def hides_keys(self) -> bool:
+        """Return whether targets get no keys and no names from the caller.
+
+        Organisations may have been removed since the request was accepted,
+        or added.
+        """
+        configuration = self.shared.configuration
+        return self.organisation is not None or (
+            configuration is not None
+            and configuration.organisations is not None
+        )
+
     def start_stream(
         self,
         response: exchange.ResponseHead,
--- a/src/hemlockkeel/_internal/relay/results.py
+++ b/src/hemlockkeel/_internal/relay/results.py
@@ -36,6 +36,10 @@
     ORIGIN_GONE = "origin_gone"
     ORIGIN_UNKNOWN = "origin_unknown"
     ORIGIN_UNAVAILABLE = "origin_unavailable"
+    # The caller has sent no key of an organisation.
+    UNAUTHENTICATED = "unauthenticated"
+    # A key may have been revoked or added since the last proof.
+    KEY_PROOF_STALE = "key_proof_stale"
 
 
 @dataclasses.dataclass
--- a/src/hemlockkeel/_internal/relay/shared_state.py
+++ b/src/hemlockkeel/_internal/relay/shared_state.py
@@ -10,6 +10,7 @@
 from hemlockkeel._internal.relay import rate_limits
 from hemlockkeel._internal.relay import suspects
 from hemlockkeel._internal.relay import target_registry as registry_module
+from hemlockkeel._internal.relay import version_proofs
 from hemlockkeel._internal.routes import budget
 from hemlockkeel._internal.routes import reserve_share
 from hemlockkeel._internal.routes import table
@@ -38,6 +39,8 @@
     # clock may not.
     clock: clock.Clock
     configuration: table.Configuration | None = None
+    # None if keys that were revoked need not stop working in time.
+    proofs: version_proofs.VersionProofs | None = None
     # Loop time at which the last responses are sent; set during a shutdown
     # once the balancer has had time to move callers to other entries.
     stops_at: float | None = None
--- a/src/hemlockkeel/_internal/routes/table.py
+++ b/src/hemlockkeel/_internal/routes/table.py
@@ -6,6 +6,7 @@
 import random
 
 from hemlockkeel._internal.discovery import records
+from hemlockkeel._internal.routes import organisations
 
 # Size of a whole configuration as operators send it; room for thousands of
 # routes. Frames of links leave room for one.
@@ -50,6 +51,8 @@
     max_attempts: int
     # Whether an interrupted request may be sent again to another target.
     resumable: bool
+    # Whether callers need no key although there are organisations.
+    public: bool = False
 
     @property
     def idempotent(self) -> bool:
@@ -120,8 +123,11 @@
         routes: list[Route],
         services: list[Service],
         limits: RequestLimits,
+        directory: organisations.Directory | None = None,
     ) -> None:
         self.version = version
+        # None if callers need no keys.
+        self.organisations = directory
         self.routes = routes
         self.services = {service.name: service for service in services}
         self.limits = limits
--- a/src/hemlockkeel/platform/configuration.py
+++ b/src/hemlockkeel/platform/configuration.py
@@ -5,6 +5,7 @@
 from hemlockkeel._internal import exceptions
 from hemlockkeel._internal.discovery import records
 from hemlockkeel._internal.routes import codec
+from hemlockkeel._internal.routes import organisations
 from hemlockkeel._internal.routes import table
 from hemlockkeel._internal.utils import strict_json
 from hemlockkeel.platform import fields
@@ -14,6 +15,10 @@
     "unsafe": table.RouteKind.ONCE,
     "streaming": table.RouteKind.STREAM,
 }
+QUOTA_UNITS = {
+    "requests": organisations.QuotaUnit.REQUESTS,
+    "tokens": organisations.QuotaUnit.TOKENS,
+}
 MS_PER_S = 1000.0
 
 
@@ -42,7 +47,13 @@
         read_route(item) for item in fields.get_objects(source, "routes")
     ]
     check_routes(routes, {service.name for service in services})
-    return table.Configuration(version, routes, services, read_limits(source))
+    return table.Configuration(
+        version,
+        routes,
+        services,
+        read_limits(source),
+        read_directory(source),
+    )
 
 
 def check_services(services: list[table.Service]) -> None:
@@ -111,6 +122,7 @@
         read_shares(source, name),
         max(1, fields.get_int(source, "attempts", 1)),
         fields.get_bool(source, "resumable"),
+        fields.get_bool(source, "public"),
     )
 
 
@@ -173,6 +185,94 @@
     )
 
 
+def read_directory(
+    source: fields.JsonObject,
+) -> organisations.Directory | None:
+    """Return the organisations; None if the configuration has no such field.
+
+    An empty list lets nobody in, as if the last organisation were removed.
+
+    :raises ValueError: when one is invalid, or two share a name or a key. The
+        text contains no key.
+    """
+    if source.get("tenants") is None:
+        return None
+    holders: dict[organisations.KeyDigest, organisations.Organisation] = {}
+    names = set()
+    for item in fields.get_objects(source, "tenants"):
+        organisation = read_organisation(item)
+        if organisation.name in names:
+            raise ValueError(
+                f"two organisations have the name {organisation.name}"
+            )
+        names.add(organisation.name)
+        for digest in read_key_digests(item, organisation.name):
+            holder = holders.setdefault(digest, organisation)
+            if holder is not organisation:
+                raise ValueError(
+                    f"organisations {holder.name} and {organisation.name} "
+                    "have a key in common"
+                )
+    return organisations.Directory(holders)
+
+
+def read_organisation(
+    source: fields.JsonObject,
+) -> organisations.Organisation:
+    """Return an organisation without its keys.
+
+    :raises ValueError: when a field is missing or invalid.
+    """
+    name = fields.get_string(source, "name")
+    # Targets get the name in a header.
+    if not name.isprintable() or name != name.strip():
+        raise ValueError("the name of an organisation must be printable")
+    try:
+        priority = None
+        if "priority" in source:
+            priority = fields.get_int(source, "priority", minimum=0)
+        return organisations.Organisation(
+            organisations.OrganisationName(name), priority, read_quota(source)
+        )
+    except ValueError as error:
+        raise ValueError(f"organisation {name}: {error}") from error
+
+
+def read_quota(source: fields.JsonObject) -> organisations.Quota | None:
+    """Return an organisation's quota; None if its requests are not limited.
+
+    :raises ValueError: when a field is invalid.
+    """
+    rate = fields.get_number(source, "ratePerS", 0.0, minimum=0.0)
+    burst = fields.get_number(source, "burst", 0.0, minimum=0.0)
+    plain_units = fields.get_number(source, "plainTokens", 0.0, minimum=0.0)
+    unit = QUOTA_UNITS.get(fields.get_string(source, "unit", "requests"))
+    if unit is None:
+        raise ValueError(f"unit must be one of {', '.join(QUOTA_UNITS)}")
+    if rate == 0:
+        return None
+    # Without a burst, that of one second.
+    return organisations.Quota(unit, rate, burst or rate, plain_units)
+
+
+def read_key_digests(
+    source: fields.JsonObject, name: organisations.OrganisationName
+) -> list[organisations.KeyDigest]:
+    """Return the digests of an organisation's keys.
+
+    :raises ValueError: when the keys are no list of non-empty strings.
+    """
+    keys = source.get("apiKeys")
+    if not isinstance(keys, list) or not all(
+        isinstance(key, str) and key for key in keys
+    ):
+        raise ValueError(
+            f"organisation {name}: apiKeys must be a list of strings that "
+            "are not empty"
+        )
+    return [organisations.make_digest(key.encode()) for key in keys]
+
+
 def read_limits(source: fields.JsonObject) -> table.RequestLimits:
     """Return the limits on callers' requests.
 
--- a/src/hemlockkeel/platform/entry_settings.py
+++ b/src/hemlockkeel/platform/entry_settings.py
@@ -6,6 +6,8 @@
 from hemlockkeel._internal.routes import budget
 from hemlockkeel.platform import settings_file
 
+DEFAULT_REVOKE_MS = 5000.0
+
 
 def read_entry(path: pathlib.Path) -> relay.EntrySettings:
     """Read the settings of an entry.
@@ -14,6 +16,9 @@
     :raises ValueError: when a setting is missing or invalid.
     """
     source = settings_file.SettingsFile(path)
+    revoke_ms = source.get_number("bounds.revokeMs", DEFAULT_REVOKE_MS)
+    if revoke_ms <= 0:
+        raise ValueError("bounds.revokeMs must be greater than 0")
     return relay.EntrySettings(
         source.get("nodeName"),
         source.get("zone"),
@@ -29,4 +34,6 @@
             source.get_number("bounds.budgetWindowS"),
             source.get_number("bounds.retryBudgetSlack"),
         ),
+        source.get_bool("bounds.strictRevoke", False),
+        revoke_ms / settings_file.MS_PER_S,
     )
--- a/src/hemlockkeel/platform/headers.py
+++ b/src/hemlockkeel/platform/headers.py
@@ -29,6 +29,9 @@
         b"kv-fetch",
     }
 )
+KEY_HEADER = b"api-key"
+# Removed as well where the configuration has organisations.
+ORGANISATION_HEADERS = frozenset({KEY_HEADER, b"x-tenant-id"})
 
 
 class PlatformHeaderCodec(header_codec.HeaderCodec):
@@ -51,6 +54,12 @@
             values.get(b"last-event-id", ""),
             tuple(read_shared_parts(values.get(b"x-prompt-prefix", ""))),
             values.get(b"resumes", "").strip(),
+            self.read_keys(headers),
+        )
+
+    def read_keys(self, headers: header_codec.Headers) -> tuple[bytes, ...]:
+        return tuple(
+            value for key, value in headers if key.lower() == KEY_HEADER
         )
 
     def make_request_headers(
@@ -58,11 +67,13 @@
         headers: header_codec.Headers,
         forwarding: header_codec.ForwardingMetadata,
     ) -> header_codec.Headers:
+        removed = SYSTEM_HEADERS | {b"last-event-id"}
+        if forwarding.hides_keys:
+            removed |= ORGANISATION_HEADERS
         forwarded = [
             (key, value)
             for key, value in headers
-            if key.lower() not in SYSTEM_HEADERS
-            and key.lower() != b"last-event-id"
+            if key.lower() not in removed
         ]
         timeout_ms = max(1, int(forwarding.timeout_s * MS_PER_S))
         forwarded.append((b"X-Request-Deadline", str(timeout_ms).encode()))
@@ -78,6 +89,9 @@
         if forwarding.last_event_id:
             last_id = forwarding.last_event_id.encode("latin-1")
             forwarded.append((b"Last-Event-Id", last_id))
+        if forwarding.organisation:
+            name = forwarding.organisation.encode()
+            forwarded.append((b"X-Tenant-Id", name))
         return forwarded
 
     def read_response(
--- a/src/hemlockkeel/platform/settings_file.py
+++ b/src/hemlockkeel/platform/settings_file.py
@@ -14,6 +14,7 @@
 AGENT_PORT_OFFSET = 1
 PORT = re.compile(r"\d{1,5}", re.ASCII)
 MAX_PORT = 65535
+BOOLEANS = {"true": True, "false": False}
 
 
 class SettingsFile:
@@ -35,12 +36,24 @@
             raise ValueError(f"the settings file has no {name}")
         return self.values[name]
 
-    def get_number(self, name: str) -> float:
+    def get_bool(self, name: str, default: bool) -> bool:
+        """Return a setting that is true or false, or its default if absent.
+
+        :raises ValueError: when it has another value.
+        """
+        value = self.values.get(name) or str(default)
+        if value.lower() not in BOOLEANS:
+            raise ValueError(f"{name} must be true or false")
+        return BOOLEANS[value.lower()]
+
+    def get_number(self, name: str, default: float | None = None) -> float:
         """Return the value of a setting as a number.
 
-        :raises ValueError: when it is missing or not a finite number of at
-            least 0.
+        :raises ValueError: when it is missing without a default, or not a
+            finite number of at least 0.
         """
+        if default is not None and not self.values.get(name):
+            return default
         value = float(self.get(name))
         if not 0 <= value < math.inf:
             raise ValueError(f"{name} must be a finite number of at least 0")
--- a/tests/lib/relay_fleet.py
+++ b/tests/lib/relay_fleet.py
@@ -45,6 +45,8 @@
         self.services = (SERVICE,)
         self.retry_limits = budget.RetryBudgetLimits(1.0, 10.0, 100.0)
         self.make_reserve_share = shares.WholeReserve
+        self.strict_revoke = False
+        self.revoke_s = 5.0
 
     async def asyncTearDown(self) -> None:
         for entry in self.entries:
@@ -98,6 +100,8 @@
             HEARTBEAT_S,
             1.0,
             self.retry_limits,
+            self.strict_revoke,
+            self.revoke_s,
         )
         entry = relay_process.EntryProcess(
             settings,
@@ -158,6 +162,8 @@
         """End an entry as when its process is killed."""
         entry.housekeeping_task.cancel()
         entry.silence_task.cancel()
+        if entry.shared.proofs is not None:
+            entry.shared.proofs.stop()
         entry.control_links.set_addresses(set())
         entry.connection_watches.stop()
         entry.caller_listener.stop_listening()
--- a/tests/unit/test_platform.py
+++ b/tests/unit/test_platform.py
@@ -13,6 +13,7 @@
 from hemlockkeel._internal.discovery import records
 from hemlockkeel._internal.orders import engine as orders
 from hemlockkeel._internal.relay import header_codec
+from hemlockkeel._internal.routes import organisations
 from hemlockkeel._internal.routes import table
 from hemlockkeel.platform import agent_settings
 from hemlockkeel.platform import api
@@ -310,6 +311,86 @@
             return
 
 
+class TestOrganisations(unittest.TestCase):
+    """Organisations, quotas and keys in configurations."""
+
+    KEY = "key-that-must-not-be-shown"
+
+    def decode(self, *tenants: object) -> table.Configuration:
+        return configuration.JsonConfigurationCodec().decode(
+            make_configuration(
+                tenants=list(tenants), routes=[{**ROUTE, "public": True}]
+            )
+        )
+
+    def find(self, **fields: object) -> organisations.Organisation:
+        """Return the organisation with the key, from its fields."""
+        source = {"name": "a", "apiKeys": [self.KEY], **fields}
+        directory = self.decode(source).organisations
+        assert directory is not None
+        found = directory.find(self.KEY.encode())
+        assert found is not None
+        return found
+
+    def test_fields(self) -> None:
+        tokens = {"ratePerS": 10, "burst": 5, "unit": "tokens"}
+        found = self.find(priority=2, plainTokens=7, **tokens)
+        self.assertEqual((found.name, found.priority), ("a", 2))
+        self.assertEqual(
+            found.quota,
+            organisations.Quota(
+                organisations.QuotaUnit.TOKENS, 10.0, 5.0, 7.0
+            ),
+        )
+        self.assertIsNone(self.find().priority)
+        self.assertIsNone(self.find(burst=9).quota)
+        one_second = self.find(ratePerS=4, burst=0).quota
+        assert one_second is not None
+        self.assertEqual(one_second.burst, 4.0)
+        self.assertIs(one_second.unit, organisations.QuotaUnit.REQUESTS)
+
+    def test_presence(self) -> None:
+        """A configuration whose last key was revoked must not let all in."""
+        codec = configuration.JsonConfigurationCodec()
+        without = codec.decode(make_configuration())
+        self.assertIsNone(without.organisations)
+        self.assertFalse(without.routes[0].public)
+        empty = self.decode({"name": "a", "apiKeys": []})
+        self.assertIsNotNone(empty.organisations)
+        self.assertIsNotNone(self.decode().organisations)
+        self.assertTrue(empty.routes[0].public)
+
+    def test_invalid_ones_are_refused_without_showing_a_key(self) -> None:
+        valid = {"name": "a", "apiKeys": [self.KEY]}
+        cases: dict[str, list[object]] = {
+            "shared key": [valid, {**valid, "name": "b"}],
+            "shared name": [valid, {"name": "a", "apiKeys": []}],
+            "no object": [self.KEY],
+        }
+        for field, values in {
+            "name": ["", 7, "a\nb", " a"],
+            "apiKeys": [self.KEY, [self.KEY, ""], [7], None, {self.KEY: 1}],
+            "priority": [-1, 1.5, self.KEY, None],
+            "ratePerS": [-1, "1", True, self.KEY],
+            "burst": [-0.1, [self.KEY]],
+            "plainTokens": [-1, None],
+            "unit": ["bytes", 3, self.KEY, ""],
+        }.items():
+            for value in values:
+                cases[f"{field}={value}"] = [{**valid, field: value}]
+        for name, tenants in cases.items():
+            with self.subTest(name):
+                with self.assertRaises(
+                    exceptions.BadDeclarationError
+                ) as raised:
+                    self.decode(*tenants)
+                self.assertNotIn(self.KEY, str(raised.exception))
+        with self.assertRaises(exceptions.BadDeclarationError):
+            configuration.JsonConfigurationCodec().decode(
+                make_configuration(routes=[{**ROUTE, "public": 1}])
+            )
+
+
 class TestHeaders(unittest.TestCase):
     """Decoding and encoding of request and response headers."""
 
@@ -345,6 +426,28 @@
             ),
         )
 
+    def test_keys_and_organisations(self) -> None:
+        """Targets must not get a key, nor a name that a caller chose."""
+        raw = [(b"API-KEY", b"k1"), (b"x-tenant-id", b"b"), (b"X-A", b"1")]
+        metadata = self.header_codec.read_request([*raw, (b"api-key", b"k2")])
+        self.assertEqual(metadata.keys, (b"k1", b"k2"))
+        self.assertNotIn("k1", repr(metadata))
+        for hides_keys, name, expected in (
+            (False, "", raw),
+            (True, "", raw[2:]),
+            (True, "a\u00e9", [raw[2], (b"X-Tenant-Id", b"a\xc3\xa9")]),
+        ):
+            forwarded = self.header_codec.make_request_headers(
+                raw,
+                header_codec.ForwardingMetadata(
+                    1.0, "i", hides_keys=hides_keys, organisation=name
+                ),
+            )
+            added = {b"X-Request-Deadline", b"X-Expect-Instance"}
+            self.assertEqual(
+                [item for item in forwarded if item[0] not in added], expected
+            )
+
     def test_rate_limit(self) -> None:
         for values, limit, invalid in (
             ([], None, ()),
@@ -489,6 +592,13 @@
         )
         self.assertEqual(entry.agent_port, 7381)
         self.assertEqual(entry.retry_limits.reserve, 58.0)
+        self.assertEqual((entry.strict_revoke, entry.revoke_s), (False, 5.0))
+        strict = entry_settings.read_entry(
+            self.write(
+                self.TEXT + "bounds.strictRevoke=true\nbounds.revokeMs=4000\n"
+            )
+        )
+        self.assertEqual((strict.strict_revoke, strict.revoke_s), (True, 4.0))
         control = control_settings.read_control(path)
         self.assertTrue(control.bootstrap)
         self.assertEqual(control.link_address, "10.1.0.38:7380")
@@ -508,6 +618,8 @@
             ("listen.front=10.1.0.38:8149", "listen.front=10.1.0.38:81490"),
             ("listen.front=10.1.0.38:8149", "listen.front=10.1.0.38:\u00b2"),
             ("portRange=7380", "portRange=-1"),
+            ("nodeName=", "bounds.strictRevoke=maybe\nnodeName="),
+            ("nodeName=", "bounds.revokeMs=0\nnodeName="),
         ):
             with self.subTest(new), self.assertRaises(ValueError):
                 entry_settings.read_entry(
