--- a/src/hemlockkeel/_internal/relay/process.py
+++ b/src/hemlockkeel/_internal/relay/process.py
@@ -217,16 +217,6 @@
             origin_directory.OriginDirectory(self.control_links, log),
             clock.SuspendAwareClock(),
         )
-        if settings.strict_revoke:
-            self.shared.proofs = version_proofs.VersionProofs(
-                self.control_links,
-                self.configuration_receiver,
-                log,
-                self.instruments,
-                self.shared.clock,
-                settings.revoke_s,
-                random.Random(),
-            )
         self.caller_listener = http_service.HttpListener(self)
         self.ready_listener = http_service.HttpListener(
             http_service.ReadinessHandler(self.is_ready)
@@ -235,6 +225,8 @@
     # Process
 
     async def start(self) -> None:
+        # Before any request or configuration arrives.
+        self.apply_revocation_settings()
         self.control_links.set_addresses(set(self.settings.control_addresses))
         await self.ready_listener.start(
             self.settings.host, self.settings.ready_port
@@ -249,8 +241,6 @@
         self.silence_task = loop.create_task(
             supervision.keep_running(self.run_silence_checks, self.log)
         )
-        if self.shared.proofs is not None:
-            self.shared.proofs.start()
 
     async def stop(self) -> None:
         """Serve until callers have moved, then finish pending requests.
@@ -290,6 +280,32 @@
     def reload(self) -> None:
         self.settings = self.read_settings(self.settings_path)
         self.connect_control()
+        self.apply_revocation_settings()
+
+    def apply_revocation_settings(self) -> None:
+        """Begin or end to ask for proofs, as the settings say."""
+        proofs = self.shared.proofs
+        if not self.settings.strict_revoke:
+            if proofs is not None:
+                proofs.stop()
+            self.shared.proofs = None
+            return
+        if proofs is not None:
+            proofs.revoke_s = self.settings.revoke_s
+            return
+        proofs = version_proofs.VersionProofs(
+            self.control_links,
+            self.configuration_receiver,
+            self.log,
+            self.instruments,
+            self.shared.clock,
+            self.settings.revoke_s,
+            random.Random(),
+        )
+        if self.shared.configuration is not None:
+            proofs.handle_version(self.shared.configuration.version)
+        self.shared.proofs = proofs
+        proofs.start()
 
     def is_ready(self) -> bool:
         """Return whether the load balancer may send callers to this entry."""
--- a/src/hemlockkeel/_internal/relay/version_proofs.py
+++ b/src/hemlockkeel/_internal/relay/version_proofs.py
@@ -19,6 +19,7 @@
 from hemlockkeel._internal.utils import clock as clock_module
 from hemlockkeel._internal.utils import event_log
 from hemlockkeel._internal.utils import instruments
+from hemlockkeel._internal.utils import supervision
 
 POLL_INTERVAL_S = 0.5
 CALL_TIMEOUT_S = 0.5
@@ -90,8 +91,8 @@
         self.member = ""
         # Highest version that was fetched because it had not arrived.
         self.fetched_version = 0
-        # Whether keys were allowed when it was last looked at.
-        self.was_allowed = False
+        # Whether keys were allowed when it was last looked at; None before.
+        self.was_allowed: bool | None = None
         self.wake_event = asyncio.Event()
         # Set, and replaced, with each proof of the version in force.
         self.renewed = asyncio.Event()
@@ -99,7 +100,9 @@
 
     def start(self) -> None:
         """Begin to ask control members, in the running event loop."""
-        self.task = asyncio.get_running_loop().create_task(self.run())
+        self.task = asyncio.get_running_loop().create_task(
+            supervision.keep_running(self.run, self.log)
+        )
 
     def stop(self) -> None:
         """Ask no more."""
--- a/tests/functional/test_organisations.py
+++ b/tests/functional/test_organisations.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import json
+import signal
 
 from hemlockkeel._internal.coordinator import api
 from hemlockkeel.platform import configuration
+from tests.functional import test_platform_processes
 from tests.lib import ending_target
 from tests.lib import fake_target
 from tests.lib import relay_fleet
@@ -13,6 +15,8 @@
 KEY_B = "secret-of-beta"
 UNKNOWN = "secret-of-nobody"
 REVOKE_S = 1.5
+# With elections of about a second.
+ELECTION_REVOKE_S = 4.0
 
 
 def make_body(version: int, keys: dict[str, list[str]]) -> bytes:
@@ -188,3 +192,121 @@
         await self.restore_control_links(0)
         await self.wait_for(self.entry.is_ready)
         self.assertEqual(await self.get_status(KEY_A), 401)
+
+
+class OrganisationProcessCase(test_platform_processes.ProcessCase):
+    """Base of the tests: processes that accept one key."""
+
+    revoke_s = REVOKE_S
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.extra_settings = (
+            "bounds.strictRevoke=true\n"
+            f"bounds.revokeMs={self.revoke_s * 1000:.0f}\n"
+        )
+        self.front = ("127.0.0.2", self.ports["front"])
+        self.api = ("127.0.0.1", self.ports["api"])
+        self.ready = ("127.0.0.2", self.ports["ready"])
+        for member in self.members:
+            await self.start("control", member)
+        await self.start("entry", "127.0.0.2")
+        await self.put(2, [KEY_A])
+        await self.call_until(
+            200, self.api, "PUT", "/instances/i-1", self.make_heartbeat()
+        )
+        await self.call_until(200, self.ready, "GET", "/ready", b"")
+        self.extra_headers = {"Api-Key": KEY_A}
+        await self.call_until(200, self.front, "POST", "/safe/x", b"1")
+
+    async def put(self, version: int, keys: list[str]) -> None:
+        """Commit a configuration; return once it is acknowledged."""
+        body = make_body(version, {"alpha": keys})
+        await self.call_until(200, self.api, "PUT", "/config", body)
+
+
+class TestProcesses(OrganisationProcessCase):
+    """Processes that are suspended or killed around a revocation."""
+
+    async def send_request(self) -> asyncio.StreamReader:
+        """Send a request; return where its response arrives."""
+        reader, writer = await asyncio.open_connection(*self.front)
+        # Keeps the connection until the test ends.
+        self.addCleanup(writer.close)
+        writer.write(
+            b"GET /safe/x HTTP/1.1\r\nHost: a.example\r\n"
+            b"Api-Key: %s\r\n\r\n" % KEY_A.encode()
+        )
+        return reader
+
+    async def test_suspended_and_killed_entry(self) -> None:
+        """Guards against an entry that wakes with an old configuration."""
+        served = len(self.target.received)
+        self.processes["entry"].send_signal(signal.SIGSTOP)
+        await self.put(3, [])
+        await asyncio.sleep(REVOKE_S)
+        reader = await self.send_request()
+        self.processes["entry"].send_signal(signal.SIGCONT)
+        async with asyncio.timeout(test_platform_processes.WAIT_S):
+            line = await reader.readline()
+        self.assertIn(int(line.split()[1]), (401, 503))
+        # The started entry has neither a configuration nor a proof.
+        await self.put(4, [KEY_A])
+        self.processes["entry"].kill()
+        await self.processes["entry"].wait()
+        self.processes["control"].send_signal(signal.SIGSTOP)
+        await self.start("entry", "127.0.0.2")
+        await self.call_until(503, self.ready, "GET", "/ready", b"")
+        self.assertEqual(
+            await self.call(self.front, "POST", "/safe/x", b"2"), 503
+        )
+        self.assertEqual(len(self.target.received), served)
+        self.processes["control"].send_signal(signal.SIGCONT)
+        await self.call_until(200, self.front, "POST", "/safe/x", b"3")
+        for path in self.folder.glob("*.log"):
+            self.assertNotIn(KEY_A, path.read_text(), path)
+
+
+class TestElection(OrganisationProcessCase):
+    """Entries whose control members lose their leader, then their quorum."""
+
+    members = ("127.0.0.1", "127.0.0.3", "127.0.0.4")
+    revoke_s = ELECTION_REVOKE_S
+
+    def find_leader(self) -> str:
+        """Return the name of the member that was elected last."""
+        elected: dict[float, str] = {}
+        for member in self.members:
+            name = self.get_name("control", member)
+            for line in (self.folder / f"{name}.log").read_text().splitlines():
+                fields = json.loads(line)
+                if fields["event"] == "control_state" and (
+                    fields["state"] == "leader"
+                ):
+                    elected[fields["t"]] = name
+        return elected[max(elected)]
+
+    async def kill(self, name: str) -> None:
+        """Kill a process and wait for its end."""
+        self.processes[name].kill()
+        await self.processes[name].wait()
+
+    async def test_keys_are_accepted_without_a_leader_but_not_a_quorum(
+        self,
+    ) -> None:
+        """Guards against refusals while control elects a leader."""
+        loop = asyncio.get_running_loop()
+        first = self.find_leader()
+        await self.kill(first)
+        # So long that it takes a proof of the next leader.
+        ends_at = loop.time() + 1.5 * self.revoke_s
+        statuses = set()
+        while loop.time() < ends_at:
+            statuses.add(await self.call(self.front, "GET", "/safe/x", b""))
+        self.assertEqual(statuses, {200})
+        await self.kill(self.find_leader())
+        await self.call_until(503, self.ready, "GET", "/ready", b"")
+        await self.call_until(503, self.front, "GET", "/safe/x", b"")
+        self.assertEqual(
+            await self.call(self.front, "GET", "/open/x", b""), 200
+        )
--- a/tests/functional/test_platform_processes.py
+++ b/tests/functional/test_platform_processes.py
@@ -36,6 +36,8 @@
 class ProcessCase(unittest.IsolatedAsyncioTestCase):
     """Runs control members, entries and a fake target."""
 
+    # Further lines of the settings.
+    extra_settings = ""
     # Addresses of the control members.
     members: tuple[str, ...] = ("127.0.0.1",)
 
@@ -48,6 +50,8 @@
             for name in ("front", "ready", "api", "links")
         }
         self.processes: dict[str, asyncio.subprocess.Process] = {}
+        # Further headers of the calls.
+        self.extra_headers: dict[str, str] = {}
         # The target responds once this is set.
         self.released = asyncio.Event()
         self.released.set()
@@ -91,6 +95,7 @@
                 bootstrap="true",
                 grace=8,
                 data=self.folder / f"data-{ip}",
+                extra=self.extra_settings,
                 **self.ports,
             )
         )
@@ -132,7 +137,11 @@
                     method,
                     path,
                     body,
-                    {"Host": "a.example", "X-Request-Id": "r1"},
+                    {
+                        "Host": "a.example",
+                        "X-Request-Id": "r1",
+                        **self.extra_headers,
+                    },
                 )
                 return connection.getresponse().status
             except OSError:
--- a/tests/lib/settings_file.py
+++ b/tests/lib/settings_file.py
@@ -18,10 +18,13 @@
 bounds.budgetWindowS=10
 bounds.retryBudgetSlack=58
 bounds.requireFence=true
-dataDir={data}
+{extra}dataDir={data}
 """
 
 
 def render(**values: object) -> str:
-    """Return the text of a settings file."""
-    return SETTINGS.format(**values)
+    """Return the text of a settings file.
+
+    ``extra`` are complete lines that are added.
+    """
+    return SETTINGS.format(**{"extra": "", **values})
--- a/tests/unit/test_authentication.py
+++ b/tests/unit/test_authentication.py
@@ -227,8 +227,9 @@
         await self.proofs.request_proof()
         self.assertEqual(
             [event for event, _ in self.log.lines],
-            ["key_proof_renewed", "key_proof_stale", "key_proof_renewed"],
+            2 * ["key_proof_stale", "key_proof_renewed"],
         )
+        self.assertIsNone(self.log.lines[0][1]["age"])
 
     async def test_unknown_key_waits_for_the_version_that_adds_it(
         self,
