Keep organisations within quotas by credit from the leader

Cause: a configuration names a rate and a burst for an organisation, which all entries must keep together. No process counted what others let through. Change: the leader of the control members issues credit from a token bucket per organisation (policy/credit.py, coordinator/credits.py; messages AcquireCredit and CreditGrant from protocol 3 on). Entries ask it before a request runs, or use their parts of the rate while no leader answers (relay/quotas.py). A refused request gets 429 with Retry-After (relay/quota_admission.py). Buckets are empty in a new term. A control member tells an entry the number of entries as soon as it connects, without which the entry cannot use its part alone. Not wired into the forwarder yet: requests have no organisation before authentication is merged, so nothing changes for them.

--- a/src/hemlockkeel/_internal/coordinator/api.py
+++ b/src/hemlockkeel/_internal/coordinator/api.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from hemlockkeel._internal.discovery import records
+from hemlockkeel._internal.routes import organisations
 
 
 @dataclasses.dataclass(frozen=True)
@@ -69,6 +70,15 @@
         :raises BadCallError: when the call is unknown or invalid.
         """
 
+    @abc.abstractmethod
+    def decode_quotas(
+        self, body: bytes
+    ) -> dict[organisations.OrganisationName, organisations.Quota]:
+        """Return the quotas of organisations in a configuration.
+
+        :raises BadDeclarationError: when the configuration is invalid.
+        """
+
 
 def check_encodable(call: Call) -> None:
     """Check that what a call carries can be stored and sent on.
--- a/src/hemlockkeel/_internal/coordinator/process.py
+++ b/src/hemlockkeel/_internal/coordinator/process.py
@@ -15,6 +15,7 @@
 from hemlockkeel._internal.consensus import node
 from hemlockkeel._internal.coordinator import api
 from hemlockkeel._internal.coordinator import crash_reports
+from hemlockkeel._internal.coordinator import credits
 from hemlockkeel._internal.coordinator import membership
 from hemlockkeel._internal.coordinator import rate_limits
 from hemlockkeel._internal.coordinator import replicated_state
@@ -131,6 +132,14 @@
         self.api = http_service.HttpListener(self)
         # A caller that leaves does not end the decoding of its body.
         self.decoder = concurrent.futures.ThreadPoolExecutor(1)
+        self.credits = credits.Credits(
+            self.node,
+            self.catalogue,
+            call_codec,
+            self.decoder,
+            self.clock,
+            log,
+        )
         self.links = server.LinkServer(self, log)
 
     # Process
@@ -416,6 +425,7 @@
             self.crash_reports.ledger.expire(now)
             self.stream_origins.table.expire(now)
             self.rate_limits.expire(now)
+            self.credits.expire(self.clock.monotonic())
 
     def get_limits(self) -> table.RequestLimits:
         return API_LIMITS
@@ -428,11 +438,17 @@
             # Before the configuration, without which it serves no request.
             self.crash_reports.send_all(peer, self.loop.time())
             self.rate_limits.send_all(peer)
+            self.credits.entries.add(peer.name)
         if peer.role != "control":
             self.subscribers.add(peer, self.registry.table, self.loop.time())
+        if peer.role == "entry":
+            # Without the number of entries, it cannot use a quota alone.
+            peer.send(self.subscribers.make_members_update())
 
     def on_disconnected(self, peer: link.Link) -> None:
         self.subscribers.remove(peer)
+        if peer.role == "entry":
+            self.credits.entries.remove(peer.name, self.clock.monotonic())
 
     def on_message(
         self, peer: link.Link, message: messages.AnyMessage
@@ -470,8 +486,15 @@
     async def on_call(
         self, peer: link.Link, message: messages.AnyMessage
     ) -> None:
-        outcome: messages.Outcome | messages.SendPermit | messages.OriginReply
+        outcome: (
+            messages.Outcome
+            | messages.SendPermit
+            | messages.OriginReply
+            | messages.CreditGrant
+        )
         match message:
+            case messages.AcquireCredit():
+                outcome = await self.credits.issue(message)
             case messages.FindOrigin():
                 outcome = self.stream_origins.find(message, self.loop.time())
             case messages.AcquirePermit():
--- a/src/hemlockkeel/_internal/links/messages.py
+++ b/src/hemlockkeel/_internal/links/messages.py
@@ -7,11 +7,12 @@
 from hemlockkeel._internal.models import ids
 
 # Processes without a message close a link on which it arrives. Versions from
-# which on they understand rate limits and permits, and the origins of streams;
-# 0 is that of older ones.
+# which on they understand rate limits and permits, the origins of streams, and
+# credit of organisations; 0 is that of older ones.
 PERMIT_PROTOCOL = 1
 ORIGIN_PROTOCOL = 2
-PROTOCOL = ORIGIN_PROTOCOL
+CREDIT_PROTOCOL = 3
+PROTOCOL = CREDIT_PROTOCOL
 
 
 class Message(
@@ -320,6 +321,36 @@
     pending: bool = False
 
 
+class AcquireCredit(Message, frozen=True, tag=True, kw_only=True):
+    """Asks the leader for credit from the quota of an organisation.
+
+    A call for 0 units only asks whether the receiver issues credit.
+    """
+
+    organisation: str
+    # Units of one request, all of which are granted or none.
+    units: float
+    # Further units that the sender can use if there are plenty.
+    prefetch: float = 0.0
+
+
+class CreditGrant(Message, frozen=True, tag=True, kw_only=True):
+    """Reply to `AcquireCredit`."""
+
+    # Whether the sender is the leader, which issues credit.
+    decided: bool
+    # Units that may be used; 0 if refused.
+    units: float = 0.0
+    # Time in seconds after which to ask again if refused.
+    wait_s: float = 0.0
+    # Time in seconds from the call within which to use the units.
+    lifetime_s: float = 0.0
+    # Address of the leader, if the sender is another member that knows it.
+    leader: str = ""
+    # Units that are left in the organisation's bucket.
+    level: float = 0.0
+
+
 AnyMessage = (
     Ping
     | Pong
@@ -348,6 +379,8 @@
     | StreamsBegun
     | FindOrigin
     | OriginReply
+    | AcquireCredit
+    | CreditGrant
 )
 
 DECODER: msgspec.msgpack.Decoder[AnyMessage] = msgspec.msgpack.Decoder(
--- a/src/hemlockkeel/_internal/relay/process.py
+++ b/src/hemlockkeel/_internal/relay/process.py
@@ -19,6 +19,8 @@
 from hemlockkeel._internal.relay import forwarder
 from hemlockkeel._internal.relay import header_codec
 from hemlockkeel._internal.relay import origin_directory
+from hemlockkeel._internal.relay import quota_admission
+from hemlockkeel._internal.relay import quotas
 from hemlockkeel._internal.relay import rate_limits
 from hemlockkeel._internal.relay import shared_state
 from hemlockkeel._internal.relay import target_registry as registry_module
@@ -179,6 +181,14 @@
             lambda: self.registry.entry_count,
             random.Random(),
         )
+        self.quotas = quotas.Quotas(
+            self.control_links,
+            log,
+            self.instruments,
+            self.count_announced_entries,
+            random.Random(),
+            clock.SuspendAwareClock(),
+        )
         self.registry.on_added = self.rate_limits.handle_added
         self.registry.on_crashed = self.crashes.handle_replaced
         self.agent_listener = AgentListener(self)
@@ -201,6 +211,7 @@
             reserve_share.ReserveShare(settings.retry_limits.window_s),
             origin_directory.OriginDirectory(self.control_links, log),
             clock.SuspendAwareClock(),
+            self.quotas,
         )
         self.caller_listener = http_service.HttpListener(self)
         self.ready_listener = http_service.HttpListener(
@@ -278,6 +289,7 @@
             self.crashes.probe_silent_targets(self.registry.targets.values())
             self.crashes.expire()
             self.shared.origins.expire()
+            self.quotas.expire()
             self.connect_agents()
             self.watch_connections()
 
@@ -306,6 +318,11 @@
         connected = len(self.control_links.list_links())
         return connected > len(self.control_links.dialers) / 2
 
+    def count_announced_entries(self) -> int:
+        """Return the number of entries; 0 until a member announces it."""
+        share = self.shared.reserve_share
+        return share.get_entry_count() if share.announcements else 0
+
     def connect_control(self) -> None:
         """Maintain links to all known control members."""
         self.control_links.set_addresses(
@@ -418,6 +435,7 @@
             raise
         finally:
             self.forwarders.discard(work)
+            quota_admission.settle(work.context)
 
     def on_connection_closed(
         self, connection: caller.CallerConnection
--- a/src/hemlockkeel/_internal/relay/request_context.py
+++ b/src/hemlockkeel/_internal/relay/request_context.py
@@ -14,6 +14,7 @@
 from hemlockkeel._internal.relay import header_codec
 from hemlockkeel._internal.relay import headers
 from hemlockkeel._internal.relay import process_identity
+from hemlockkeel._internal.relay import quotas
 from hemlockkeel._internal.relay import results
 from hemlockkeel._internal.relay import resumption
 from hemlockkeel._internal.relay import shared_state
@@ -74,6 +75,8 @@
         self.origin: stream_origins.StreamOrigin | None = None
         # Confirmed once the origin is certain; None if it has always been.
         self.origin_claim: process_identity.Claim | None = None
+        # What was taken from the quota of the caller's organisation.
+        self.charge: quotas.Charge | None = None
         self.first_byte_s: float | None = None
         self.adapter_wait_s = 0.0
         # Expected wait for an adapter slot at the selected target.
--- a/src/hemlockkeel/_internal/relay/results.py
+++ b/src/hemlockkeel/_internal/relay/results.py
@@ -30,6 +30,8 @@
     QUARANTINED = "quarantined"
     SUSPECTED = "suspected"
     STOPPING = "stopping"
+    # The organisation has used its quota.
+    QUOTA_EXCEEDED = "quota_exceeded"
     # An unexpected error of the entry itself.
     FAULT = "fault"
     # The rest of a stream cannot be written any more.
--- a/src/hemlockkeel/_internal/relay/shared_state.py
+++ b/src/hemlockkeel/_internal/relay/shared_state.py
@@ -7,6 +7,7 @@
 from hemlockkeel._internal.relay import crashes
 from hemlockkeel._internal.relay import header_codec
 from hemlockkeel._internal.relay import origin_directory
+from hemlockkeel._internal.relay import quotas
 from hemlockkeel._internal.relay import rate_limits
 from hemlockkeel._internal.relay import suspects
 from hemlockkeel._internal.relay import target_registry as registry_module
@@ -37,6 +38,7 @@
     # Counts the time for which the instance is suspended; the event loop's
     # clock may not.
     clock: clock.Clock
+    quotas: quotas.Quotas
     configuration: table.Configuration | None = None
     # Loop time at which the last responses are sent; set during a shutdown
     # once the balancer has had time to move callers to other entries.
--- a/src/hemlockkeel/_internal/routes/organisations.py
+++ b/src/hemlockkeel/_internal/routes/organisations.py
@@ -76,3 +76,16 @@
 def make_digest(key: bytes) -> KeyDigest:
     """Return the digest under which a key is kept."""
     return KeyDigest(hashlib.sha256(key).digest())
+
+
+def list_quotas(
+    directory: Directory | None,
+) -> dict[OrganisationName, Quota]:
+    """Return the quotas of the organisations that have one."""
+    if directory is None:
+        return {}
+    return {
+        holder.name: holder.quota
+        for holder in directory.holders.values()
+        if holder.quota is not None
+    }
--- a/src/hemlockkeel/platform/api.py
+++ b/src/hemlockkeel/platform/api.py
@@ -6,6 +6,7 @@
 from hemlockkeel._internal import exceptions
 from hemlockkeel._internal.coordinator import api
 from hemlockkeel._internal.discovery import records
+from hemlockkeel._internal.routes import organisations
 from hemlockkeel._internal.utils import strict_json
 from hemlockkeel.platform import configuration
 from hemlockkeel.platform import engine
@@ -36,6 +37,14 @@
         except (ValueError, exceptions.BadDeclarationError) as error:
             raise api.BadCallError(BAD_REQUEST, str(error)) from error
 
+    def decode_quotas(
+        self, body: bytes
+    ) -> dict[organisations.OrganisationName, organisations.Quota]:
+        decoded = self.configurations.decode(body)
+        return organisations.list_quotas(
+            getattr(decoded, "organisations", None)
+        )
+
     def read_call(self, method: str, path: str, body: bytes) -> api.Call:
         """Return the call in an HTTP request.
 
