Merge the quotas of organisations

Change: both merged; a request is charged after it is authenticated and before a target is chosen, within its deadline. Calls of entries and of members are answered by functions of their own.

--- a/src/hemlockkeel/_internal/coordinator/process.py
+++ b/src/hemlockkeel/_internal/coordinator/process.py
@@ -15,6 +15,7 @@
 from hemlockkeel._internal.consensus import node
 from hemlockkeel._internal.coordinator import api
 from hemlockkeel._internal.coordinator import crash_reports
+from hemlockkeel._internal.coordinator import credits
 from hemlockkeel._internal.coordinator import membership
 from hemlockkeel._internal.coordinator import rate_limits
 from hemlockkeel._internal.coordinator import replicated_state
@@ -135,6 +136,14 @@
         self.api = http_service.HttpListener(self)
         # A caller that leaves does not end the decoding of its body.
         self.decoder = concurrent.futures.ThreadPoolExecutor(1)
+        self.credits = credits.Credits(
+            self.node,
+            self.catalogue,
+            call_codec,
+            self.decoder,
+            self.clock,
+            log,
+        )
         self.links = server.LinkServer(self, log)
 
     # Process
@@ -420,6 +429,7 @@
             self.crash_reports.ledger.expire(now)
             self.stream_origins.table.expire(now)
             self.rate_limits.expire(now)
+            self.credits.expire(self.clock.monotonic())
 
     def get_limits(self) -> table.RequestLimits:
         return API_LIMITS
@@ -432,11 +442,17 @@
             # Before the configuration, without which it serves no request.
             self.crash_reports.send_all(peer, self.loop.time())
             self.rate_limits.send_all(peer)
+            self.credits.entries.add(peer.name)
         if peer.role != "control":
             self.subscribers.add(peer, self.registry.table, self.loop.time())
+        if peer.role == "entry":
+            # Without the number of entries, it cannot use a quota alone.
+            peer.send(self.subscribers.make_members_update())
 
     def on_disconnected(self, peer: link.Link) -> None:
         self.subscribers.remove(peer)
+        if peer.role == "entry":
+            self.credits.entries.remove(peer.name, self.clock.monotonic())
 
     def on_message(
         self, peer: link.Link, message: messages.AnyMessage
@@ -474,41 +490,51 @@
     async def on_call(
         self, peer: link.Link, message: messages.AnyMessage
     ) -> None:
-        outcome: (
-            messages.Outcome
-            | messages.SendPermit
-            | messages.OriginReply
-            | messages.VersionProof
-        )
+        outcome = await self.answer_entry(peer, message)
+        if outcome is None:
+            outcome = await self.answer_member(message)
+        peer.send(msgspec.structs.replace(outcome, call_id=message.call_id))
+
+    async def answer_entry(
+        self, peer: link.Link, message: messages.AnyMessage
+    ) -> messages.AnyMessage | None:
+        """Return the reply to a call of an entry; None for other calls."""
         match message:
             case messages.ConfirmVersion():
-                outcome = await self.version_reads.confirm()
+                return await self.version_reads.confirm()
+            case messages.AcquireCredit():
+                return await self.credits.issue(message)
             case messages.FindOrigin():
-                outcome = self.stream_origins.find(message, self.loop.time())
+                return self.stream_origins.find(message, self.loop.time())
             case messages.AcquirePermit():
-                outcome = self.rate_limits.issue_permit(
+                return self.rate_limits.issue_permit(
                     peer, message, self.loop.time()
                 )
+        return None
+
+    async def answer_member(
+        self, message: messages.AnyMessage
+    ) -> messages.Outcome:
+        """Return the reply to a call of a member or an agent."""
+        match message:
             case messages.Propose():
-                outcome = await self.replicated_state.propose_local(
+                return await self.replicated_state.propose_local(
                     message.command
                 )
             case messages.Read(version_only=True):
-                outcome = await self.replicated_state.read_applied_version(
+                return await self.replicated_state.read_applied_version(
                     version_reads.READ_TIMEOUT_S
                 )
             case messages.Read():
-                outcome = self.replicated_state.read_local()
+                return self.replicated_state.read_local()
             case messages.Join(leaving=True):
-                outcome = await self.handle_leaving(message)
+                return await self.handle_leaving(message)
             case messages.Join():
-                outcome = self.handle_join(message)
+                return self.handle_join(message)
             case messages.ShareRecord():
                 self.registry.merge_shared(message)
-                outcome = messages.Outcome(done=True)
-            case _:
-                outcome = messages.Outcome(done=False)
-        peer.send(msgspec.structs.replace(outcome, call_id=message.call_id))
+                return messages.Outcome(done=True)
+        return messages.Outcome(done=False)
 
     def handle_join(self, message: messages.Join) -> messages.Outcome:
         """Record that a process wants to become a member.
--- a/src/hemlockkeel/_internal/relay/forwarder.py
+++ b/src/hemlockkeel/_internal/relay/forwarder.py
@@ -14,6 +14,7 @@
 from hemlockkeel._internal.relay import admission
 from hemlockkeel._internal.relay import attempt
 from hemlockkeel._internal.relay import caller
+from hemlockkeel._internal.relay import quota_admission
 from hemlockkeel._internal.relay import request_context
 from hemlockkeel._internal.relay import results
 from hemlockkeel._internal.relay import resumption
@@ -106,7 +107,7 @@
             async with asyncio.timeout_at(
                 self.context.deadline_at + DEADLINE_GRACE_S
             ) as self.timeout:
-                await self.try_targets(self.context.route, service)
+                await self.serve(self.context.route, service)
         except TimeoutError:
             self.handle_deadline()
         except asyncio.CancelledError:
@@ -192,6 +193,11 @@
             "no answer in time",
         )
 
+    async def serve(self, route: table.Route, service: table.Service) -> None:
+        """Try the targets of a service, within the organisation's quota."""
+        if await quota_admission.admit(self.context):
+            await self.try_targets(route, service)
+
     async def try_targets(
         self, route: table.Route, service: table.Service
     ) -> None:
--- a/src/hemlockkeel/_internal/relay/shared_state.py
+++ b/src/hemlockkeel/_internal/relay/shared_state.py
@@ -7,6 +7,7 @@
 from hemlockkeel._internal.relay import crashes
 from hemlockkeel._internal.relay import header_codec
 from hemlockkeel._internal.relay import origin_directory
+from hemlockkeel._internal.relay import quotas
 from hemlockkeel._internal.relay import rate_limits
 from hemlockkeel._internal.relay import suspects
 from hemlockkeel._internal.relay import target_registry as registry_module
@@ -38,6 +39,7 @@
     # Counts the time for which the instance is suspended; the event loop's
     # clock may not.
     clock: clock.Clock
+    quotas: quotas.Quotas
     configuration: table.Configuration | None = None
     # None if keys that were revoked need not stop working in time.
     proofs: version_proofs.VersionProofs | None = None
