--- a/src/hemlockkeel/_internal/relay/process.py
+++ b/src/hemlockkeel/_internal/relay/process.py
@@ -413,6 +413,7 @@
         self.shared.configuration = configuration
         if self.shared.proofs is not None:
             self.shared.proofs.handle_version(configuration.version)
+        self.quotas.handle_configuration(configuration.organisations)
         self.watch_connections()
 
     def watch_connections(self) -> None:
--- a/src/hemlockkeel/platform/api.py
+++ b/src/hemlockkeel/platform/api.py
@@ -41,9 +41,7 @@
         self, body: bytes
     ) -> dict[organisations.OrganisationName, organisations.Quota]:
         decoded = self.configurations.decode(body)
-        return organisations.list_quotas(
-            getattr(decoded, "organisations", None)
-        )
+        return organisations.list_quotas(decoded.organisations)
 
     def read_call(self, method: str, path: str, body: bytes) -> api.Call:
         """Return the call in an HTTP request.
