--- a/tests/run.py
+++ b/tests/run.py
@@ -4,6 +4,7 @@
 Tests that KNOWN-RED.txt lists are run, but their failures do not count.
 """
 
+import collections.abc
 import concurrent.futures
 import dataclasses
 import pathlib
@@ -23,6 +24,9 @@
     "test_daemons",
     "test_configuration_soak",
 )
+# Run one at a time after all others: they check the memory of processes that
+# crowds of clients keep busy, and would disturb the time limits of others.
+LONE_MODULES = ("test_adversarial_clients",)
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 
 
@@ -45,6 +49,16 @@
     return [f"tests.{path.parent.name}.{path.stem}" for path in paths]
 
 
+def split_lone(modules: list[str]) -> tuple[list[str], list[str]]:
+    """Return the modules that may run in parallel, and those that may not."""
+    lone = [
+        module
+        for module in modules
+        if module.rpartition(".")[2] in LONE_MODULES
+    ]
+    return [each for each in modules if each not in lone], lone
+
+
 def find_known(text: str) -> frozenset[str]:
     """Return the ids of the tests that a list of known failures names.
 
@@ -94,25 +108,32 @@
     return Result(module, ran, failed, known, output)
 
 
+def run_modules(
+    modules: list[str], known_ids: frozenset[str]
+) -> collections.abc.Iterator[Result]:
+    """Run all modules; yield their results, those of lone modules last."""
+    parallel, lone = split_lone(modules)
+    for names, workers in ((parallel, WORKERS), (lone, 1)):
+        with concurrent.futures.ThreadPoolExecutor(workers) as pool:
+            yield from pool.map(
+                lambda name: run_module(name, known_ids), names
+            )
+
+
 def main() -> int:
     """Run all test modules; return the exit code."""
     ran = failed = known = 0
     known_ids = find_known(KNOWN_RED.read_text())
-    with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
-        modules = find_modules()
-        results = pool.map(lambda name: run_module(name, known_ids), modules)
-        for result in results:
-            ran += result.ran
-            failed += result.failed
-            known += result.known
-            outcome = "failed" if result.failed else "ok"
-            if result.known:
-                outcome += f", {result.known} known failures"
-            print(
-                f"{result.module}: {result.ran} tests, {outcome}", flush=True
-            )
-            if result.failed or result.known:
-                print(result.output, flush=True)
+    for result in run_modules(find_modules(), known_ids):
+        ran += result.ran
+        failed += result.failed
+        known += result.known
+        outcome = "failed" if result.failed else "ok"
+        if result.known:
+            outcome += f", {result.known} known failures"
+        print(f"{result.module}: {result.ran} tests, {outcome}", flush=True)
+        if result.failed or result.known:
+            print(result.output, flush=True)
     if ran == 0:
         failed = 1
     passed = max(0, ran - failed - known)
--- a/tests/unit/test_run.py
+++ b/tests/unit/test_run.py
@@ -33,3 +33,13 @@
 
     def test_passing_module_has_no_failures(self) -> None:
         self.assertEqual((0, 0), run.count_failures("OK", KNOWN, 0))
+
+
+class TestLoneModules(unittest.TestCase):
+    """Which modules run one at a time."""
+
+    def test_no_module_is_lost(self) -> None:
+        modules = run.find_modules()
+        parallel, lone = run.split_lone(modules)
+        self.assertEqual(sorted(modules), sorted(parallel + lone))
+        self.assertEqual(["tests.functional.test_adversarial_clients"], lone)
