Give each process one budget for what its clients make it hold

Cause: bodies, receive buffers, unsent responses and incomplete frames were bounded for each connection only, so that crowds of legal requests took several times the memory of an instance.

Change: utils/process_budget.py accounts for the memory of all connections of a process, sized from the optional settings limits.memoryMb and limits.maxFds. The largest and slowest incomplete requests are shed first with 503 and Retry-After, large bodies without room are refused before they are read, requests that run are never cut. Accepted connections are bounded by shares of the descriptors; the one that has waited longest is closed for a new one. Connections read into one buffer of the process; bodies are written without joining them; connections to targets no longer keep the last body; the allocator returns freed bodies. A body must make 1 KiB/s after its first 30 s where memory is limited. Links count their incomplete frames and unsent data, and start with a short first frame.

--- a/src/hemlockkeel/_internal/coordinator/process.py
+++ b/src/hemlockkeel/_internal/coordinator/process.py
@@ -35,6 +35,7 @@
 from hemlockkeel._internal.utils import event_process
 from hemlockkeel._internal.utils import http_service
 from hemlockkeel._internal.utils import metrics
+from hemlockkeel._internal.utils import process_budget
 from hemlockkeel._internal.utils import supervision
 
 LEADER_CHECK_INTERVAL_S = 0.2
@@ -83,7 +84,7 @@
         call_codec: api.ApiCodec,
         log: event_log.EventLog,
     ) -> None:
-        super().__init__(settings_path, log)
+        super().__init__(settings_path, log, settings.limits)
         self.settings = settings
         self.read_settings = read_settings
         self.call_codec = call_codec
@@ -128,10 +129,14 @@
         self.stream_origins = stream_origins.StreamOrigins()
         self.sender.peers = self.peers
         self.sender.cluster_id = self.node.cluster_id
-        self.api = http_service.HttpListener(self)
+        self.api = http_service.HttpListener(
+            self,
+            self.budget,
+            settings.limits.get_connections(process_budget.API_SHARE),
+        )
         # A caller that leaves does not end the decoding of its body.
         self.decoder = concurrent.futures.ThreadPoolExecutor(1)
-        self.links = server.LinkServer(self, log)
+        self.links = server.LinkServer(self, log, self.budget)
 
     # Process
 
--- a/src/hemlockkeel/_internal/coordinator/settings.py
+++ b/src/hemlockkeel/_internal/coordinator/settings.py
@@ -6,6 +6,7 @@
 from hemlockkeel._internal.consensus import core
 from hemlockkeel._internal.consensus import messages
 from hemlockkeel._internal.consensus import node
+from hemlockkeel._internal.utils import process_budget
 
 
 @dataclasses.dataclass(frozen=True)
@@ -25,6 +26,9 @@
     # Whether the seeds form a new cluster on blank disks.
     bootstrap: bool
     timing: core.Timing
+    limits: process_budget.ProcessLimits = dataclasses.field(
+        default_factory=process_budget.ProcessLimits
+    )
 
     @property
     def link_address(self) -> str:
--- a/src/hemlockkeel/_internal/links/link.py
+++ b/src/hemlockkeel/_internal/links/link.py
@@ -15,6 +15,8 @@
 FRAME_LENGTH = struct.Struct("!I")
 # A whole configuration in one message, with room for the other fields.
 MAX_FRAME_BYTES = 2 * table.MAX_CONFIGURATION_BYTES
+# The same for the first message of a process with limited memory, its hello.
+MAX_HELLO_BYTES = 16 * 1024
 # Bytes that may be queued for a peer that does not read before the link is
 # closed.
 MAX_SEND_BUFFER_BYTES = 16 * 1024 * 1024
@@ -58,6 +60,10 @@
         on_connected: collections.abc.Callable[["Link"], None] | None = None,
     ) -> None:
         self.on_connected = on_connected
+        # Called when the bytes received have changed, and when the
+        # connection is lost.
+        self.on_resized: collections.abc.Callable[[], None] | None = None
+        self.on_lost: collections.abc.Callable[[], None] | None = None
         self.transport: asyncio.Transport | None = None
         self.role = ""
         self.name = ""
@@ -66,6 +72,9 @@
         # Newest messages that the peer understands; 0 until it has said so.
         self.protocol = 0
         self.ping_interval_s = DEFAULT_PING_INTERVAL_S
+        self.max_frame_bytes = MAX_FRAME_BYTES
+        # Whether a hello has arrived on an accepted link.
+        self.greeted = False
         self.last_call_id = 0
         self.pending_calls: dict[int, asyncio.Future[messages.AnyMessage]] = {}
         # Bytes of an incomplete frame, and messages not yet handled with
@@ -105,6 +114,8 @@
         except (msgspec.DecodeError, FrameTooLongError) as error:
             self.end(f"invalid message: {error}")
             self.abort()
+        if self.on_resized is not None:
+            self.on_resized()
         self.wake_receiver()
 
     def eof_received(self) -> bool:
@@ -116,28 +127,34 @@
         for timer in (self.silence_timer, self.failure_timer):
             if timer is not None:
                 timer.cancel()
+        if self.on_lost is not None:
+            self.on_lost()
 
     # Called by this class and its owner
 
     def decode_frames(self) -> None:
         """Move the complete messages from the buffer to `received`.
 
-        :raises FrameTooLongError: when a frame exceeds `MAX_FRAME_BYTES`.
+        :raises FrameTooLongError: when a frame exceeds the longest allowed.
         :raises msgspec.DecodeError: when one is not a valid message.
         """
         begin = 0
         while len(self.buffer) - begin >= FRAME_LENGTH.size:
             (size,) = FRAME_LENGTH.unpack_from(self.buffer, begin)
-            if size > MAX_FRAME_BYTES:
+            if size > self.max_frame_bytes:
                 raise FrameTooLongError(
                     f"frame of {size} bytes exceeds the limit of "
-                    f"{MAX_FRAME_BYTES} bytes"
+                    f"{self.max_frame_bytes} bytes"
                 )
             end = begin + FRAME_LENGTH.size + size
             if len(self.buffer) < end:
                 break
             frame = bytes(self.buffer[begin + FRAME_LENGTH.size : end])
-            self.received.append((messages.DECODER.decode(frame), size))
+            message = messages.DECODER.decode(frame)
+            if isinstance(message, messages.Hello):
+                self.greeted = True
+                self.max_frame_bytes = MAX_FRAME_BYTES
+            self.received.append((message, size))
             self.received_bytes += size
             begin = end
         del self.buffer[:begin]
@@ -218,6 +235,8 @@
             self.transport.abort()
             return
         self.transport.write(frame)
+        if self.on_resized is not None:
+            self.on_resized()
 
     async def receive(self) -> messages.AnyMessage:
         """Wait for the next message and return it.
--- a/src/hemlockkeel/_internal/links/server.py
+++ b/src/hemlockkeel/_internal/links/server.py
@@ -6,8 +6,11 @@
 
 from hemlockkeel._internal.links import dialer
 from hemlockkeel._internal.links import link
+from hemlockkeel._internal.links import link_holding
 from hemlockkeel._internal.links import messages
+from hemlockkeel._internal.utils import acceptor
 from hemlockkeel._internal.utils import event_log
+from hemlockkeel._internal.utils import process_budget
 
 # Connections waiting to be accepted; all processes may connect at once.
 BACKLOG = 512
@@ -40,22 +43,34 @@
 class LinkServer:
     """Listens for links and passes their messages to a service."""
 
-    def __init__(self, service: Service, log: event_log.EventLog) -> None:
+    def __init__(
+        self,
+        service: Service,
+        log: event_log.EventLog,
+        budget: process_budget.ProcessBudget | None = None,
+    ) -> None:
         self.service = service
+        self.budget = budget or process_budget.ProcessBudget(
+            process_budget.ProcessLimits()
+        )
+        self.limit = process_budget.ConnectionLimit(
+            self.budget,
+            self.budget.limits.get_connections(process_budget.LINK_SHARE),
+        )
         self.log = log
         self.tasks: set[asyncio.Task[None]] = set()
         self.links: set[link.Link] = set()
-        self.server: asyncio.Server | None = None
+        self.server: acceptor.Acceptor | None = None
 
     async def start(self, host: str, port: int) -> None:
         """Start to listen on an address.
 
         :raises OSError: when the address cannot be used.
         """
-        loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(
-            lambda: link.Link(self.accept), host, port, backlog=BACKLOG
+        self.server = acceptor.Acceptor(
+            lambda: link.Link(self.accept), self.limit
         )
+        await self.server.start(host, port, BACKLOG)
 
     def stop(self) -> None:
         """Stop listening and close all links."""
@@ -66,6 +81,11 @@
 
     def accept(self, peer: link.Link) -> None:
         """Start a task that serves a new link."""
+        if self.budget.limits.memory_bytes is not None:
+            peer.max_frame_bytes = link.MAX_HELLO_BYTES
+        holding = link_holding.LinkHolding(peer, self.limit)
+        peer.on_resized = holding.update
+        peer.on_lost = holding.end
         self.run_task(self.serve(peer))
 
     def run_task(
--- a/src/hemlockkeel/_internal/orders/process.py
+++ b/src/hemlockkeel/_internal/orders/process.py
@@ -25,6 +25,7 @@
 from hemlockkeel._internal.routes import table
 from hemlockkeel._internal.utils import event_log
 from hemlockkeel._internal.utils import event_process
+from hemlockkeel._internal.utils import process_budget
 from hemlockkeel._internal.utils import supervision
 
 # Interval between load updates to entries.
@@ -56,6 +57,9 @@
     data_centre: str
     # Whether the engine itself refuses orders with an older fencing token.
     engine_enforces_fencing: bool
+    limits: process_budget.ProcessLimits = dataclasses.field(
+        default_factory=process_budget.ProcessLimits
+    )
 
 
 class AgentProcess(event_process.EventProcess, server.Service):
@@ -70,7 +74,7 @@
         configurations: codec.ConfigurationCodec,
         log: event_log.EventLog,
     ) -> None:
-        super().__init__(settings_path, log)
+        super().__init__(settings_path, log, settings.limits)
         self.settings = settings
         self.read_settings = read_settings
         self.configurations = links_configurations.ConfigurationReceiver(
@@ -94,7 +98,7 @@
             ControlListener(self),
             log,
         )
-        self.links = server.LinkServer(self, log)
+        self.links = server.LinkServer(self, log, self.budget)
 
     # Process
 
--- a/src/hemlockkeel/_internal/relay/caller.py
+++ b/src/hemlockkeel/_internal/relay/caller.py
@@ -4,13 +4,16 @@
 import asyncio
 import dataclasses
 import http
+import random
 
 import h11
 
 from hemlockkeel._internal.relay import channel
+from hemlockkeel._internal.relay import framing
 from hemlockkeel._internal.relay import header_codec
 from hemlockkeel._internal.relay import headers
 from hemlockkeel._internal.routes import table
+from hemlockkeel._internal.utils import process_budget
 
 # Bounds on the data that is still read and dropped after a rejected request.
 # Closing at once would reset the connection, and the caller could lose the
@@ -21,6 +24,18 @@
 # body itself: each chunk takes time, however small it is.
 MAX_FRAMING_BYTES = 64 * 1024
 FRAMING_RATIO = 2
+# Received bytes above which reading from a caller pauses: a caller can make
+# the process hold them without a request.
+HIGH_WATER_BYTES = 16 * 1024
+# A complete body is held as it is, and by the connection to the target.
+BODY_COPIES = 2
+# Mean progress that a body must make over its whole time, after a first part
+# of it in which the idle time-out alone counts. Callers on a slow line send
+# at least ten times as much, and give up their request before.
+MIN_BODY_BYTES_PER_S = 1024
+FREE_BODY_S = 30.0
+# Bounds of Retry-After for requests that the budget has no room for, seconds.
+RETRY_AFTER_S = (1, 3)
 
 
 @dataclasses.dataclass
@@ -54,19 +69,26 @@
     ``status``.
     """
 
-    def __init__(self, status: int, reason: str) -> None:
+    def __init__(
+        self, status: int, reason: str, retryable: bool = False
+    ) -> None:
         super().__init__(reason)
         self.status = status
+        # Whether the same request may be served later.
+        self.retryable = retryable
 
 
-class CallerConnection:
+class CallerConnection(process_budget.Owner):
     """A connection from a caller, which serves one request at a time.
 
     Pipelined requests wait for the responses before them.
     """
 
     def __init__(
-        self, bytes_channel: channel.Channel, handler: "RequestHandler"
+        self,
+        bytes_channel: channel.Channel,
+        handler: "RequestHandler",
+        budget: process_budget.ProcessBudget,
     ) -> None:
         self.channel = bytes_channel
         self.handler = handler
@@ -80,7 +102,52 @@
         self.reading: asyncio.Timeout | None = None
         # Whether the head of the response has been sent.
         self.response_started = False
+        # Bytes that the parser may still hold.
+        self.parser_bytes = 0
+        # The part of the current request's body that has arrived.
+        self.body = bytearray()
+        # Bytes of the request that is handled, copies included.
+        self.running_bytes = 0
+        # Size of the send buffer when it was last allocated.
+        self.sending_bytes = 0
+        self.budget = budget
+        self.holder = budget.add(self)
+        self.update_held()
+        bytes_channel.high_water_bytes = HIGH_WATER_BYTES
         bytes_channel.on_end = self.on_end
+        bytes_channel.on_resized = self.update_held
+
+    # Budget
+
+    def count_held(self) -> int:
+        """Return the memory that this connection takes."""
+        unsent = self.channel.unsent_bytes
+        if unsent > self.sending_bytes or unsent < self.sending_bytes / 2:
+            # A buffer shrinks only once less than half of it is used.
+            self.sending_bytes = unsent
+        return (
+            process_budget.CONNECTION_BYTES
+            + len(self.channel.received)
+            + self.parser_bytes
+            + len(self.body)
+            + self.running_bytes
+            + self.sending_bytes
+        )
+
+    def update_held(self) -> None:
+        """Tell the budget how much memory this connection takes."""
+        self.budget.resize(self.holder, self.count_held())
+
+    def get_unsent_bytes(self) -> int:
+        return self.channel.unsent_bytes
+
+    def shed(self) -> None:
+        if self.holder.activity is process_budget.Activity.RECEIVING:
+            # Not when the task runs next: the memory is needed now.
+            self.body = bytearray()
+            self.refuse_incomplete()
+            return
+        self.channel.abort()
 
     def on_end(self) -> None:
         """Cancel the request of a caller that has closed the connection."""
@@ -100,14 +167,23 @@
 
     async def serve_request(self) -> bool:
         """Serve one request; return whether the connection stays open."""
+        # A caller that does not read must not make responses pile up.
+        self.idle = True
+        await self.channel.drain()
+        request = rejection = None
         try:
             request = await self.read_request()
         except RequestRejectedError as error:
-            self.handler.on_request_rejected(error.status, str(error))
-            await self.reject(error.status)
+            rejection = error
+        self.body = bytearray()
+        if rejection is not None:
+            # Not in the except clause, which would keep the body alive.
+            self.handler.on_request_rejected(rejection.status, str(rejection))
+            await self.reject(rejection.status, rejection.retryable)
             return False
         if request is None:
             return False
+        self.budget.set_activity(self.holder, process_budget.Activity.RUNNING)
         self.response_started = False
         loop = asyncio.get_running_loop()
         self.request_task = loop.create_task(
@@ -129,6 +205,11 @@
             self.respond_to_failure()
         finally:
             self.request_task = None
+            self.running_bytes = 0
+            self.budget.set_activity(
+                self.holder, process_budget.Activity.WAITING
+            )
+            self.update_held()
         return self.can_reuse()
 
     def respond_to_failure(self) -> None:
@@ -162,10 +243,14 @@
         if not await self.wait_for_bytes(limits.idle_timeout_s):
             return None
         self.idle = False
+        self.budget.set_activity(
+            self.holder, process_budget.Activity.RECEIVING
+        )
         try:
             async with asyncio.timeout(None) as self.reading:
                 return await self.read_started_request(limits)
         except TimeoutError as error:
+            self.check_not_shed()
             raise RequestRejectedError(
                 http.HTTPStatus.SERVICE_UNAVAILABLE,
                 "request not received before the process ends",
@@ -173,6 +258,18 @@
         finally:
             self.reading = None
 
+    def check_not_shed(self) -> None:
+        """Check that the budget has not dropped a part of the request.
+
+        :raises RequestRejectedError: when it has.
+        """
+        if self.holder.is_shed:
+            raise RequestRejectedError(
+                http.HTTPStatus.SERVICE_UNAVAILABLE,
+                "no memory left for incomplete requests",
+                retryable=True,
+            )
+
     def refuse_incomplete(self) -> None:
         """Refuse the request of which a part has arrived, if any."""
         if self.reading is not None:
@@ -203,6 +300,16 @@
         check_header_size(event, head, limits.header_bytes)
         check_framing(head)
         body = await self.read_body(head, limits)
+        self.check_not_shed()
+        self.running_bytes = BODY_COPIES * len(body)
+        self.body = bytearray()
+        if not self.budget.try_resize(self.holder, self.count_held()):
+            self.running_bytes = 0
+            raise RequestRejectedError(
+                http.HTTPStatus.SERVICE_UNAVAILABLE,
+                "no memory left for requests",
+                retryable=True,
+            )
         return CallerRequest(
             bytes(event.method),
             bytes(event.target),
@@ -219,6 +326,7 @@
         """
         if self.protocol.trailing_data[0]:
             return True
+        self.parser_bytes = 0
         try:
             async with asyncio.timeout(timeout_s):
                 data = await self.channel.read()
@@ -233,6 +341,8 @@
         :raises RequestRejectedError: when they violate the protocol.
         """
         self.received_bytes += len(data)
+        self.parser_bytes += len(data)
+        self.update_held()
         try:
             self.protocol.receive_data(data)
         except h11.RemoteProtocolError as error:
@@ -259,7 +369,21 @@
                 self.send(
                     h11.InformationalResponse(status_code=100, headers=[])
                 )
-            self.receive(await self.channel.read())
+            data = await self.channel.read()
+            if self.protocol.their_state is h11.SEND_BODY:
+                # The parser has returned all that arrived before.
+                self.parser_bytes = 0
+            self.receive(data)
+
+    def get_body_limit_at(
+        self, begun_at: float, limits: table.RequestLimits
+    ) -> float:
+        """Return the loop time until which more of a body must arrive."""
+        idle_at = asyncio.get_running_loop().time() + limits.idle_timeout_s
+        if self.budget.limits.memory_bytes is None:
+            return idle_at
+        earned_s = len(self.body) / MIN_BODY_BYTES_PER_S
+        return min(idle_at, begun_at + FREE_BODY_S + earned_s)
 
     async def read_body(
         self, head: header_codec.Headers, limits: table.RequestLimits
@@ -275,11 +399,20 @@
                 http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
                 "request body too large",
             )
-        body = bytearray()
+        if not self.budget.make_room(int(length or b"0")):
+            raise RequestRejectedError(
+                http.HTTPStatus.SERVICE_UNAVAILABLE,
+                "no memory left for a body of this size",
+                retryable=True,
+            )
+        begun_at = asyncio.get_running_loop().time()
         self.received_bytes = 0
         while True:
+            self.check_not_shed()
             try:
-                async with asyncio.timeout(limits.idle_timeout_s):
+                async with asyncio.timeout_at(
+                    self.get_body_limit_at(begun_at, limits)
+                ):
                     event = await self.next_event()
             except TimeoutError as error:
                 raise RequestRejectedError(
@@ -287,19 +420,21 @@
                     "request body not received in time",
                 ) from error
             if isinstance(event, h11.EndOfMessage):
-                return bytes(body)
+                return bytes(self.body)
             if not isinstance(event, h11.Data):
                 raise ConnectionResetError(
                     "caller closed before the body ended"
                 )
-            body += event.data
-            framing_bytes = self.received_bytes - len(body)
-            if framing_bytes > MAX_FRAMING_BYTES + FRAMING_RATIO * len(body):
+            self.check_not_shed()
+            self.body += event.data
+            size = len(self.body)
+            framing_bytes = self.received_bytes - size
+            if framing_bytes > MAX_FRAMING_BYTES + FRAMING_RATIO * size:
                 raise RequestRejectedError(
                     http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
                     "request body in too small chunks",
                 )
-            if len(body) > limits.body_bytes:
+            if size > limits.body_bytes:
                 raise RequestRejectedError(
                     http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
                     "request body too large",
@@ -339,10 +474,13 @@
     ) -> None:
         """Write a complete response."""
         self.response_started = True
-        self.send(self.make_response_head(status, head, len(body)))
+        events: list[h11.Event] = [
+            self.make_response_head(status, head, len(body))
+        ]
         if body:
-            self.send(h11.Data(data=body))
-        self.send(h11.EndOfMessage())
+            events.append(h11.Data(data=body))
+        events.append(h11.EndOfMessage())
+        framing.write(self.channel, framing.encode(self.protocol, events))
 
     def start_stream(self, status: int, head: header_codec.Headers) -> None:
         """Write the head of a response whose length is not known."""
@@ -377,11 +515,15 @@
         """Return whether only the end of the connection ends a stream."""
         return self.protocol.their_http_version == b"1.0"
 
-    async def reject(self, status: int) -> None:
+    async def reject(self, status: int, retryable: bool = False) -> None:
         """Respond to a rejected request with an empty body and close."""
         if self.protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        head = self.make_response_head(status, [(b"Connection", b"close")], 0)
+        fields: header_codec.Headers = [(b"Connection", b"close")]
+        if retryable:
+            wait_s = str(random.randint(*RETRY_AFTER_S))
+            fields.append((b"Retry-After", wait_s.encode()))
+        head = self.make_response_head(status, fields, 0)
         try:
             self.send(head)
             self.send(h11.EndOfMessage())
--- a/src/hemlockkeel/_internal/relay/channel.py
+++ b/src/hemlockkeel/_internal/relay/channel.py
@@ -7,6 +7,10 @@
 
 # Received bytes not yet consumed, above which reading from the socket pauses.
 HIGH_WATER_BYTES = 128 * 1024
+# Bytes read from a socket at once. They arrive in one buffer of the process:
+# a new one for each read would take 256 KiB for a moment.
+READ_BYTES = 64 * 1024
+_read_buffer = memoryview(bytearray(READ_BYTES))
 # TCP_USER_TIMEOUT of a connection: the kernel closes it when sent data stays
 # unacknowledged for this long.
 DEFAULT_USER_TIMEOUT_MS = 5000
@@ -17,7 +21,7 @@
 PIECES_PER_TURN = 8
 
 
-class Channel(asyncio.Protocol):
+class Channel(asyncio.BufferedProtocol):
     """Reads and writes bytes; reports at once when the peer closes."""
 
     def __init__(
@@ -28,6 +32,11 @@
         self.on_connected = on_connected
         # Called once, when the peer closes its side or the connection is lost.
         self.on_end: collections.abc.Callable[[], None] | None = None
+        # Called once, when the descriptor is being closed.
+        self.on_lost: collections.abc.Callable[[], None] | None = None
+        # Called whenever the bytes received or to be sent have changed.
+        self.on_resized: collections.abc.Callable[[], None] | None = None
+        self.high_water_bytes = HIGH_WATER_BYTES
         self.transport: asyncio.Transport | None = None
         self.received = bytearray()
         self.ended = False
@@ -53,10 +62,14 @@
         if self.on_connected is not None:
             self.on_connected(self)
 
-    def data_received(self, data: bytes) -> None:
-        self.received += data
-        if len(self.received) > HIGH_WATER_BYTES and self.transport:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return _read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.received += _read_buffer[:nbytes]
+        if len(self.received) > self.high_water_bytes and self.transport:
             self.transport.pause_reading()
+        self.report_size()
         self.wake_reader()
 
     def eof_received(self) -> bool:
@@ -69,12 +82,15 @@
         self.mark_ended(self.error)
         if self.drain_waiter is not None and not self.drain_waiter.done():
             self.drain_waiter.set_result(None)
+        if self.on_lost is not None:
+            self.on_lost()
 
     def pause_writing(self) -> None:
         self.writable = False
 
     def resume_writing(self) -> None:
         self.writable = True
+        self.report_size()
         if self.drain_waiter is not None and not self.drain_waiter.done():
             self.drain_waiter.set_result(None)
 
@@ -88,6 +104,11 @@
         if first and self.on_end is not None:
             self.on_end()
 
+    def report_size(self) -> None:
+        """Tell the owner that the buffers have another size."""
+        if self.on_resized is not None:
+            self.on_resized()
+
     def wake_reader(self) -> None:
         """Resume a waiting `read`."""
         if self.read_waiter is not None and not self.read_waiter.done():
@@ -137,7 +158,7 @@
             self.pieces_in_turn = 0
             await asyncio.sleep(0)
 
-    def write(self, data: bytes) -> None:
+    def write(self, data: bytes | memoryview) -> None:
         """Queue bytes; drop them if the connection is closing."""
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(data)
--- a/src/hemlockkeel/_internal/relay/exchange.py
+++ b/src/hemlockkeel/_internal/relay/exchange.py
@@ -8,6 +8,7 @@
 import h11
 
 from hemlockkeel._internal.relay import channel
+from hemlockkeel._internal.relay import framing
 from hemlockkeel._internal.relay import header_codec
 from hemlockkeel._internal.relay import headers
 from hemlockkeel._internal.relay import read_budget
@@ -106,16 +107,16 @@
         self.answering = False
         self.request = h11.Request(method=method, target=target, headers=head)
         self.body = body
-        self.channel.write(self.encode_request())
+        framing.write(self.channel, self.encode_request())
 
-    def encode_request(self) -> bytes:
-        """Advance the HTTP state by the request; return its bytes."""
+    def encode_request(self) -> list[bytes]:
+        """Advance the HTTP state by the request; return its pieces."""
         assert self.request is not None
-        data = self.protocol.send(self.request) or b""
+        events: list[h11.Event] = [self.request]
         if self.body:
-            data += self.protocol.send(h11.Data(data=self.body)) or b""
-        data += self.protocol.send(h11.EndOfMessage()) or b""
-        return data
+            events.append(h11.Data(data=self.body))
+        events.append(h11.EndOfMessage())
+        return framing.encode(self.protocol, events)
 
     async def next_event(self) -> h11.Event | type[h11.PAUSED]:
         """Return the next event of the HTTP parser.
@@ -268,6 +269,7 @@
     def finish(self) -> bool:
         """End the exchange; return whether the connection can be reused."""
         self.used = True
+        self.body = b""
         if self.channel.closing or self.channel.ended or not self.identified:
             return False
         if self.channel.received or self.channel.unsent_bytes:
--- a/src/hemlockkeel/_internal/relay/process.py
+++ b/src/hemlockkeel/_internal/relay/process.py
@@ -30,6 +30,7 @@
 from hemlockkeel._internal.utils import event_log
 from hemlockkeel._internal.utils import event_process
 from hemlockkeel._internal.utils import http_service
+from hemlockkeel._internal.utils import process_budget
 from hemlockkeel._internal.utils import supervision
 
 HOUSEKEEPING_INTERVAL_S = 0.5
@@ -63,6 +64,9 @@
     # From SIGTERM until the process is killed, seconds.
     grace_s: float
     retry_limits: budget.RetryBudgetLimits
+    limits: process_budget.ProcessLimits = dataclasses.field(
+        default_factory=process_budget.ProcessLimits
+    )
 
 
 class ControlListener(dialer.Listener):
@@ -148,7 +152,7 @@
         configurations: codec.ConfigurationCodec,
         log: event_log.EventLog,
     ) -> None:
-        super().__init__(settings_path, log)
+        super().__init__(settings_path, log, settings.limits)
         self.settings = settings
         self.read_settings = read_settings
         self.configuration_receiver = (
@@ -159,7 +163,9 @@
         self.stopping = False
         self.forwarders: set[forwarder.Forwarder] = set()
         self.members = announced_members.AnnouncedMembers()
-        self.registry = registry_module.TargetRegistry(settings.heartbeat_s)
+        self.registry = registry_module.TargetRegistry(
+            settings.heartbeat_s, self.budget
+        )
         hello = messages.Hello(
             role="entry",
             name=settings.name,
@@ -202,9 +208,15 @@
             origin_directory.OriginDirectory(self.control_links, log),
             clock.SuspendAwareClock(),
         )
-        self.caller_listener = http_service.HttpListener(self)
+        self.caller_listener = http_service.HttpListener(
+            self,
+            self.budget,
+            settings.limits.get_connections(process_budget.CALLER_SHARE),
+        )
         self.ready_listener = http_service.HttpListener(
-            http_service.ReadinessHandler(self.is_ready)
+            http_service.ReadinessHandler(self.is_ready),
+            self.budget,
+            settings.limits.check_connections,
         )
 
     # Process
--- a/src/hemlockkeel/_internal/relay/read_budget.py
+++ b/src/hemlockkeel/_internal/relay/read_budget.py
@@ -4,6 +4,8 @@
 responses, responses to other requests, or the body of a refusal.
 """
 
+from hemlockkeel._internal.utils import process_budget
+
 
 class BudgetExhaustedError(Exception):
     """A target has sent more than is read from it."""
@@ -66,15 +68,28 @@
             )
 
 
-class BodyMemory:
-    """Memory that all response bodies of a process may take together."""
+class BodyMemory(process_budget.Owner):
+    """Memory that all response bodies of a process may take together.
+
+    It is a part of the budget of the process, if there is one.
+    """
 
     # A quarter of the memory of the smallest instance that runs an entry.
     MAX_BYTES = 48 * 1024 * 1024
 
-    def __init__(self) -> None:
+    def __init__(
+        self, budget: process_budget.ProcessBudget | None = None
+    ) -> None:
+        self.budget = budget or process_budget.ProcessBudget(
+            process_budget.ProcessLimits()
+        )
+        self.holder = self.budget.add(self)
+        self.budget.set_activity(self.holder, process_budget.Activity.RUNNING)
         self.bytes_used = 0
 
+    def shed(self) -> None:
+        """Do nothing: these requests run."""
+
     def acquire(self, count: int) -> None:
         """Take memory for a part of a body.
 
@@ -84,8 +99,11 @@
             raise BudgetExhaustedError(
                 f"response bodies take more than {self.MAX_BYTES} bytes"
             )
+        if not self.budget.try_resize(self.holder, self.bytes_used + count):
+            raise BudgetExhaustedError("no memory left for response bodies")
         self.bytes_used += count
 
     def release(self, count: int) -> None:
         """Return memory."""
         self.bytes_used -= count
+        self.budget.resize(self.holder, self.bytes_used)
--- a/src/hemlockkeel/_internal/relay/target_registry.py
+++ b/src/hemlockkeel/_internal/relay/target_registry.py
@@ -12,6 +12,7 @@
 from hemlockkeel._internal.relay import read_budget
 from hemlockkeel._internal.relay import target as target_module
 from hemlockkeel._internal.relay import target_selection
+from hemlockkeel._internal.utils import process_budget
 
 MS_PER_S = 1000.0
 # Heartbeats that a target may miss before it gets no more requests. A target
@@ -36,7 +37,11 @@
 class TargetRegistry:
     """All targets that this entry has been told of."""
 
-    def __init__(self, heartbeat_s: float) -> None:
+    def __init__(
+        self,
+        heartbeat_s: float,
+        budget: process_budget.ProcessBudget | None = None,
+    ) -> None:
         # Called with each target that was replaced by a later incarnation
         # without having announced that it leaves.
         self.on_crashed: collections.abc.Callable[
@@ -59,7 +64,7 @@
         ] = collections.OrderedDict()
         # Addresses of engines whose agents do not answer.
         self.silent_addresses: frozenset[str] = frozenset()
-        self.body_memory = read_budget.BodyMemory()
+        self.body_memory = read_budget.BodyMemory(budget)
         self.entry_count = 1
         # Time in contact with control members, seconds. The silence of targets
         # is measured in it, since an entry without contact gets no
--- a/src/hemlockkeel/_internal/utils/event_process.py
+++ b/src/hemlockkeel/_internal/utils/event_process.py
@@ -11,10 +11,12 @@
 from hemlockkeel._internal.utils import event_log
 from hemlockkeel._internal.utils import http_service
 from hemlockkeel._internal.utils import instruments
+from hemlockkeel._internal.utils import process_budget
 
 LOG_FLUSH_INTERVAL_S = 0.1
 # Interval of the check whether the settings file has changed.
 SETTINGS_POLL_INTERVAL_S = 1.0
+BUDGET_LOG_INTERVAL_S = 1.0
 
 
 class EventProcess(abc.ABC):
@@ -25,11 +27,18 @@
     """
 
     def __init__(
-        self, settings_path: pathlib.Path, log: event_log.EventLog
+        self,
+        settings_path: pathlib.Path,
+        log: event_log.EventLog,
+        limits: process_budget.ProcessLimits | None = None,
     ) -> None:
         self.settings_path = settings_path
         self.log = log
+        self.budget = process_budget.ProcessBudget(
+            limits or process_budget.ProcessLimits()
+        )
         self.instruments = instruments.Instruments()
+        self.instruments.watch_budget(self.budget)
         self.stopped = asyncio.Event()
         self.loaded_settings = b""
         self.exit_code = 0
@@ -63,6 +72,9 @@
         loop.set_exception_handler(self.on_unhandled_error)
         flusher = loop.create_task(self.flush_logs())
         watcher = loop.create_task(self.watch_settings())
+        budget_logger = loop.create_task(self.log_budget())
+        if self.budget.limits.memory_bytes is not None:
+            process_budget.return_freed_memory()
         self.log.write("starting", settings=str(self.settings_path))
         if metrics_port:
             await self.serve_metrics(metrics_port)
@@ -77,6 +89,7 @@
         self.log.write("stopped", exit_code=self.exit_code)
         flusher.cancel()
         watcher.cancel()
+        budget_logger.cancel()
         self.log.flush()
         return self.exit_code
 
@@ -86,7 +99,9 @@
         If the port cannot be bound, the process runs without them.
         """
         listener = http_service.HttpListener(
-            http_service.MetricsHandler(self.instruments.render)
+            http_service.MetricsHandler(self.instruments.render),
+            self.budget,
+            self.budget.limits.check_connections,
         )
         try:
             await listener.start("0.0.0.0", port)
@@ -125,6 +140,28 @@
             await asyncio.sleep(LOG_FLUSH_INTERVAL_S)
             self.log.flush()
 
+    async def log_budget(self) -> None:
+        """Log what was shed or refused, if anything was, periodically."""
+        logged: dict[str, int] = {}
+        while True:
+            await asyncio.sleep(BUDGET_LOG_INTERVAL_S)
+            counts = dict(self.budget.counts)
+            if counts == logged:
+                continue
+            for name, count in counts.items():
+                self.instruments.events.labels(f"budget_{name}").inc(
+                    count - logged.get(name, 0)
+                )
+            logged = counts
+            self.log.write(
+                "process_budget",
+                used=self.budget.used_bytes,
+                peak=self.budget.peak_bytes,
+                limit=self.budget.limit_bytes,
+                holders=len(self.budget.holders),
+                **counts,
+            )
+
     async def watch_settings(self) -> None:
         """Reload the settings whenever the content of the file changes."""
         while True:
--- a/src/hemlockkeel/_internal/utils/http_service.py
+++ b/src/hemlockkeel/_internal/utils/http_service.py
@@ -2,42 +2,63 @@
 
 import asyncio
 import http
+import math
 import typing
 
 from hemlockkeel._internal.relay import caller
 from hemlockkeel._internal.relay import channel
 from hemlockkeel._internal.relay import header_codec
 from hemlockkeel._internal.routes import table
+from hemlockkeel._internal.utils import acceptor
+from hemlockkeel._internal.utils import process_budget
 
 BACKLOG = 1024
+# Sent to a connection beyond the limit, whose request is not read.
+REFUSAL = (
+    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
+    b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+)
 
 
 class HttpListener:
     """Accepts connections, and runs a request handler on each."""
 
-    def __init__(self, handler: caller.RequestHandler) -> None:
+    def __init__(
+        self,
+        handler: caller.RequestHandler,
+        budget: process_budget.ProcessBudget | None = None,
+        max_connections: float = math.inf,
+    ) -> None:
         self.handler = handler
+        self.budget = budget or process_budget.ProcessBudget(
+            process_budget.ProcessLimits()
+        )
+        self.limit = process_budget.ConnectionLimit(
+            self.budget, max_connections
+        )
         self.connections: dict[caller.CallerConnection, typing.Any] = {}
         # Closed connections whose last answer may not have been sent yet.
         self.flushing: set[channel.Channel] = set()
-        self.server: asyncio.Server | None = None
+        self.server: acceptor.Acceptor | None = None
 
     async def start(self, host: str, port: int) -> None:
         """Listen on an address.
 
         :raises OSError: when it cannot be bound.
         """
-        loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(
-            lambda: channel.Channel(self.accept),
-            host,
-            port,
-            backlog=BACKLOG,
+        self.server = acceptor.Acceptor(
+            lambda: channel.Channel(self.accept), self.limit, REFUSAL
         )
+        await self.server.start(host, port, BACKLOG)
 
     def accept(self, bytes_channel: channel.Channel) -> None:
         """Start a task that serves a new connection."""
-        connection = caller.CallerConnection(bytes_channel, self.handler)
+        connection = caller.CallerConnection(
+            bytes_channel, self.handler, self.budget
+        )
+        holder = connection.holder
+        self.limit.holders.add(holder)
+        bytes_channel.on_lost = lambda: self.limit.remove(holder)
         task = asyncio.get_running_loop().create_task(connection.run())
         self.connections[connection] = task
         task.add_done_callback(lambda _: self.remove(connection))
--- a/src/hemlockkeel/_internal/utils/instruments.py
+++ b/src/hemlockkeel/_internal/utils/instruments.py
@@ -2,6 +2,8 @@
 
 import prometheus_client
 
+from hemlockkeel._internal.utils import process_budget
+
 # Upper bounds, seconds; finest near the latency objectives of 0.2 to 1 s.
 LATENCY_BUCKETS_S = (
     0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.0, 2.0, 5.0, 15.0,
@@ -51,6 +53,18 @@
             registry=self.registry,
         )
 
+    def watch_budget(self, budget: process_budget.ProcessBudget) -> None:
+        """Show how much of the budget of a process is used."""
+        for name, text, get in (
+            ("used", "Memory held for clients", lambda: budget.used_bytes),
+            ("limit", "Most of it", lambda: budget.limit_bytes),
+        ):
+            prometheus_client.Gauge(
+                f"hemlockkeel_budget_{name}_bytes",
+                text,
+                registry=self.registry,
+            ).set_function(get)
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self.registry)
--- a/src/hemlockkeel/platform/agent_settings.py
+++ b/src/hemlockkeel/platform/agent_settings.py
@@ -25,4 +25,5 @@
         source.get("zone"),
         # Whether targets refuse orders with an older fencing token.
         source.values.get("bounds.requireFence") == "true",
+        source.get_limits(),
     )
--- a/src/hemlockkeel/platform/control_settings.py
+++ b/src/hemlockkeel/platform/control_settings.py
@@ -31,4 +31,5 @@
         # True only for the first start of a new cluster.
         source.get("bootstrap") == "true",
         core.Timing(RAFT_HEARTBEAT_INTERVAL_S, *ELECTION_TIMEOUT_RANGE_S),
+        source.get_limits(),
     )
--- a/src/hemlockkeel/platform/entry_settings.py
+++ b/src/hemlockkeel/platform/entry_settings.py
@@ -29,4 +29,5 @@
             source.get_number("bounds.budgetWindowS"),
             source.get_number("bounds.retryBudgetSlack"),
         ),
+        source.get_limits(),
     )
--- a/src/hemlockkeel/platform/settings_file.py
+++ b/src/hemlockkeel/platform/settings_file.py
@@ -8,7 +8,11 @@
 import pathlib
 import re
 
+from hemlockkeel._internal.utils import process_budget
+
 MS_PER_S = 1000.0
+# Instances are measured in MiB.
+BYTES_PER_MB = 1024 * 1024
 # Ports for links, as offsets from the first port of portRange.
 CONTROL_PORT_OFFSET = 0
 AGENT_PORT_OFFSET = 1
@@ -46,6 +50,30 @@
             raise ValueError(f"{name} must be a finite number of at least 0")
         return value
 
+    def get_limits(self) -> process_budget.ProcessLimits:
+        """Return the memory and descriptors of the process, if limited.
+
+        :raises ValueError: when a limit is not a number above 0.
+        """
+        memory_mb = self.get_limit("limits.memoryMb")
+        max_fds = self.get_limit("limits.maxFds")
+        return process_budget.ProcessLimits(
+            None if memory_mb is None else int(memory_mb * BYTES_PER_MB),
+            None if max_fds is None else int(max_fds),
+        )
+
+    def get_limit(self, name: str) -> float | None:
+        """Return the value of an optional limit.
+
+        :raises ValueError: when it is not a finite number of at least 1.
+        """
+        if not self.values.get(name):
+            return None
+        value = self.get_number(name)
+        if value < 1:
+            raise ValueError(f"{name} must be at least 1")
+        return value
+
     def get_port(self, name: str) -> int:
         """Return the port in a setting of the form host:port.
 
