Reserve memory for decoding large calls; keep busy connections

Cause: a call of 4 MiB with many empty objects takes 125 MiB while a control member decodes it, which no budget counted. Connections over the limit were counted only once their protocol existed, and a connection could be closed for another one although a request had arrived on it.

Change: a control member reserves an estimate of the decoded size, one large call at a time, and answers 503 where there is no room. Accepted connections count at once; only idle ones without data are closed, and otherwise the slowest incomplete request is shed.

--- a/src/hemlockkeel/_internal/coordinator/process.py
+++ b/src/hemlockkeel/_internal/coordinator/process.py
@@ -15,6 +15,7 @@
 from hemlockkeel._internal.consensus import node
 from hemlockkeel._internal.coordinator import api
 from hemlockkeel._internal.coordinator import crash_reports
+from hemlockkeel._internal.coordinator import decoding
 from hemlockkeel._internal.coordinator import membership
 from hemlockkeel._internal.coordinator import rate_limits
 from hemlockkeel._internal.coordinator import replicated_state
@@ -135,6 +136,7 @@
             settings.limits.get_connections(process_budget.API_SHARE),
         )
         # A caller that leaves does not end the decoding of its body.
+        self.decoding_memory = decoding.DecodingMemory(self.budget)
         self.decoder = concurrent.futures.ThreadPoolExecutor(1)
         self.links = server.LinkServer(self, log, self.budget)
 
@@ -566,9 +568,10 @@
         arguments = method, request.path, request.body
         if len(request.body) <= MAX_LOOP_DECODED_BYTES:
             return self.call_codec.decode(*arguments)
-        return await self.loop.run_in_executor(
-            self.decoder, self.call_codec.decode, *arguments
-        )
+        async with self.decoding_memory.reserve(request.body):
+            return await self.loop.run_in_executor(
+                self.decoder, self.call_codec.decode, *arguments
+            )
 
     async def execute_call(self, call: api.Call) -> tuple[int, bytes]:
         """Execute a call; return the status and body of the response."""
--- a/src/hemlockkeel/_internal/relay/caller.py
+++ b/src/hemlockkeel/_internal/relay/caller.py
@@ -141,6 +141,9 @@
     def get_unsent_bytes(self) -> int:
         return self.channel.unsent_bytes
 
+    def has_unread_bytes(self) -> bool:
+        return bool(self.channel.received)
+
     def shed(self) -> None:
         if self.holder.activity is process_budget.Activity.RECEIVING:
             # Not when the task runs next: the memory is needed now.
--- a/src/hemlockkeel/_internal/utils/acceptor.py
+++ b/src/hemlockkeel/_internal/utils/acceptor.py
@@ -79,7 +79,20 @@
                 )
             )
             self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+            self.limit.pending += 1
+            task.add_done_callback(self.on_connected)
+
+    def on_connected(self, task: asyncio.Task[object]) -> None:
+        """Forget a connection that counts as a holder, or has failed."""
+        self.tasks.discard(task)
+        self.limit.pending -= 1
+        if not task.cancelled() and task.exception() is not None:
+            self.loop.call_exception_handler(
+                {
+                    "message": "connection not accepted",
+                    "exception": task.exception(),
+                }
+            )
 
     def refuse(self, sock: socket.socket) -> None:
         """Close a connection beyond the limit."""
--- a/src/hemlockkeel/_internal/utils/process_budget.py
+++ b/src/hemlockkeel/_internal/utils/process_budget.py
@@ -36,6 +36,9 @@
 # Age from which an incomplete request is shed for a new one, and time
 # without progress from which a response is no longer kept for its reader.
 SLOW_AFTER_S = 1.0
+# Added to the age of a request, so that of several that have just begun the
+# largest is shed.
+MIN_AGE_S = 0.1
 # Shares of the descriptors that accepted connections may take; the rest is
 # for connections to targets, links and files.
 CALLER_SHARE = 0.5
@@ -105,6 +108,10 @@
         """Return what waits to be sent to the client."""
         return 0
 
+    def has_unread_bytes(self) -> bool:
+        """Return whether something has arrived that was not looked at."""
+        return False
+
 
 class Holder:
     """Memory that one owner holds."""
@@ -122,7 +129,7 @@
 
     def get_score(self, now: float) -> float:
         """Return how large and slow an incomplete request is."""
-        return self.held_bytes * (now - self.since)
+        return self.held_bytes * (now - self.since + MIN_AGE_S)
 
     def is_slow(self, now: float) -> bool:
         """Return whether the activity has lasted for a while."""
@@ -263,10 +270,12 @@
         self.budget = budget
         self.limit = limit
         self.holders: set[Holder] = set()
+        # Accepted connections that are not holders yet.
+        self.pending = 0
 
     def is_full(self) -> bool:
         """Return whether another connection needs room to be made."""
-        return len(self.holders) >= self.limit
+        return len(self.holders) + self.pending >= self.limit
 
     def remove(self, holder: Holder) -> None:
         """Stop to count a connection that is closed, and its memory."""
@@ -276,23 +285,45 @@
     def make_room(self) -> bool:
         """Close the connection that has waited longest, if one waits.
 
-        Returns whether another connection may be accepted.
+        Otherwise the slowest incomplete request is shed. Its rejection takes
+        a while, so that it makes room for a later connection only. Returns
+        whether another connection may be accepted now.
         """
         if not self.is_full():
             return True
-        waiting = [
-            holder
-            for holder in self.holders
-            if holder.activity is Activity.WAITING and not holder.is_shed
-        ]
-        if not waiting:
-            self.budget.counts["connection_refused"] += 1
-            return False
-        self.budget.counts["connection_closed"] += 1
-        longest = min(waiting, key=lambda each: each.since)
-        longest.is_shed = True
-        longest.owner.shed()
-        return True
+        longest = self.find_oldest(Activity.WAITING, 0.0)
+        if longest is not None:
+            self.budget.counts["connection_closed"] += 1
+            longest.is_shed = True
+            longest.owner.shed()
+            return True
+        self.budget.counts["connection_refused"] += 1
+        slowest = self.find_oldest(Activity.RECEIVING, SLOW_AFTER_S)
+        if slowest is not None:
+            self.budget.shed(slowest)
+        return False
+
+    def find_oldest(
+        self, activity: Activity, min_age_s: float
+    ) -> Holder | None:
+        """Return the holder that has been in an activity for longest.
+
+        Those with data that waits to be sent or handled are left out.
+        """
+        begun_before = self.budget.clock() - min_age_s
+        return min(
+            (
+                holder
+                for holder in self.holders
+                if holder.activity is activity
+                and not holder.is_shed
+                and holder.since <= begun_before
+                and not holder.owner.get_unsent_bytes()
+                and not holder.owner.has_unread_bytes()
+            ),
+            key=lambda each: each.since,
+            default=None,
+        )
 
 
 def return_freed_memory() -> None:
--- a/tests/functional/test_adversarial_clients.py
+++ b/tests/functional/test_adversarial_clients.py
@@ -351,6 +351,20 @@
         self.send_from_all(self.api, make_pieces)
         await self.check_control(self.api)
 
+    async def test_dense_calls(self) -> None:
+        # Decoded, a call of the largest size took 125 MiB.
+        await self.start_control()
+        items = b'{"a":{}},' * (BODY_BYTES // len(b'{"a":{}},'))
+        body = items.ljust(BODY_BYTES, b" ")
+
+        def make_pieces(number: int) -> Pieces:
+            yield make_head(f"Content-Length: {BODY_BYTES}", "/config", "PUT")
+            yield b'{"routes":['
+            yield body[: -len(b'{"routes":[')]
+
+        self.send_from_all(self.api, make_pieces)
+        await self.check_control(self.api)
+
     async def test_long_frames_a_byte_short(self) -> None:
         # A link keeps the incomplete frame of a peer without a hello.
         await self.start_control()
