--- a/src/hemlockkeel/_internal/utils/process_budget.py
+++ b/src/hemlockkeel/_internal/utils/process_budget.py
@@ -42,8 +42,8 @@
 # Shares of the descriptors that accepted connections may take; the rest is
 # for connections to targets, links and files.
 CALLER_SHARE = 0.5
-API_SHARE = 0.3
-LINK_SHARE = 0.4
+API_SHARE = 0.25
+LINK_SHARE = 0.6
 # Connections to each of the readiness and metrics addresses.
 CHECK_CONNECTIONS = 16
 # Options of mallopt(3).
