--- a/src/hemlockkeel/_internal/coordinator/process.py
+++ b/src/hemlockkeel/_internal/coordinator/process.py
@@ -16,6 +16,7 @@
 from hemlockkeel._internal.coordinator import api
 from hemlockkeel._internal.coordinator import crash_reports
 from hemlockkeel._internal.coordinator import credits
+from hemlockkeel._internal.coordinator import decoding
 from hemlockkeel._internal.coordinator import membership
 from hemlockkeel._internal.coordinator import rate_limits
 from hemlockkeel._internal.coordinator import replicated_state
@@ -37,6 +38,7 @@
 from hemlockkeel._internal.utils import event_process
 from hemlockkeel._internal.utils import http_service
 from hemlockkeel._internal.utils import metrics
+from hemlockkeel._internal.utils import process_budget
 from hemlockkeel._internal.utils import supervision
 
 LEADER_CHECK_INTERVAL_S = 0.2
@@ -85,7 +87,7 @@
         call_codec: api.ApiCodec,
         log: event_log.EventLog,
     ) -> None:
-        super().__init__(settings_path, log)
+        super().__init__(settings_path, log, settings.limits)
         self.settings = settings
         self.read_settings = read_settings
         self.call_codec = call_codec
@@ -133,8 +135,13 @@
         )
         self.sender.peers = self.peers
         self.sender.cluster_id = self.node.cluster_id
-        self.api = http_service.HttpListener(self)
+        self.api = http_service.HttpListener(
+            self,
+            self.budget,
+            settings.limits.get_connections(process_budget.API_SHARE),
+        )
         # A caller that leaves does not end the decoding of its body.
+        self.decoding_memory = decoding.DecodingMemory(self.budget)
         self.decoder = concurrent.futures.ThreadPoolExecutor(1)
         self.credits = credits.Credits(
             self.node,
@@ -144,7 +151,7 @@
             self.clock,
             log,
         )
-        self.links = server.LinkServer(self, log)
+        self.links = server.LinkServer(self, log, self.budget)
 
     # Process
 
@@ -602,9 +609,10 @@
         arguments = method, request.path, request.body
         if len(request.body) <= MAX_LOOP_DECODED_BYTES:
             return self.call_codec.decode(*arguments)
-        return await self.loop.run_in_executor(
-            self.decoder, self.call_codec.decode, *arguments
-        )
+        async with self.decoding_memory.reserve(request.body):
+            return await self.loop.run_in_executor(
+                self.decoder, self.call_codec.decode, *arguments
+            )
 
     async def execute_call(self, call: api.Call) -> tuple[int, bytes]:
         """Execute a call; return the status and body of the response."""
--- a/src/hemlockkeel/_internal/relay/process.py
+++ b/src/hemlockkeel/_internal/relay/process.py
@@ -36,6 +36,7 @@
 from hemlockkeel._internal.utils import event_log
 from hemlockkeel._internal.utils import event_process
 from hemlockkeel._internal.utils import http_service
+from hemlockkeel._internal.utils import process_budget
 from hemlockkeel._internal.utils import supervision
 
 HOUSEKEEPING_INTERVAL_S = 0.5
@@ -73,6 +74,9 @@
     # after the revocation was acknowledged.
     strict_revoke: bool = False
     revoke_s: float = 5.0
+    limits: process_budget.ProcessLimits = dataclasses.field(
+        default_factory=process_budget.ProcessLimits
+    )
 
 
 class ControlListener(dialer.Listener):
@@ -165,7 +169,7 @@
         configurations: codec.ConfigurationCodec,
         log: event_log.EventLog,
     ) -> None:
-        super().__init__(settings_path, log)
+        super().__init__(settings_path, log, settings.limits)
         self.settings = settings
         self.read_settings = read_settings
         self.configuration_receiver = (
@@ -176,7 +180,9 @@
         self.stopping = False
         self.forwarders: set[forwarder.Forwarder] = set()
         self.members = announced_members.AnnouncedMembers()
-        self.registry = registry_module.TargetRegistry(settings.heartbeat_s)
+        self.registry = registry_module.TargetRegistry(
+            settings.heartbeat_s, self.budget
+        )
         hello = messages.Hello(
             role="entry",
             name=settings.name,
@@ -228,9 +234,15 @@
             clock.SuspendAwareClock(),
             self.quotas,
         )
-        self.caller_listener = http_service.HttpListener(self)
+        self.caller_listener = http_service.HttpListener(
+            self,
+            self.budget,
+            settings.limits.get_connections(process_budget.CALLER_SHARE),
+        )
         self.ready_listener = http_service.HttpListener(
-            http_service.ReadinessHandler(self.is_ready)
+            http_service.ReadinessHandler(self.is_ready),
+            self.budget,
+            settings.limits.check_connections,
         )
 
     # Process
