Take no late response for that to the next call

Cause: a request with an id that its connection had carried before, or without an id, could not be told from an earlier one whose response came again; the clients of engines and the thrift client compared nothing.

Change: such requests and all calls to engines get connections of their own; thrift calls are numbered.

--- a/src/hemlockkeel/_internal/engines/http_engine.py
+++ b/src/hemlockkeel/_internal/engines/http_engine.py
@@ -1,10 +1,10 @@
 """Engine with an HTTP interface; completions follow the OpenAI API."""
 
 import collections.abc
+import contextlib
 import dataclasses
 import http.client
 import json
-import threading
 import typing
 import urllib.parse
 
@@ -79,7 +79,6 @@
     def __init__(self, host: str, port: int) -> None:
         self.host = host
         self.port = port
-        self.thread_local = threading.local()
         self.pause = pause.Pause()
 
     def get_identity(self) -> base.Identity:
@@ -292,40 +291,19 @@
         :raises UnreachableError: when no response was received.
         """
         headers = {} if fence is None else {FENCE_HEADER: str(fence)}
-        connection = self.get_connection(timeout_s)
-        try:
-            connection.request(method, path, data, headers)
-            response = connection.getresponse()
-            status, reply = response.status, response.read()
-            if status != http.client.OK:
-                # A refusal that is repeated would answer the next request.
-                connection.close()
-            return status, reply
-        except (OSError, http.client.HTTPException) as error:
-            connection.close()
-            raise exceptions.UnreachableError(
-                f"{method} {path} at engine {self.host}:{self.port} failed: "
-                f"{error}"
-            ) from error
-
-    def get_connection(self, timeout_s: float) -> http.client.HTTPConnection:
-        """Return the connection of this thread for all requests but runs.
-
-        These requests are idempotent or fenced, so it is safe to repeat one
-        that failed because the engine had closed the idle connection.
-        """
-        connection: bounded_http.Connection | None
-        connection = getattr(self.thread_local, "connection", None)
-        if connection is None:
-            connection = bounded_http.Connection(
-                self.host, self.port, timeout_s
-            )
-            self.thread_local.connection = connection
-        connection.timeout = timeout_s
-        connection.set_limits(timeout_s, timeout_s)
-        if connection.sock is not None:
-            connection.sock.settimeout(timeout_s)
-        return connection
+        # Calls have no id by which a late response to an earlier one could be
+        # told, so each has its own connection.
+        connection = bounded_http.Connection(self.host, self.port, timeout_s)
+        with contextlib.closing(connection):
+            try:
+                connection.request(method, path, data, headers)
+                response = connection.getresponse()
+                return response.status, response.read()
+            except (OSError, http.client.HTTPException) as error:
+                raise exceptions.UnreachableError(
+                    f"{method} {path} at engine {self.host}:{self.port} "
+                    f"failed: {error}"
+                ) from error
 
 
 def decode(data: bytes, kind: type[_Reply]) -> _Reply:
--- a/src/hemlockkeel/_internal/orders/http_client.py
+++ b/src/hemlockkeel/_internal/orders/http_client.py
@@ -1,4 +1,8 @@
-"""Sends requests to an engine over HTTP with keep-alive connections."""
+"""Sends requests to an engine over HTTP.
+
+Calls have no id by which a late response to an earlier one could be told, so
+each has its own connection.
+"""
 
 import asyncio
 import dataclasses
@@ -8,7 +12,6 @@
 from hemlockkeel._internal.orders import engine
 from hemlockkeel._internal.relay import exchange
 from hemlockkeel._internal.relay import header_codec
-from hemlockkeel._internal.relay import pool
 from hemlockkeel._internal.utils import retry_after
 
 # An engine runs on the instance of its agent and responds within
@@ -28,7 +31,6 @@
     ) -> None:
         self.address = address
         self.codec = codec
-        self.connections = pool.TargetPool(address)
         self.header_codec = headers
         # Loop time until which the engine wants no requests of this agent.
         self.held_until = float("-inf")
@@ -79,15 +81,13 @@
         loop = asyncio.get_running_loop()
         if loop.time() < self.held_until:
             raise exchange.ConnectFailedError("the engine asked for a pause")
-        connection = self.connections.acquire_idle(loop.time(), True)
-        if connection is None:
-            connection = await self.connections.connect()
-        head: exchange.ResponseHead | None = None
-        try:
-            async with asyncio.timeout(timeout_s):
+        async with asyncio.timeout(timeout_s):
+            connection = await exchange.connect(self.address)
+            try:
                 length = str(len(request.body)).encode()
                 headers = [
                     (b"Host", self.address.encode()),
+                    (b"Connection", b"close"),
                     *request.headers,
                     (b"Content-Length", length),
                 ]
@@ -97,18 +97,10 @@
                 head = await connection.read_head(self.header_codec, "")
                 async with exchange.within_budget(connection):
                     body = await exchange.read_body(connection)
-                self.update_hold(head)
-                return head, body
-        except BaseException:
-            head = None
-            raise
-        finally:
-            if head is None or head.status >= http.HTTPStatus.BAD_REQUEST:
-                # Calls have no id by which a refusal that the engine repeats
-                # could be told from the next response.
-                self.connections.discard(connection)
-            else:
-                self.connections.release(connection, head.headers, loop.time())
+            finally:
+                connection.abort()
+        self.update_hold(head)
+        return head, body
 
     def update_hold(self, head: exchange.ResponseHead) -> None:
         """Send the engine nothing for as long as a refusal asks for."""
--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -186,7 +186,9 @@
                 1, max_connections - target.identity.open_connections
             )
         connection = target.pool.acquire_idle(
-            self.context.now, self.route.idempotent
+            self.context.now,
+            self.route.idempotent,
+            self.context.metadata.request_id,
         )
         if connection is None:
             if target.pool.in_use >= max_connections:
--- a/src/hemlockkeel/_internal/relay/exchange.py
+++ b/src/hemlockkeel/_internal/relay/exchange.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client side of a connection to a target."""
 
 import asyncio
+import collections
 import collections.abc
 import contextlib
 import socket
@@ -25,6 +26,9 @@
 # Time for the response to a request after one without a request id, which may
 # be an earlier one or this one.
 UNIDENTIFIED_RESPONSE_WAIT_S = 0.5
+# Ids of the last requests on a connection, none of which is sent there again:
+# a late response to the first could not be told from that to the second.
+MAX_KNOWN_REQUEST_IDS = 16
 # Largest response body that is buffered, so that a truncated response can be
 # retried.
 MAX_BUFFERED_BODY_BYTES = 8 * 1024 * 1024
@@ -93,6 +97,9 @@
         self.answering = False
         # Whether that response has the request's id.
         self.identified = False
+        self.request_ids: collections.deque[str] = collections.deque(
+            maxlen=MAX_KNOWN_REQUEST_IDS
+        )
 
     def send(
         self,
@@ -186,6 +193,7 @@
             received.
         """
         self.budgeted = True
+        self.request_ids.append(request_id)
         for _ in range(MAX_MISMATCHED_RESPONSES):
             event = await self.next_event()
             while isinstance(event, h11.InformationalResponse):
@@ -201,7 +209,7 @@
             if found == request_id or not (found or self.used):
                 self.budgeted = False
                 self.answering = True
-                self.identified = found == request_id
+                self.identified = bool(found) and found == request_id
                 return response
             self.count_unforwarded()
             await self.skip_mismatched_response()
@@ -287,6 +295,12 @@
             self.channel.closing or self.channel.ended or self.channel.received
         )
 
+    def can_tell_response(self, request_id: str) -> bool:
+        """Return whether a late response is told from that to a request."""
+        if not self.used:
+            return True
+        return bool(request_id) and request_id not in self.request_ids
+
     def abort(self) -> None:
         """Close the connection at once."""
         self.channel.abort()
--- a/src/hemlockkeel/_internal/relay/pool.py
+++ b/src/hemlockkeel/_internal/relay/pool.py
@@ -33,17 +33,24 @@
         self.in_use = 0
 
     def acquire_idle(
-        self, now: float, idempotent: bool
+        self, now: float, idempotent: bool, request_id: str
     ) -> exchange.TargetConnection | None:
         """Return the most recently used idle connection; None without one.
 
+        A request without an id gets a new connection, as does one whose id
+        was used on the idle one: a late response to an earlier request could
+        not be told from its own.
+
         The target may have closed the connection unnoticed. A request that
         is not idempotent could not be sent again, so it gets only a
         connection that was used within `FRESH_IDLE_S`.
         """
-        while self.idle:
+        while self.idle and request_id:
             connection = self.idle.pop()
             limit = connection.idle_limit_s or DEFAULT_IDLE_LIMIT_S
+            if not connection.can_tell_response(request_id):
+                connection.abort()
+                continue
             if not idempotent:
                 limit = min(limit, FRESH_IDLE_S)
             if connection.reusable and now - connection.idle_since < limit:
--- a/src/hemlockkeel/_internal/rpc/client.py
+++ b/src/hemlockkeel/_internal/rpc/client.py
@@ -31,7 +31,8 @@
     def __init__(self, sock: socket.socket, make_client: typing.Any) -> None:
         self.sock = sock
         self.transport = frames.FrameTransport(sock)
-        self.stub = make_client(frames.make_protocol(self.transport))
+        self.protocol = frames.ReplyProtocol(self.transport)
+        self.stub = make_client(self.protocol)
 
     def close(self) -> None:
         """Close the socket."""
--- a/src/hemlockkeel/_internal/rpc/frames.py
+++ b/src/hemlockkeel/_internal/rpc/frames.py
@@ -11,6 +11,7 @@
 import time
 
 from thrift.protocol import TBinaryProtocol
+from thrift.protocol import TProtocol
 from thrift.transport import TTransport
 
 HEADER = struct.Struct("!I")
@@ -111,6 +112,39 @@
     )
 
 
+class ReplyProtocol(TBinaryProtocol.TBinaryProtocolAccelerated):
+    """Protocol of a client, which tells late replies by their number.
+
+    The generated clients number all calls alike and compare nothing.
+    """
+
+    def __init__(self, transport: TTransport.TTransportBase) -> None:
+        super().__init__(
+            transport,
+            string_length_limit=MAX_STRING_BYTES,
+            container_length_limit=MAX_CONTAINER_ITEMS,
+        )
+        self.calls = 0
+
+    def writeMessageBegin(  # noqa: N802
+        self, name: str, type: int, seqid: int
+    ) -> None:
+        self.calls += 1
+        super().writeMessageBegin(name, type, self.calls)
+
+    def readMessageBegin(self) -> tuple[str, int, int]:  # noqa: N802
+        """Return name, type and number of a reply.
+
+        :raises TProtocolException: when it replies to another call.
+        """
+        name, kind, seqid = super().readMessageBegin()
+        if seqid != self.calls:
+            raise TProtocol.TProtocolException(
+                message=f"reply to call {seqid} instead of {self.calls}"
+            )
+        return name, kind, seqid
+
+
 class FrameTransport(TTransport.TTransportBase, TTransport.CReadableTransport):
     """Client transport that uses one frame per call and one per reply.
 
--- a/tests/functional/test_engine_client.py
+++ b/tests/functional/test_engine_client.py
@@ -30,7 +30,6 @@
             engine.PlatformEngineCodec(),
             headers.PlatformHeaderCodec(),
         )
-        self.addCleanup(client.connections.close)
         return client
 
     async def start_responding(
--- a/tests/functional/test_relay.py
+++ b/tests/functional/test_relay.py
@@ -469,13 +469,11 @@
         (connection,) = target.pool.idle
         now = asyncio.get_running_loop().time()
         connection.idle_since = now - 1.5
-        self.assertIsNone(target.pool.acquire_idle(now, idempotent=False))
+        self.assertIsNone(target.pool.acquire_idle(now, False, "r2"))
         await self.send_request("idempotent")
         (connection,) = target.pool.idle
         connection.idle_since = now - 1.5
-        self.assertIs(
-            target.pool.acquire_idle(now, idempotent=True), connection
-        )
+        self.assertIs(target.pool.acquire_idle(now, True, "r2"), connection)
 
     async def test_keepalive_finds_a_dead_peer_before_callers_leave(
         self,
