End streams that go on without events

Cause: the product's agents followed a run for as long as a byte came every 30 s, and entries held a stream of comments until the route's timeout.

Change: progress counts events with data (entries: 20 objectives, at least 30 s) and tokens (agents: 120 s, then the run is cancelled).

--- a/src/hemlockkeel/_internal/engines/http_engine.py
+++ b/src/hemlockkeel/_internal/engines/http_engine.py
@@ -24,6 +24,9 @@
 CONNECT_TIMEOUT_S = 2.0
 # A running engine sends a token or an SSE comment at least this often.
 STREAM_READ_TIMEOUT_S = 30.0
+# Longest time between the tokens of a run, many times that of any objective.
+# An engine that sends only comments has stalled.
+TOKEN_TIMEOUT_S = 120.0
 FENCE_HEADER = "X-Fence"
 DATA_PREFIX = b"data: "
 
@@ -73,6 +76,17 @@
     model: str
 
 
+class StalledRunError(base.RunFailedError):
+    """An engine still sends something for a run, but no tokens."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            outcomes.RefusalCode.LOST,
+            f"the engine has sent no tokens for {TOKEN_TIMEOUT_S} s",
+            outcomes.Verdict.MAY_HAVE_RUN,
+        )
+
+
 class HttpEngine(base.Engine):
     """Client of the engine at ``host:port``."""
 
@@ -114,6 +128,12 @@
         try:
             self.send_run(connection, data, order.fence)
             yield from self.read_events(connection)
+        except StalledRunError:
+            with contextlib.suppress(
+                exceptions.UnreachableError, exceptions.EngineOrderError
+            ):
+                self.cancel(order.request_id, order.fence)
+            raise
         finally:
             connection.close()
 
@@ -128,7 +148,7 @@
             CONNECT_TIMEOUT_S,
             bounded_http.MAX_STREAM_BYTES,
         )
-        connection.set_limits(STREAM_READ_TIMEOUT_S, None)
+        connection.set_limits(STREAM_READ_TIMEOUT_S, TOKEN_TIMEOUT_S)
         try:
             connection.connect()
         except OSError as error:
@@ -169,6 +189,7 @@
         resume a run only means that the engine no longer stores its tokens;
         the run may have taken place.
 
+        :raises StalledRunError: when the stream goes on without tokens.
         :raises RunFailedError: when the engine refuses or the stream is
             interrupted.
         """
@@ -179,7 +200,13 @@
                 raise make_refused_error(
                     response.status, response.read(), new_run
                 )
-            yield from parse_events(response)
+            assert isinstance(response, bounded_http.BoundedResponse)
+            for event in parse_events(response):
+                yield event
+                if isinstance(event, base.TokenChunk) and event.tokens:
+                    response.set_time_left(TOKEN_TIMEOUT_S)
+        except bounded_http.ResponseTimeoutError as error:
+            raise StalledRunError from error
         except (OSError, http.client.HTTPException, ValueError) as error:
             raise make_interrupted_error(error) from error
 
--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -11,6 +11,7 @@
 from hemlockkeel._internal.relay import headers
 from hemlockkeel._internal.relay import request_context
 from hemlockkeel._internal.relay import results
+from hemlockkeel._internal.relay import stream_progress
 from hemlockkeel._internal.relay import target as target_module
 from hemlockkeel._internal.relay import target_signals
 from hemlockkeel._internal.relay import waits
@@ -453,6 +454,9 @@
             if self.route.resumable
             else "",
         )
+        progress = stream_progress.StreamProgress(
+            self.route.first_byte_slo_s, self.context.now
+        )
         while True:
             data = await connection.read_data()
             self.target.heard_at = self.context.now
@@ -465,6 +469,11 @@
                 complete_events = splitter.feed(data)
             except ValueError as error:
                 raise exchange.InvalidResponseError(str(error)) from error
+            progress.record(complete_events, self.context.now)
+            if progress.has_stalled(self.context.now):
+                raise exchange.InvalidResponseError(
+                    f"no event for {progress.max_stall_s} s"
+                )
             if not complete_events:
                 continue
             pending_prefill.complete()
--- a/src/hemlockkeel/_internal/utils/bounded_http.py
+++ b/src/hemlockkeel/_internal/utils/bounded_http.py
@@ -25,6 +25,10 @@
     """The server has sent more, or for longer, than is read from it."""
 
 
+class ResponseTimeoutError(ResponseTooLongError):
+    """The response has not ended, or not gone on, within its time limit."""
+
+
 class ResponseCutError(http.client.HTTPException):
     """The connection has ended inside the head or the framing of a body."""
 
@@ -44,10 +48,11 @@
     def readinto(self, buffer: typing.Any) -> int | None:
         """Read into a buffer; return the number of bytes.
 
-        :raises ResponseTooLongError: when a limit is exceeded.
+        :raises ResponseTooLongError: when there are too many bytes.
+        :raises ResponseTimeoutError: when the time limit has passed.
         """
         if self.ends_at is not None and time.monotonic() > self.ends_at:
-            raise ResponseTooLongError("response not complete in time")
+            raise ResponseTimeoutError("response not complete in time")
         count = self.source.readinto(buffer)
         self.remaining -= count or 0
         if self.remaining < 0:
@@ -117,6 +122,10 @@
         self.reader.is_framing = bool(self.chunked)
         self.file.ends_at = self.body_ends_at
 
+    def set_time_left(self, max_s: float) -> None:
+        """Limit the time from now to the end of the body."""
+        self.file.ends_at = time.monotonic() + max_s
+
 
 class Connection(http.client.HTTPConnection):
     """A connection whose responses are limited.
