Tell control members that connect which targets have left

Cause: members keep targets in memory only, so one that had restarted or was cut off took a late announcement of a target that had left for a new one, and named it to entries that had just started.

Change: each member sends others, when it connects to them, the starts that are leaving or have ended.

tests/functional/test_restarts.py without the receiving side: 4 of 8 failed; now 8 of 8 pass.

--- a/src/hemlockkeel/_internal/coordinator/process.py
+++ b/src/hemlockkeel/_internal/coordinator/process.py
@@ -15,6 +15,7 @@
 from hemlockkeel._internal.consensus import node
 from hemlockkeel._internal.coordinator import api
 from hemlockkeel._internal.coordinator import crash_reports
+from hemlockkeel._internal.coordinator import departures
 from hemlockkeel._internal.coordinator import membership
 from hemlockkeel._internal.coordinator import rate_limits
 from hemlockkeel._internal.coordinator import replicated_state
@@ -112,7 +113,11 @@
             name=settings.name,
             data_centre=settings.data_centre,
         )
-        self.peers = dialer.DialerSet(hello, dialer.NullListener(), log)
+        self.peers = dialer.DialerSet(
+            hello,
+            departures.DepartureListener(lambda: self.registry.table),
+            log,
+        )
         self.replicated_state = replicated_state.ReplicatedState(
             self.node, self.catalogue, self.peers, log
         )
@@ -445,6 +450,8 @@
             self.rate_limits.handle_notice(message, self.loop.time())
         elif isinstance(message, messages.CrashCleared):
             self.crash_reports.handle_cleared(message)
+        elif isinstance(message, messages.ShareRecord):
+            self.registry.merge_shared(message)
         elif isinstance(message, messages.StreamsBegun):
             self.stream_origins.record(message, self.loop.time())
         elif isinstance(message, messages.FetchConfiguration):
