Do not give up the streams of an agent that is frozen for 8 s

Cause: an entry lost an agent's streams 3 s after its last answer, also when the agent, or the entry itself, was only frozen.

Change: streams are lost after 10 s of calls that fail, and after 3 s of refused connections, which tell that the process has ended.

--- a/src/hemlockkeel/_internal/entry/links.py
+++ b/src/hemlockkeel/_internal/entry/links.py
@@ -20,8 +20,11 @@
 POLL_WAIT_S = 0.5
 POLL_TIMEOUT_S = 2.0
 RETRY_DELAY_S = 0.05
-# Streams of an agent that has been unreachable for this long are lost.
+# Streams of an agent that has refused connections for this long are lost.
 UNREACHABLE_TIMEOUT_S = 3.0
+# The same for one that does not answer. Its machine may be frozen for some
+# seconds, after which its runs go on.
+SILENT_TIMEOUT_S = 10.0
 SUBMIT_TIMEOUT_S = 2.0
 UNKNOWN_EPOCH = -1
 
@@ -119,7 +122,9 @@
         self.prefix_set: frozenset[str] = frozenset()
         self.adapters_epoch = UNKNOWN_EPOCH
         self.unreported = 0
-        self.reachable_at = time.monotonic()
+        # When calls began to fail, and to be refused; None while they do not.
+        self.failing_since: float | None = None
+        self.refused_since: float | None = None
         self.reachable = False
         self.must_reattach = False
         self.incarnation = 0
@@ -155,8 +160,8 @@
                 if self.must_reattach:
                     self.reattach_all()
                 self.poll()
-            except client.CALL_ERRORS:
-                self.handle_unreachable()
+            except client.CALL_ERRORS as error:
+                self.handle_unreachable(error)
                 self.stopping.wait(RETRY_DELAY_S)
 
     def poll(self) -> None:
@@ -214,14 +219,28 @@
                 self.prefix_set = frozenset(load.prefixes)
         if load.adapters is not None:
             self.report_adapters(self.adapter_set | self.loading_set)
-        self.reachable_at = time.monotonic()
+        self.failing_since = self.refused_since = None
         self.reachable = True
 
-    def handle_unreachable(self) -> None:
-        """Reattach the streams later; fail them after the timeout."""
+    def handle_unreachable(self, error: Exception) -> None:
+        """Reattach the streams later; fail them after the timeout.
+
+        Time counts from the first call that failed, since this process may
+        have been frozen itself.
+        """
         self.reachable = False
         self.must_reattach = True
-        if time.monotonic() - self.reachable_at > UNREACHABLE_TIMEOUT_S:
+        now = time.monotonic()
+        if self.failing_since is None:
+            self.failing_since = now
+        if not isinstance(error.__cause__, ConnectionRefusedError):
+            self.refused_since = None
+        elif self.refused_since is None:
+            self.refused_since = now
+        if now - self.failing_since > SILENT_TIMEOUT_S or (
+            self.refused_since is not None
+            and now - self.refused_since > UNREACHABLE_TIMEOUT_S
+        ):
             self.fail_all(StreamLost(agent_unavailable=True))
 
     def fail_all(self, lost: StreamLost) -> None:
--- a/tests/functional/test_daemons.py
+++ b/tests/functional/test_daemons.py
@@ -20,7 +20,7 @@
 MODEL = "letter-1@1"
 
 
-class TestDaemons(unittest.TestCase):
+class DaemonCase(unittest.TestCase):
     """One control member, two entries, three agents, three engines."""
 
     def setUp(self) -> None:
@@ -119,6 +119,10 @@
             engine.make_token(model, prompt, n) for n in range(tokens)
         )
 
+
+class TestDaemons(DaemonCase):
+    """Stops and kills of each role while a request runs."""
+
     def test_sigterm_completes_streams_and_deregisters_agents(self) -> None:
         stream = calls.SseStream(self.urls[0], MODEL, "stop softly", 60)
         self.assertTrue(stream.read_event())
