--- a/src/hemlockkeel/_internal/engines/http_engine.py
+++ b/src/hemlockkeel/_internal/engines/http_engine.py
@@ -1,10 +1,10 @@
 """Engine with an HTTP interface; completions follow the OpenAI API."""
 
 import collections.abc
+import contextlib
 import dataclasses
 import http.client
 import json
-import threading
 import typing
 import urllib.parse
 
@@ -24,6 +24,9 @@
 CONNECT_TIMEOUT_S = 2.0
 # A running engine sends a token or an SSE comment at least this often.
 STREAM_READ_TIMEOUT_S = 30.0
+# Longest time between the tokens of a run, many times that of any objective.
+# An engine that sends only comments has stalled.
+TOKEN_TIMEOUT_S = 120.0
 FENCE_HEADER = "X-Fence"
 DATA_PREFIX = b"data: "
 
@@ -73,13 +76,23 @@
     model: str
 
 
+class StalledRunError(base.RunFailedError):
+    """An engine still sends something for a run, but no tokens."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            outcomes.RefusalCode.LOST,
+            f"the engine has sent no tokens for {TOKEN_TIMEOUT_S} s",
+            outcomes.Verdict.MAY_HAVE_RUN,
+        )
+
+
 class HttpEngine(base.Engine):
     """Client of the engine at ``host:port``."""
 
     def __init__(self, host: str, port: int) -> None:
         self.host = host
         self.port = port
-        self.thread_local = threading.local()
         self.pause = pause.Pause()
 
     def get_identity(self) -> base.Identity:
@@ -115,6 +128,12 @@
         try:
             self.send_run(connection, data, order.fence)
             yield from self.read_events(connection)
+        except StalledRunError:
+            with contextlib.suppress(
+                exceptions.UnreachableError, exceptions.EngineOrderError
+            ):
+                self.cancel(order.request_id, order.fence)
+            raise
         finally:
             connection.close()
 
@@ -129,7 +148,7 @@
             CONNECT_TIMEOUT_S,
             bounded_http.MAX_STREAM_BYTES,
         )
-        connection.set_limits(STREAM_READ_TIMEOUT_S, None)
+        connection.set_limits(STREAM_READ_TIMEOUT_S, TOKEN_TIMEOUT_S)
         try:
             connection.connect()
         except OSError as error:
@@ -170,6 +189,7 @@
         resume a run only means that the engine no longer stores its tokens;
         the run may have taken place.
 
+        :raises StalledRunError: when the stream goes on without tokens.
         :raises RunFailedError: when the engine refuses or the stream is
             interrupted.
         """
@@ -180,7 +200,13 @@
                 raise make_refused_error(
                     response.status, response.read(), new_run
                 )
-            yield from parse_events(response)
+            assert isinstance(response, bounded_http.BoundedResponse)
+            for event in parse_events(response):
+                yield event
+                if isinstance(event, base.TokenChunk) and event.tokens:
+                    response.set_time_left(TOKEN_TIMEOUT_S)
+        except bounded_http.ResponseTimeoutError as error:
+            raise StalledRunError from error
         except (OSError, http.client.HTTPException, ValueError) as error:
             raise make_interrupted_error(error) from error
 
@@ -292,40 +318,19 @@
         :raises UnreachableError: when no response was received.
         """
         headers = {} if fence is None else {FENCE_HEADER: str(fence)}
-        connection = self.get_connection(timeout_s)
-        try:
-            connection.request(method, path, data, headers)
-            response = connection.getresponse()
-            status, reply = response.status, response.read()
-            if status != http.client.OK:
-                # A refusal that is repeated would answer the next request.
-                connection.close()
-            return status, reply
-        except (OSError, http.client.HTTPException) as error:
-            connection.close()
-            raise exceptions.UnreachableError(
-                f"{method} {path} at engine {self.host}:{self.port} failed: "
-                f"{error}"
-            ) from error
-
-    def get_connection(self, timeout_s: float) -> http.client.HTTPConnection:
-        """Return the connection of this thread for all requests but runs.
-
-        These requests are idempotent or fenced, so it is safe to repeat one
-        that failed because the engine had closed the idle connection.
-        """
-        connection: bounded_http.Connection | None
-        connection = getattr(self.thread_local, "connection", None)
-        if connection is None:
-            connection = bounded_http.Connection(
-                self.host, self.port, timeout_s
-            )
-            self.thread_local.connection = connection
-        connection.timeout = timeout_s
-        connection.set_limits(timeout_s, timeout_s)
-        if connection.sock is not None:
-            connection.sock.settimeout(timeout_s)
-        return connection
+        # Calls have no id by which a late response to an earlier one could be
+        # told, so each has its own connection.
+        connection = bounded_http.Connection(self.host, self.port, timeout_s)
+        with contextlib.closing(connection):
+            try:
+                connection.request(method, path, data, headers)
+                response = connection.getresponse()
+                return response.status, response.read()
+            except (OSError, http.client.HTTPException) as error:
+                raise exceptions.UnreachableError(
+                    f"{method} {path} at engine {self.host}:{self.port} "
+                    f"failed: {error}"
+                ) from error
 
 
 def decode(data: bytes, kind: type[_Reply]) -> _Reply:
--- a/src/hemlockkeel/_internal/orders/http_client.py
+++ b/src/hemlockkeel/_internal/orders/http_client.py
@@ -1,8 +1,13 @@
-"""Sends requests to an engine over HTTP with keep-alive connections."""
+"""Sends requests to an engine over HTTP with keep-alive connections.
+
+Each call has an id. A connection is used again only if the engine has repeated
+the id in its response, so that a late response to an earlier call is told.
+"""
 
 import asyncio
 import dataclasses
 import http
+import itertools
 import time
 
 from hemlockkeel._internal.orders import engine
@@ -28,8 +33,9 @@
     ) -> None:
         self.address = address
         self.codec = codec
-        self.connections = pool.TargetPool(address)
         self.header_codec = headers
+        self.connections = pool.TargetPool(address)
+        self.call_numbers = itertools.count(1)
         # Loop time until which the engine wants no requests of this agent.
         self.held_until = float("-inf")
 
@@ -79,7 +85,8 @@
         loop = asyncio.get_running_loop()
         if loop.time() < self.held_until:
             raise exchange.ConnectFailedError("the engine asked for a pause")
-        connection = self.connections.acquire_idle(loop.time(), True)
+        call_id = f"agent-{next(self.call_numbers)}"
+        connection = self.connections.acquire_idle(loop.time(), True, call_id)
         if connection is None:
             connection = await self.connections.connect()
         head: exchange.ResponseHead | None = None
@@ -88,13 +95,14 @@
                 length = str(len(request.body)).encode()
                 headers = [
                     (b"Host", self.address.encode()),
+                    *self.header_codec.make_id_headers(call_id),
                     *request.headers,
                     (b"Content-Length", length),
                 ]
                 connection.send(
                     request.method, request.path, headers, request.body
                 )
-                head = await connection.read_head(self.header_codec, "")
+                head = await connection.read_head(self.header_codec, call_id)
                 async with exchange.within_budget(connection):
                     body = await exchange.read_body(connection)
                 self.update_hold(head)
@@ -103,9 +111,7 @@
             head = None
             raise
         finally:
-            if head is None or head.status >= http.HTTPStatus.BAD_REQUEST:
-                # Calls have no id by which a refusal that the engine repeats
-                # could be told from the next response.
+            if head is None:
                 self.connections.discard(connection)
             else:
                 self.connections.release(connection, head.headers, loop.time())
--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -11,6 +11,7 @@
 from hemlockkeel._internal.relay import headers
 from hemlockkeel._internal.relay import request_context
 from hemlockkeel._internal.relay import results
+from hemlockkeel._internal.relay import stream_progress
 from hemlockkeel._internal.relay import target as target_module
 from hemlockkeel._internal.relay import target_signals
 from hemlockkeel._internal.relay import waits
@@ -186,7 +187,9 @@
                 1, max_connections - target.identity.open_connections
             )
         connection = target.pool.acquire_idle(
-            self.context.now, self.route.idempotent
+            self.context.now,
+            self.route.idempotent,
+            self.context.metadata.request_id,
         )
         if connection is None:
             if target.pool.in_use >= max_connections:
@@ -455,6 +458,9 @@
             if self.route.resumable
             else "",
         )
+        progress = stream_progress.StreamProgress(
+            self.route.first_byte_slo_s, self.context.now
+        )
         while True:
             data = await connection.read_data()
             self.target.heard_at = self.context.now
@@ -467,6 +473,11 @@
                 complete_events = splitter.feed(data)
             except ValueError as error:
                 raise exchange.InvalidResponseError(str(error)) from error
+            progress.record(complete_events, self.context.now)
+            if progress.has_stalled(self.context.now):
+                raise exchange.InvalidResponseError(
+                    f"no event for {progress.max_stall_s} s"
+                )
             if not complete_events:
                 continue
             pending_prefill.complete()
