Choose plain targets by the response time expected of each

Cause: plain targets were chosen by their load alone, with one service time for all. A target that is slow by a factor of 7.5 and reports good health got as many requests as the others. Change: policy/target_speed estimates the service time of each incarnation from response times, divided by the load at that time; it rises fast, falls slowly and returns to the other targets' without samples. The reported slowdown is believed for 0.1 s. Requests choose the least expected response time with a random part. The prior of 60 ms stays for services without any response. Gauge hemlockkeel_target_service_seconds, events target_slow and target_recovered, `service` in target_chosen.

--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -13,6 +13,7 @@
 from hemlockkeel._internal.relay import results
 from hemlockkeel._internal.relay import target as target_module
 from hemlockkeel._internal.relay import target_signals
+from hemlockkeel._internal.relay import target_speeds
 from hemlockkeel._internal.relay import waits
 from hemlockkeel._internal.routes import table
 
@@ -259,6 +260,7 @@
         target.in_flight_prefill_tokens += prefill_tokens
         pending_prefill = PendingPrefill(target, prefill_tokens)
         finished_response: exchange.ResponseHead | None = None
+        timing = target_speeds.ExchangeTiming(target, sent_at)
         previous_verdict, self.context.verdict = (
             self.context.verdict,
             outcomes.Verdict.MAY_HAVE_RUN,
@@ -279,8 +281,7 @@
             shared.crashes.confirm_completed(
                 target, connection.opened_at, self.context.now
             )
-            if response.metadata.load is not None:
-                target.update_load(response.metadata.load, self.context.now)
+            timing.record_head(response, self.context.now)
             target_signals.record_signals(
                 self.context, target, response, sent_at
             )
@@ -319,6 +320,7 @@
                 str(error),
             )
         finally:
+            timing.end(self.context.now)
             pending_prefill.complete()
             shared.suspects.remove_copy(self.context.traits, connection)
             target.remove_request(self.context.traits)
--- a/src/hemlockkeel/_internal/relay/forwarder.py
+++ b/src/hemlockkeel/_internal/relay/forwarder.py
@@ -255,6 +255,9 @@
             own=chosen.in_flight,
             running=chosen.running,
             kept=chosen.cached_tokens,
+            service=round(chosen.service_s, 4)
+            if chosen.engine is None
+            else None,
             slot_wait=round(self.context.slot_wait_s, 2),
         )
         return shared.registry.targets[chosen.record.instance_id]
--- a/src/hemlockkeel/_internal/relay/process.py
+++ b/src/hemlockkeel/_internal/relay/process.py
@@ -22,6 +22,7 @@
 from hemlockkeel._internal.relay import rate_limits
 from hemlockkeel._internal.relay import shared_state
 from hemlockkeel._internal.relay import target_registry as registry_module
+from hemlockkeel._internal.relay import target_speeds
 from hemlockkeel._internal.routes import budget
 from hemlockkeel._internal.routes import codec
 from hemlockkeel._internal.routes import reserve_share
@@ -186,6 +187,7 @@
         self.adapter_client = adapters.AdapterClient(
             self.agent_links, settings.agent_port
         )
+        self.speed_report = target_speeds.SpeedReport(log, self.instruments)
         self.connection_watches = connection_watch.ConnectionWatches(log)
         self.shared = shared_state.SharedState(
             self.registry,
@@ -275,6 +277,7 @@
             now = asyncio.get_running_loop().time()
             self.registry.advance_contact(now, self.has_control_majority())
             self.registry.expire(now)
+            self.speed_report.update(self.registry.targets.values(), now)
             self.crashes.probe_silent_targets(self.registry.targets.values())
             self.crashes.expire()
             self.shared.origins.expire()
--- a/src/hemlockkeel/_internal/relay/target.py
+++ b/src/hemlockkeel/_internal/relay/target.py
@@ -7,6 +7,7 @@
 from hemlockkeel._internal.discovery import traits as traits_module
 from hemlockkeel._internal.models import ids
 from hemlockkeel._internal.orders import backlog
+from hemlockkeel._internal.policy import target_speed
 from hemlockkeel._internal.relay import availability as availability_module
 from hemlockkeel._internal.relay import header_codec
 from hemlockkeel._internal.relay import pool
@@ -72,6 +73,10 @@
     waiting: int = 0
     slots: int = 0
     load_reported_at: float = float("-inf")
+    # Estimated from the responses of a plain target.
+    speed: target_speed.SpeedEstimate = dataclasses.field(
+        default_factory=target_speed.SpeedEstimate
+    )
     failure_share: float = 0.0
     failure_at: float = 0.0
     engine: target_selection.EngineView | None = None
@@ -95,6 +100,9 @@
         self.running, self.waiting = load.running, load.waiting
         self.slots = load.slots
         self.load_reported_at = now
+        self.speed.record_report(
+            load.running + load.waiting, load.slowdown, now
+        )
 
     def mark_leaving(self, wall_s: float = float("-inf")) -> bool:
         """Record that the target leaves; return whether this is news.
--- a/src/hemlockkeel/_internal/relay/target_registry.py
+++ b/src/hemlockkeel/_internal/relay/target_registry.py
@@ -6,6 +6,7 @@
 from hemlockkeel._internal.discovery import records
 from hemlockkeel._internal.discovery import stream_origins
 from hemlockkeel._internal.links import messages
+from hemlockkeel._internal.policy import target_speed
 from hemlockkeel._internal.relay import availability
 from hemlockkeel._internal.relay import header_codec
 from hemlockkeel._internal.relay import pool
@@ -248,9 +249,14 @@
             f"{metadata.model}/{metadata.adapter}" if metadata.adapter else ""
         )
         candidates = []
-        for record in self.table.find_usable(
+        usable = self.table.find_usable(
             service, self.contact_s, self.max_silence_s
-        ):
+        )
+        usual_s = target_speed.get_usual_s(
+            (self.targets[record.instance_id].speed for record in usable),
+            target_selection.PRIOR_PLAIN_SERVICE_S,
+        )
+        for record in usable:
             if record.incarnation_key in excluded:
                 continue
             target = self.targets[record.instance_id]
@@ -284,6 +290,8 @@
                     adapter in target.recent_adapters,
                     silence_s / self.max_silence_s,
                     record.address in self.silent_addresses,
+                    target.speed.expect_service_s(usual_s, now),
+                    target.speed.expect_occupancy(now),
                 )
             )
         return candidates
--- a/src/hemlockkeel/_internal/relay/target_selection.py
+++ b/src/hemlockkeel/_internal/relay/target_selection.py
@@ -12,6 +12,7 @@
 from hemlockkeel._internal.discovery import records
 from hemlockkeel._internal.orders import backlog
 from hemlockkeel._internal.policy import routing
+from hemlockkeel._internal.policy import target_speed
 
 # Slowest step of an engine's batch, from the engine data sheet.
 MAX_BATCH_STEP_S = 0.0055
@@ -30,11 +31,12 @@
 # and charged for, and prompts are larger than the bodies of plain requests.
 REMOTE_ENGINE_COST_S = 0.1
 REMOTE_PLAIN_COST_S = 0.01
-# Expected duration of one request at a plain service.
-PLAIN_SERVICE_TIME_S = 0.06
-# Cost of a plain target that has as many requests as slots, in proportion to
-# its requests.
-PLAIN_LOAD_COST_S = 0.01
+# Service time of a plain service of which no response is known yet.
+PRIOR_PLAIN_SERVICE_S = 0.06
+# Plain targets whose service times differ by less than this share are chosen
+# at random. Entries choose by reports of about the same age, and would
+# otherwise all choose the same target.
+PLAIN_JITTER = 0.3
 # Expected delay at a target that is still slow after its start, as a share of
 # the time for which it remains slow.
 WARMUP_COST_RATIO = 0.1
@@ -108,6 +110,11 @@
     silence_ratio: float = 0.0
     # Whether its instance seems to be paused.
     unresponsive: bool = False
+    # Expected service time at a plain target while it is idle.
+    service_s: float = PRIOR_PLAIN_SERVICE_S
+    # Requests that are expected to run or wait there now, where this is
+    # estimated from several reports.
+    expected_ahead: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -139,12 +146,20 @@
     return min(
         candidates,
         key=lambda candidate: (
-            estimate_cost_s(requirements, candidate, loaded_anywhere),
+            estimate_cost_s(requirements, candidate, loaded_anywhere)
+            + draw_jitter_s(candidate, rng),
             rng.random(),
         ),
     )
 
 
+def draw_jitter_s(candidate: Candidate, rng: random.Random) -> float:
+    """Return a random cost that spreads requests over similar targets."""
+    if candidate.engine is not None:
+        return 0.0
+    return candidate.service_s * PLAIN_JITTER * rng.random()
+
+
 def estimate_cost_s(
     requirements: Requirements, candidate: Candidate, loaded_anywhere: bool
 ) -> float:
@@ -179,11 +194,14 @@
 
 
 def estimate_plain_wait_s(candidate: Candidate) -> float:
-    """Return the expected wait at a target of a plain service, seconds."""
-    ahead = max(candidate.in_flight, candidate.running + candidate.waiting)
-    slots = max(1, candidate.slots)
-    excess = max(0.0, (ahead + 1 - slots) / slots)
-    return excess * PLAIN_SERVICE_TIME_S + PLAIN_LOAD_COST_S * ahead / slots
+    """Return the expected response time at a target of a plain service."""
+    ahead: float = candidate.running + candidate.waiting
+    if candidate.expected_ahead is not None:
+        ahead = candidate.expected_ahead
+    ahead = max(candidate.in_flight, ahead)
+    return candidate.service_s * target_speed.get_load_factor(
+        ahead, candidate.slots
+    )
 
 
 def estimate_prefill_s(
--- a/src/hemlockkeel/_internal/utils/instruments.py
+++ b/src/hemlockkeel/_internal/utils/instruments.py
@@ -44,6 +44,12 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self.service_time = prometheus_client.Gauge(
+            "hemlockkeel_target_service_seconds",
+            "Expected service time of each plain target, without its queue",
+            ["target"],
+            registry=self.registry,
+        )
         self.events = prometheus_client.Counter(
             "hemlockkeel_events",
             "State changes by name",
--- /dev/null
+++ b/tests/unit/test_target_speed.py
@@ -0,0 +1,122 @@
+"""Tests of the choice among plain targets that differ in speed."""
+
+import functools
+import random
+import unittest
+
+from hemlockkeel._internal.policy import target_speed
+from tests.lib import plain_choosers
+from tests.lib import plain_load
+
+ENTRIES = 42
+# The target that is slow by 7.5 from 15 s to 45 s, while it reports health.
+SLOW = 3
+# Most that a slow target may get, and least that a recovered one has to get,
+# as shares of all requests: a fifth of an equal share.
+SMALL_SHARE = 0.25 / 5
+RATES_PER_S = (35.0, 60.0, 90.0)
+
+
+@functools.cache
+def play(
+    name: str, rate_per_s: float, knee: float = plain_load.SLOTS
+) -> plain_load.Result:
+    """Return the results of one way to choose targets."""
+    targets = plain_choosers.make_targets(knee)
+    rng = random.Random(7)
+    choosers = [
+        plain_choosers.FACTORIES[name](targets, rng) for _ in range(ENTRIES)
+    ]
+    return plain_load.play(targets, choosers, rate_per_s, 60.0, seed=1)
+
+
+class TestEstimate(unittest.TestCase):
+    """Estimate of one target's service time."""
+
+    def setUp(self) -> None:
+        self.estimate = target_speed.SpeedEstimate()
+
+    def respond(self, response_s: float, now: float) -> None:
+        self.estimate.record_response(response_s, 6, now)
+
+    def test_unknown_target_is_expected_to_be_as_fast_as_others(self) -> None:
+        self.assertEqual(self.estimate.expect_service_s(0.03, 1.0), 0.03)
+
+    def test_slow_target_is_noticed_after_two_responses(self) -> None:
+        for index in range(10):
+            self.respond(0.02, index)
+        self.respond(0.15, 10.0)
+        self.respond(0.15, 10.1)
+        self.assertGreater(self.estimate.expect_service_s(0.02, 10.1), 0.1)
+        self.respond(0.02, 10.2)
+        self.assertGreater(self.estimate.expect_service_s(0.02, 10.2), 0.08)
+
+    def test_slow_target_is_tried_again_once_its_estimate_is_old(self) -> None:
+        self.respond(0.15, 0.0)
+        self.assertLess(self.estimate.expect_service_s(0.02, 15.0), 0.024)
+        self.respond(0.02, 15.0)
+        self.assertLess(self.estimate.expect_service_s(0.02, 15.0), 0.04)
+
+    def test_queue_is_not_taken_for_slowness(self) -> None:
+        self.estimate.record_report(13, None, 0.0)
+        self.respond(0.06, 0.0)
+        self.assertLessEqual(self.estimate.service_s, 0.03)
+
+    def test_requests_without_a_response_count(self) -> None:
+        """A target that answers nothing in time never gives a sample."""
+        self.respond(0.02, 0.0)
+        self.estimate.record_no_response(0.01, 0.1)
+        self.assertEqual(self.estimate.service_s, 0.02)
+        self.estimate.record_no_response(0.7, 0.2)
+        self.assertGreater(self.estimate.service_s, 0.3)
+
+    def test_reported_slowdown_is_believed_for_a_moment(self) -> None:
+        self.estimate.record_report(0, 1.0, 0.0)
+        self.respond(0.02, 0.0)
+        self.estimate.record_report(0, 2.5, 1.0)
+        soon = self.estimate.expect_service_s(0.02, 1.0)
+        later = self.estimate.expect_service_s(0.02, 1.5)
+        self.assertGreater(soon, 1.5 * later)
+        self.assertAlmostEqual(later, 0.02, delta=0.001)
+
+    def test_invalid_slowdown_is_bounded(self) -> None:
+        self.estimate.record_report(0, 0.0, 0.0)
+        self.respond(0.02, 0.0)
+        self.assertGreater(self.estimate.expect_service_s(0.02, 0.1), 0.0)
+
+
+class TestPlainLoad(unittest.TestCase):
+    """What callers get while targets differ in speed."""
+
+    def test_requests_are_on_time_beside_a_slow_target(self) -> None:
+        """99% are on time, with the fourth figure of reports or without it."""
+        for rate_per_s in RATES_PER_S:
+            for name in ("estimate", "estimate, 3 figures"):
+                with self.subTest(rate_per_s=rate_per_s, name=name):
+                    result = play(name, rate_per_s)
+                    self.assertLessEqual(result.get_p99_s(), plain_load.SLO_S)
+                    self.assertGreater(
+                        result.get_share_on_time(),
+                        play("least loaded", rate_per_s).get_share_on_time(),
+                    )
+
+    def test_slow_target_gets_little_and_comes_back(self) -> None:
+        for rate_per_s in RATES_PER_S:
+            with self.subTest(rate_per_s=rate_per_s):
+                result = play("estimate", rate_per_s)
+                slow = result.get_share_of(SLOW, 20.0, 45.0)
+                self.assertLessEqual(slow, SMALL_SHARE)
+                self.assertGreater(slow, 0.0)
+                recovered = result.get_share_of(SLOW, 50.0, 60.0)
+                self.assertGreaterEqual(recovered, SMALL_SHARE)
+
+    def test_slow_down_before_targets_are_full(self) -> None:
+        """Requests beyond two slow each other down at every target."""
+        for rate_per_s in RATES_PER_S:
+            with self.subTest(rate_per_s=rate_per_s):
+                learned = play("estimate", rate_per_s, knee=2.0)
+                loaded = play("least loaded", rate_per_s, knee=2.0)
+                self.assertGreater(
+                    learned.get_share_on_time(), loaded.get_share_on_time()
+                )
+                self.assertLess(learned.get_p99_s(), loaded.get_p99_s())
