Tell entries which plain targets others found slow

Cause: one of 42 entries sees about one plain request a second per target, so each entry found a slow target, and tried it again, on its own: up to 42 late requests each time. Change: entries send SpeedNotice to one control member when a target becomes slow, stays so or recovers; the member forwards what is news.

--- a/src/hemlockkeel/_internal/coordinator/process.py
+++ b/src/hemlockkeel/_internal/coordinator/process.py
@@ -20,6 +20,7 @@
 from hemlockkeel._internal.coordinator import replicated_state
 from hemlockkeel._internal.coordinator import sender
 from hemlockkeel._internal.coordinator import settings as settings_module
+from hemlockkeel._internal.coordinator import speed_notices
 from hemlockkeel._internal.coordinator import stream_origins
 from hemlockkeel._internal.coordinator import subscribers
 from hemlockkeel._internal.coordinator import targets
@@ -125,6 +126,7 @@
         self.rate_limits = rate_limits.RateLimits(
             self.subscribers, log, random.Random()
         )
+        self.speed_notices = speed_notices.SpeedNotices(self.subscribers, log)
         self.stream_origins = stream_origins.StreamOrigins()
         self.sender.peers = self.peers
         self.sender.cluster_id = self.node.cluster_id
@@ -443,6 +445,8 @@
             self.crash_reports.handle_report(message, self.loop.time())
         elif isinstance(message, messages.RateLimitNotice):
             self.rate_limits.handle_notice(message, self.loop.time())
+        elif isinstance(message, messages.SpeedNotice):
+            self.speed_notices.handle_notice(peer, message, self.loop.time())
         elif isinstance(message, messages.CrashCleared):
             self.crash_reports.handle_cleared(message)
         elif isinstance(message, messages.StreamsBegun):
--- a/src/hemlockkeel/_internal/links/messages.py
+++ b/src/hemlockkeel/_internal/links/messages.py
@@ -7,11 +7,12 @@
 from hemlockkeel._internal.models import ids
 
 # Processes without a message close a link on which it arrives. Versions from
-# which on they understand rate limits and permits, and the origins of streams;
-# 0 is that of older ones.
+# which on they understand rate limits and permits, the origins of streams, and
+# the speed of targets; 0 is that of older ones.
 PERMIT_PROTOCOL = 1
 ORIGIN_PROTOCOL = 2
-PROTOCOL = ORIGIN_PROTOCOL
+SPEED_PROTOCOL = 3
+PROTOCOL = SPEED_PROTOCOL
 
 
 class Message(
@@ -320,6 +321,19 @@
     pending: bool = False
 
 
+class SpeedNotice(Message, frozen=True, tag=True, kw_only=True):
+    """Tells that a plain target became slow or recovered.
+
+    An entry sends it to one control member, which tells the other entries.
+    """
+
+    target: str
+    # Start of the target's process, milliseconds since the epoch.
+    started_at_ms: int
+    # Its service time, relative to the median of the service's targets.
+    ratio: float
+
+
 AnyMessage = (
     Ping
     | Pong
@@ -348,6 +362,7 @@
     | StreamsBegun
     | FindOrigin
     | OriginReply
+    | SpeedNotice
 )
 
 DECODER: msgspec.msgpack.Decoder[AnyMessage] = msgspec.msgpack.Decoder(
--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -260,7 +260,7 @@
         target.in_flight_prefill_tokens += prefill_tokens
         pending_prefill = PendingPrefill(target, prefill_tokens)
         finished_response: exchange.ResponseHead | None = None
-        timing = target_speeds.ExchangeTiming(target, sent_at)
+        timing = target_speeds.ExchangeTiming(shared.registry, target, sent_at)
         previous_verdict, self.context.verdict = (
             self.context.verdict,
             outcomes.Verdict.MAY_HAVE_RUN,
--- a/src/hemlockkeel/_internal/relay/process.py
+++ b/src/hemlockkeel/_internal/relay/process.py
@@ -21,6 +21,7 @@
 from hemlockkeel._internal.relay import origin_directory
 from hemlockkeel._internal.relay import rate_limits
 from hemlockkeel._internal.relay import shared_state
+from hemlockkeel._internal.relay import speed_notices
 from hemlockkeel._internal.relay import target_registry as registry_module
 from hemlockkeel._internal.relay import target_speeds
 from hemlockkeel._internal.routes import budget
@@ -102,10 +103,8 @@
                 self.without_versions.discard(address)
             case messages.RateLimitNotice():
                 self.entry.on_rate_limit(message)
-            case messages.CrashReport():
-                self.entry.crashes.handle_report(message)
-            case messages.CrashCleared():
-                self.entry.crashes.handle_cleared(message)
+            case _:
+                self.entry.on_target_notice(message)
 
     def on_disconnected(self, address: str) -> None:
         self.entry.shared.reserve_share.forget_member(address)
@@ -181,6 +180,10 @@
             random.Random(),
         )
         self.registry.on_added = self.rate_limits.handle_added
+        self.speed_notices = speed_notices.SpeedNotices(
+            self.control_links, self.registry, log
+        )
+        self.registry.on_measured = self.speed_notices.handle_measurement
         self.registry.on_crashed = self.crashes.handle_replaced
         self.agent_listener = AgentListener(self)
         self.agent_links = dialer.DialerSet(hello, self.agent_listener, log)
@@ -334,6 +337,17 @@
         if addresses != known:
             self.log.write("control_members", addresses=sorted(addresses))
 
+    def on_target_notice(self, message: messages.AnyMessage) -> None:
+        """Pass on what other entries have noticed of targets."""
+        match message:
+            case messages.SpeedNotice():
+                now = asyncio.get_running_loop().time()
+                self.speed_notices.handle_notice(message, now)
+            case messages.CrashReport():
+                self.crashes.handle_report(message)
+            case messages.CrashCleared():
+                self.crashes.handle_cleared(message)
+
     def on_rate_limit(self, notice: messages.RateLimitNotice) -> None:
         """Apply a limit that a target has named to another entry."""
         target = self.registry.targets.get(records.InstanceId(notice.target))
--- a/src/hemlockkeel/_internal/relay/target_registry.py
+++ b/src/hemlockkeel/_internal/relay/target_registry.py
@@ -47,6 +47,11 @@
         self.on_added: collections.abc.Callable[
             [target_module.Target], None
         ] = ignore_target
+        # Called with each plain target whose speed was measured, and the loop
+        # time.
+        self.on_measured: collections.abc.Callable[
+            [target_module.Target, float], None
+        ] = ignore_measurement
         self.max_silence_s = heartbeat_s * MAX_MISSED_HEARTBEATS
         self.table = records.TargetTable(
             expire_after_s=heartbeat_s * EXPIRE_AFTER_HEARTBEATS,
@@ -249,13 +254,8 @@
             f"{metadata.model}/{metadata.adapter}" if metadata.adapter else ""
         )
         candidates = []
-        usable = self.table.find_usable(
-            service, self.contact_s, self.max_silence_s
-        )
-        usual_s = target_speed.get_usual_s(
-            (self.targets[record.instance_id].speed for record in usable),
-            target_selection.PRIOR_PLAIN_SERVICE_S,
-        )
+        usable = self.list_usable(service)
+        usual_s = self.get_usual_service_s(usable)
         for record in usable:
             if record.incarnation_key in excluded:
                 continue
@@ -296,6 +296,23 @@
             )
         return candidates
 
+    def get_usual_service_s(
+        self, usable: collections.abc.Iterable[records.TargetRecord]
+    ) -> float:
+        """Return the median service time of a service's targets."""
+        return target_speed.get_usual_s(
+            (self.targets[record.instance_id].speed for record in usable),
+            target_selection.PRIOR_PLAIN_SERVICE_S,
+        )
+
+    def list_usable(
+        self, service: records.ServiceName
+    ) -> list[records.TargetRecord]:
+        """Return the announcements of the targets of a service."""
+        return self.table.find_usable(
+            service, self.contact_s, self.max_silence_s
+        )
+
     def find_hold_end(
         self,
         service: records.ServiceName,
@@ -360,6 +377,10 @@
     """Do nothing about a target."""
 
 
+def ignore_measurement(target: target_module.Target, now: float) -> None:
+    """Do nothing about a measurement."""
+
+
 def qualify_names(by_model: dict[str, list[str]]) -> frozenset[str]:
     """Return the adapters, given by model, as MODEL/NAME."""
     return frozenset(
--- a/src/hemlockkeel/_internal/relay/target_speeds.py
+++ b/src/hemlockkeel/_internal/relay/target_speeds.py
@@ -7,6 +7,7 @@
 from hemlockkeel._internal.policy import target_speed
 from hemlockkeel._internal.relay import exchange
 from hemlockkeel._internal.relay import target as target_module
+from hemlockkeel._internal.relay import target_registry
 from hemlockkeel._internal.relay import target_selection
 from hemlockkeel._internal.utils import event_log
 from hemlockkeel._internal.utils import instruments as instruments_module
@@ -20,7 +21,13 @@
 class ExchangeTiming:
     """Learns from the time until the head of one response."""
 
-    def __init__(self, target: target_module.Target, sent_at: float) -> None:
+    def __init__(
+        self,
+        registry: target_registry.TargetRegistry,
+        target: target_module.Target,
+        sent_at: float,
+    ) -> None:
+        self.registry = registry
         self.target = target
         # Loop time at which the request was sent.
         self.sent_at = sent_at
@@ -34,11 +41,13 @@
         if self.target.engine is None and response.successful:
             slots = self.target.slots or self.target.record.slots
             self.target.speed.record_response(now - self.sent_at, slots, now)
+            self.registry.on_measured(self.target, now)
 
     def end(self, now: float) -> None:
         """Learn from an exchange that ended without a response."""
         if not self.answered and self.target.engine is None:
             self.target.speed.record_no_response(now - self.sent_at, now)
+            self.registry.on_measured(self.target, now)
 
 
 class SpeedReport:
