--- a/src/hemlockkeel/_internal/policy/speed_sharing.py
+++ b/src/hemlockkeel/_internal/policy/speed_sharing.py
@@ -63,6 +63,10 @@
         else:
             self.slow_at.pop(key, None)
 
+    def is_slow(self, key: Key) -> bool:
+        """Return whether a target is called slow."""
+        return key in self.slow_at
+
     def may_adopt(
         self,
         key: Key,
--- a/src/hemlockkeel/_internal/policy/target_speed.py
+++ b/src/hemlockkeel/_internal/policy/target_speed.py
@@ -132,6 +132,11 @@
         self.sampled_at = now
         self.samples += 1
 
+    def forget(self) -> None:
+        """Count as one of the others again, since the target recovered."""
+        self.samples = 0
+        self.sampled_at = float("-inf")
+
     def get_trust(self, now: float) -> float:
         """Return the weight of the estimate, from 1 down to 0 with its age."""
         age_s = max(0.0, now - self.sampled_at)
--- a/src/hemlockkeel/_internal/relay/speed_notices.py
+++ b/src/hemlockkeel/_internal/relay/speed_notices.py
@@ -75,8 +75,11 @@
         ):
             return
         self.notices.record(key, notice.ratio, now)
-        usual_s = self.registry.get_usual_service_s(usable)
-        target.speed.adopt(max(1.0, notice.ratio) * usual_s, now)
+        if self.notices.is_slow(key):
+            usual_s = self.registry.get_usual_service_s(usable)
+            target.speed.adopt(notice.ratio * usual_s, now)
+        else:
+            target.speed.forget()
         self.log.write(
             "target_speed",
             target=notice.target,
