Prefer other engines to one that is slow with prompts

Cause: the expected time to the first token used one prefill rate for all engines, so that a slow engine was chosen like any other. Change: policy/engine_speed learns, per incarnation, the ratio of the observed time to the first token to the expected one. From twice the median of the service on it multiplies the cost of the prompt; below that nothing changes. MAX_BATCH_STEP_S, which nothing used, goes.

--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -40,6 +40,8 @@
         self.target = target
         # Whether the target's process was known when the request was sent.
         self.was_identified = False
+        # Measures the exchange; None before the request is sent.
+        self.timing: target_speeds.ExchangeTiming | None = None
 
     async def execute(self) -> results.AttemptResult:
         """Make the attempt, with the adapter loaded if one is needed."""
@@ -261,6 +263,7 @@
         pending_prefill = PendingPrefill(target, prefill_tokens)
         finished_response: exchange.ResponseHead | None = None
         timing = target_speeds.ExchangeTiming(shared.registry, target, sent_at)
+        self.timing = timing
         previous_verdict, self.context.verdict = (
             self.context.verdict,
             outcomes.Verdict.MAY_HAVE_RUN,
@@ -473,6 +476,10 @@
                     self.context.adapter_key,
                     self.context.metadata.prompt_parts,
                 )
+                if self.timing is not None:
+                    self.timing.record_first_event(
+                        self.context.expected_prefill_s, self.context.now
+                    )
                 self.start_stream(response)
             await self.context.connection.send_data(complete_events)
         if not splitter.at_boundary:
--- a/src/hemlockkeel/_internal/relay/forwarder.py
+++ b/src/hemlockkeel/_internal/relay/forwarder.py
@@ -241,8 +241,12 @@
         )
         if chosen is None:
             return None
-        self.context.slot_wait_s = 0.0
+        self.context.slot_wait_s = self.context.expected_prefill_s = 0.0
         if chosen.engine is not None:
+            self.context.expected_prefill_s = (
+                target_selection.estimate_prefill_s(requirements, chosen)
+                / chosen.prefill_factor
+            )
             self.context.slot_wait_s = target_selection.estimate_slot_wait_s(
                 requirements, chosen.engine
             )
@@ -258,6 +262,8 @@
             service=round(chosen.service_s, 4)
             if chosen.engine is None
             else None,
+            prefill=round(self.context.expected_prefill_s, 3),
+            prefill_factor=round(chosen.prefill_factor, 2),
             slot_wait=round(self.context.slot_wait_s, 2),
         )
         return shared.registry.targets[chosen.record.instance_id]
--- a/src/hemlockkeel/_internal/relay/request_context.py
+++ b/src/hemlockkeel/_internal/relay/request_context.py
@@ -78,6 +78,8 @@
         self.adapter_wait_s = 0.0
         # Expected wait for an adapter slot at the selected target.
         self.slot_wait_s = 0.0
+        # Expected time from sending to the first event at a healthy engine.
+        self.expected_prefill_s = 0.0
         # Shortest expected wait for which an attempt was given up, if any.
         self.expected_wait_s: float | None = None
         # Time until a target accepts requests again, if none does now.
--- a/src/hemlockkeel/_internal/relay/target.py
+++ b/src/hemlockkeel/_internal/relay/target.py
@@ -7,6 +7,7 @@
 from hemlockkeel._internal.discovery import traits as traits_module
 from hemlockkeel._internal.models import ids
 from hemlockkeel._internal.orders import backlog
+from hemlockkeel._internal.policy import engine_speed
 from hemlockkeel._internal.policy import target_speed
 from hemlockkeel._internal.relay import availability as availability_module
 from hemlockkeel._internal.relay import header_codec
@@ -77,6 +78,10 @@
     speed: target_speed.SpeedEstimate = dataclasses.field(
         default_factory=target_speed.SpeedEstimate
     )
+    # Estimated from the responses of an engine.
+    prefill_speed: engine_speed.EngineSpeed = dataclasses.field(
+        default_factory=engine_speed.EngineSpeed
+    )
     failure_share: float = 0.0
     failure_at: float = 0.0
     engine: target_selection.EngineView | None = None
--- a/src/hemlockkeel/_internal/relay/target_registry.py
+++ b/src/hemlockkeel/_internal/relay/target_registry.py
@@ -6,6 +6,7 @@
 from hemlockkeel._internal.discovery import records
 from hemlockkeel._internal.discovery import stream_origins
 from hemlockkeel._internal.links import messages
+from hemlockkeel._internal.policy import engine_speed
 from hemlockkeel._internal.policy import target_speed
 from hemlockkeel._internal.relay import availability
 from hemlockkeel._internal.relay import header_codec
@@ -256,6 +257,9 @@
         candidates = []
         usable = self.list_usable(service)
         usual_s = self.get_usual_service_s(usable)
+        usual_ratio = engine_speed.get_usual_ratio(
+            self.targets[record.instance_id].prefill_speed for record in usable
+        )
         for record in usable:
             if record.incarnation_key in excluded:
                 continue
@@ -292,6 +296,7 @@
                     record.address in self.silent_addresses,
                     target.speed.expect_service_s(usual_s, now),
                     target.speed.expect_occupancy(now),
+                    target.prefill_speed.get_factor(usual_ratio, now),
                 )
             )
         return candidates
--- a/src/hemlockkeel/_internal/relay/target_selection.py
+++ b/src/hemlockkeel/_internal/relay/target_selection.py
@@ -14,8 +14,6 @@
 from hemlockkeel._internal.policy import routing
 from hemlockkeel._internal.policy import target_speed
 
-# Slowest step of an engine's batch, from the engine data sheet.
-MAX_BATCH_STEP_S = 0.0055
 # Time to load an adapter from the weight store, and to reload one that the
 # engine had loaded recently, from the engine data sheet.
 ADAPTER_LOAD_S = 0.25
@@ -115,6 +113,8 @@
     # Requests that are expected to run or wait there now, where this is
     # estimated from several reports.
     expected_ahead: float | None = None
+    # How many times longer prompts take at this engine than at others.
+    prefill_factor: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -211,9 +211,8 @@
     uncached = max(0, requirements.prompt_tokens - candidate.cached_tokens)
     ahead = max(candidate.in_flight_prefill_tokens, candidate.prefill_backlog)
     batch_share = candidate.running / max(1, candidate.slots)
-    return (
-        (uncached + ahead) / backlog.PREFILL_TOKENS_PER_S * (1.0 + batch_share)
-    )
+    seconds = (uncached + ahead) / backlog.PREFILL_TOKENS_PER_S
+    return seconds * (1.0 + batch_share) * candidate.prefill_factor
 
 
 def estimate_batch_wait_s(
--- a/src/hemlockkeel/_internal/relay/target_speeds.py
+++ b/src/hemlockkeel/_internal/relay/target_speeds.py
@@ -43,6 +43,13 @@
             self.target.speed.record_response(now - self.sent_at, slots, now)
             self.registry.on_measured(self.target, now)
 
+    def record_first_event(self, expected_s: float, now: float) -> None:
+        """Learn from the first event of a stream of an engine.
+
+        ``expected_s`` is the time expected of a healthy engine, or 0.
+        """
+        self.target.prefill_speed.record(now - self.sent_at, expected_s, now)
+
     def end(self, now: float) -> None:
         """Learn from an exchange that ended without a response."""
         if not self.answered and self.target.engine is None:
--- a/tests/unit/test_target_speed.py
+++ b/tests/unit/test_target_speed.py
@@ -6,6 +6,7 @@
 
 from hemlockkeel._internal.links import link
 from hemlockkeel._internal.links import messages
+from hemlockkeel._internal.policy import engine_speed
 from hemlockkeel._internal.policy import speed_sharing
 from hemlockkeel._internal.policy import target_speed
 from tests.lib import plain_choosers
@@ -93,6 +94,41 @@
         self.assertGreater(self.estimate.expect_service_s(0.02, 0.1), 0.0)
 
 
+class TestEngineSpeed(unittest.TestCase):
+    """Estimate of engines that take longer than expected."""
+
+    def record(self, *ratios: float) -> engine_speed.EngineSpeed:
+        speed = engine_speed.EngineSpeed()
+        for ratio in ratios:
+            speed.record(0.24 * ratio, 0.24, 0.0)
+        return speed
+
+    def test_slow_engine_costs_more_and_is_tried_again(self) -> None:
+        usual = engine_speed.get_usual_ratio(
+            [self.record(1.2, 1.2, 1.2)] * 5 + [self.record(7.5, 7.5, 7.5)]
+        )
+        slow = self.record(7.5, 7.5, 7.5)
+        self.assertGreater(slow.get_factor(usual, 0.0), 5.0)
+        self.assertLess(slow.get_factor(usual, 20.0), 1.3)
+
+    def test_queues_of_healthy_engines_make_no_difference(self) -> None:
+        """A load from the adapter store costs more than a short queue."""
+        self.assertEqual(self.record(1.8, 1.2, 2.4).get_factor(1.0, 0.0), 1.0)
+        self.assertEqual(self.record(8.0, 8.0).get_factor(1.0, 0.0), 1.0)
+
+    def test_engines_that_are_all_slower_than_the_prior_are_equal(
+        self,
+    ) -> None:
+        speeds = [self.record(3.0, 3.0, 3.0) for _ in range(4)]
+        usual = engine_speed.get_usual_ratio(speeds)
+        self.assertEqual(speeds[0].get_factor(usual, 0.0), 1.0)
+
+    def test_short_prompts_say_nothing(self) -> None:
+        speed = engine_speed.EngineSpeed()
+        speed.record(1.0, 0.01, 0.0)
+        self.assertEqual(speed.samples, 0)
+
+
 class TestSpeedNotices(unittest.TestCase):
     """What entries tell each other of targets."""
 
