Measure pauses between events against the route's objective

Cause: routes carry an objective for the longest pause between two events, which was not read. Nothing showed which streams missed it, or why. Change: table.Route.gap_slo_s (None without an objective).

--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -9,6 +9,7 @@
 from hemlockkeel._internal.relay import exchange
 from hemlockkeel._internal.relay import header_codec
 from hemlockkeel._internal.relay import headers
+from hemlockkeel._internal.relay import pauses
 from hemlockkeel._internal.relay import request_context
 from hemlockkeel._internal.relay import results
 from hemlockkeel._internal.relay import target as target_module
@@ -471,6 +472,7 @@
             if not complete_events:
                 continue
             pending_prefill.complete()
+            pauses.record_event(self.context, self.target, splitter.count)
             if not self.context.connection.response_started:
                 self.target.record_prompt(
                     self.context.adapter_key,
@@ -482,6 +484,7 @@
                     )
                 self.start_stream(response)
             await self.context.connection.send_data(complete_events)
+            pauses.start_waiting(self.context)
         if not splitter.at_boundary:
             raise exchange.InvalidResponseError("stream ended inside an event")
         if response.ends_with_connection and not splitter.count:
--- a/src/hemlockkeel/_internal/relay/request_context.py
+++ b/src/hemlockkeel/_internal/relay/request_context.py
@@ -78,6 +78,11 @@
         self.adapter_wait_s = 0.0
         # Expected wait for an adapter slot at the selected target.
         self.slot_wait_s = 0.0
+        # Loop time since which the next event of the stream is awaited, the
+        # longest pause between two, and pauses beyond the objective.
+        self.waiting_since: float | None = None
+        self.longest_pause_s: float | None = None
+        self.late_pauses = 0
         # Expected time from sending to the first event at a healthy engine.
         self.expected_prefill_s = 0.0
         # Shortest expected wait for which an attempt was given up, if any.
@@ -234,6 +239,10 @@
             sends=self.sends,
             first_byte=self.first_byte_s,
             adapter_wait=round(self.adapter_wait_s, 4),
+            longest_pause=round(self.longest_pause_s, 4)
+            if self.longest_pause_s is not None
+            else None,
+            late_pauses=self.late_pauses,
             seconds=round(self.now - self.request.arrived_at, 4),
         )
 
--- a/src/hemlockkeel/_internal/routes/table.py
+++ b/src/hemlockkeel/_internal/routes/table.py
@@ -50,6 +50,9 @@
     max_attempts: int
     # Whether an interrupted request may be sent again to another target.
     resumable: bool
+    # Service-level objective for the longest pause between two events of a
+    # stream, seconds; None for no objective.
+    gap_slo_s: float | None = None
 
     @property
     def idempotent(self) -> bool:
@@ -141,6 +144,18 @@
             if len(route.prefix) not in lengths:
                 bisect.insort(lengths, len(route.prefix))
 
+    def get_gap_slo_s(self, service: records.ServiceName) -> float | None:
+        """Return the shortest objective for pauses of a service's streams."""
+        return min(
+            (
+                route.gap_slo_s
+                for route in self.routes
+                if route.gap_slo_s is not None
+                and any(share.service == service for share in route.shares)
+            ),
+            default=None,
+        )
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix.
 
--- a/src/hemlockkeel/_internal/utils/instruments.py
+++ b/src/hemlockkeel/_internal/utils/instruments.py
@@ -50,6 +50,12 @@
             ["target"],
             registry=self.registry,
         )
+        self.late_pauses = prometheus_client.Counter(
+            "hemlockkeel_late_pauses",
+            "Pauses between events of streams beyond the route's objective",
+            ["route"],
+            registry=self.registry,
+        )
         self.events = prometheus_client.Counter(
             "hemlockkeel_events",
             "State changes by name",
--- a/src/hemlockkeel/platform/configuration.py
+++ b/src/hemlockkeel/platform/configuration.py
@@ -111,9 +111,23 @@
         read_shares(source, name),
         max(1, fields.get_int(source, "attempts", 1)),
         fields.get_bool(source, "resumable"),
+        read_gap_slo_s(source, name),
     )
 
 
+def read_gap_slo_s(source: fields.JsonObject, name: str) -> float | None:
+    """Return the objective for pauses between events; None without one.
+
+    :raises ValueError: when it is no number or negative.
+    """
+    if source.get("gapAimMs") is None:
+        return None
+    gap_ms = fields.get_number(source, "gapAimMs")
+    if gap_ms < 0:
+        raise ValueError(f"route {name}: gapAimMs must not be negative")
+    return gap_ms / MS_PER_S or None
+
+
 def read_shares(
     source: fields.JsonObject, name: str
 ) -> tuple[table.TrafficShare, ...]:
--- a/tests/unit/test_platform.py
+++ b/tests/unit/test_platform.py
@@ -108,6 +108,9 @@
         assert route is not None
         self.assertIs(route.kind, table.RouteKind.STREAM)
         self.assertEqual((route.timeout_s, route.first_byte_slo_s), (6.0, 1.0))
+        self.assertEqual(route.gap_slo_s, 0.4)
+        service_name = records.ServiceName("s")
+        self.assertEqual(decoded.get_gap_slo_s(service_name), 0.4)
         self.assertEqual([s.weight for s in route.shares], [90.0, 10.0])
         self.assertTrue(route.resumable)
         service = decoded.services[records.ServiceName("s")]
@@ -115,6 +118,12 @@
         self.assertEqual(service.engine.adapter_slots, 8)
         self.assertEqual(decoded.limits.idle_timeout_s, 15.0)
 
+    def test_route_without_an_objective_for_pauses(self) -> None:
+        without = {k: v for k, v in ROUTE.items() if k != "gapAimMs"}
+        for route in (without, {**ROUTE, "gapAimMs": 0}):
+            decoded = self.codec.decode(make_configuration(routes=[route]))
+            self.assertIsNone(decoded.routes[0].gap_slo_s)
+
     def test_invalid_configuration_is_refused(self) -> None:
         bad_routes = {
             "unknown service": {
@@ -126,6 +135,7 @@
                 "trafficSplit": [{"service": "s", "weight": 0}],
             },
             "timeout of 0": {**ROUTE, "timeoutMs": 0},
+            "negative pause": {**ROUTE, "gapAimMs": -1},
             "prefix without slashes": {**ROUTE, "pathPrefix": "p"},
             "no host": {k: v for k, v in ROUTE.items() if k != "host"},
         }
