Merge speed estimates of targets and measured pauses

Change: merged; the leader follows its term once a second, so that buckets are filled from the beginning of the term.

--- a/src/hemlockkeel/_internal/coordinator/credits.py
+++ b/src/hemlockkeel/_internal/coordinator/credits.py
@@ -166,7 +166,13 @@
             self.decoding = None
 
     def expire(self, now: float) -> None:
-        """Forget what is not needed any more; called about once a second."""
+        """Follow the term and forget old buckets; called once a second.
+
+        Buckets are filled from the beginning of the term, not from its first
+        call.
+        """
+        if self.node.has_lease():
+            self.follow_term(now)
         if now - self.expired_at < EXPIRY_INTERVAL_S:
             return
         self.expired_at = now
--- a/src/hemlockkeel/_internal/links/messages.py
+++ b/src/hemlockkeel/_internal/links/messages.py
@@ -7,14 +7,15 @@
 from hemlockkeel._internal.models import ids
 
 # Processes without a message close a link on which it arrives. Versions from
-# which on they understand rate limits and permits, the origins of streams,
-# and proofs of the newest configuration and credit of organisations; 0 is that
-# of older ones.
+# which on they understand rate limits and permits; the origins of streams; and
+# proofs of the newest configuration, credit of organisations and the speed of
+# targets. 0 is that of older ones.
 PERMIT_PROTOCOL = 1
 ORIGIN_PROTOCOL = 2
 PROOF_PROTOCOL = 3
 CREDIT_PROTOCOL = 3
-PROTOCOL = CREDIT_PROTOCOL
+SPEED_PROTOCOL = 3
+PROTOCOL = SPEED_PROTOCOL
 
 
 class Message(
@@ -371,6 +372,19 @@
     level: float = 0.0
 
 
+class SpeedNotice(Message, frozen=True, tag=True, kw_only=True):
+    """Tells that a plain target became slow or recovered.
+
+    An entry sends it to one control member, which tells the other entries.
+    """
+
+    target: str
+    # Start of the target's process, milliseconds since the epoch.
+    started_at_ms: int
+    # Its service time, relative to the median of the service's targets.
+    ratio: float
+
+
 AnyMessage = (
     Ping
     | Pong
@@ -403,6 +417,7 @@
     | VersionProof
     | AcquireCredit
     | CreditGrant
+    | SpeedNotice
 )
 
 DECODER: msgspec.msgpack.Decoder[AnyMessage] = msgspec.msgpack.Decoder(
--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -9,11 +9,13 @@
 from hemlockkeel._internal.relay import exchange
 from hemlockkeel._internal.relay import header_codec
 from hemlockkeel._internal.relay import headers
+from hemlockkeel._internal.relay import pauses
 from hemlockkeel._internal.relay import request_context
 from hemlockkeel._internal.relay import results
 from hemlockkeel._internal.relay import stream_progress
 from hemlockkeel._internal.relay import target as target_module
 from hemlockkeel._internal.relay import target_signals
+from hemlockkeel._internal.relay import target_speeds
 from hemlockkeel._internal.relay import waits
 from hemlockkeel._internal.routes import table
 
@@ -40,6 +42,8 @@
         self.target = target
         # Whether the target's process was known when the request was sent.
         self.was_identified = False
+        # Measures the exchange; None before the request is sent.
+        self.timing: target_speeds.ExchangeTiming | None = None
 
     async def execute(self) -> results.AttemptResult:
         """Make the attempt, with the adapter loaded if one is needed."""
@@ -266,6 +270,8 @@
         target.in_flight_prefill_tokens += prefill_tokens
         pending_prefill = PendingPrefill(target, prefill_tokens)
         finished_response: exchange.ResponseHead | None = None
+        timing = target_speeds.ExchangeTiming(shared.registry, target, sent_at)
+        self.timing = timing
         previous_verdict, self.context.verdict = (
             self.context.verdict,
             outcomes.Verdict.MAY_HAVE_RUN,
@@ -286,8 +292,7 @@
             shared.crashes.confirm_completed(
                 target, connection.opened_at, self.context.now
             )
-            if response.metadata.load is not None:
-                target.update_load(response.metadata.load, self.context.now)
+            timing.record_head(response, self.context.now)
             target_signals.record_signals(
                 self.context, target, response, sent_at
             )
@@ -326,6 +331,7 @@
                 str(error),
             )
         finally:
+            timing.end(self.context.now)
             pending_prefill.complete()
             shared.suspects.remove_copy(self.context.traits, connection)
             target.remove_request(self.context.traits)
@@ -473,21 +479,16 @@
                 complete_events = splitter.feed(data)
             except ValueError as error:
                 raise exchange.InvalidResponseError(str(error)) from error
-            progress.record(complete_events, self.context.now)
-            if progress.has_stalled(self.context.now):
-                raise exchange.InvalidResponseError(
-                    f"no event for {progress.max_stall_s} s"
-                )
+            check_progress(progress, complete_events, self.context.now)
             if not complete_events:
                 continue
             pending_prefill.complete()
+            pauses.record_event(self.context, self.target, splitter.count)
             if not self.context.connection.response_started:
-                self.target.record_prompt(
-                    self.context.adapter_key,
-                    self.context.metadata.prompt_parts,
-                )
+                self.record_first_event()
                 self.start_stream(response)
             await self.context.connection.send_data(complete_events)
+            pauses.start_waiting(self.context)
         if not splitter.at_boundary:
             raise exchange.InvalidResponseError("stream ended inside an event")
         if response.ends_with_connection and not splitter.count:
@@ -499,6 +500,16 @@
         self.context.record_response(response.status, "target", True)
         return results.Completed()
 
+    def record_first_event(self) -> None:
+        """Record that the target has prefilled the prompt."""
+        self.target.record_prompt(
+            self.context.adapter_key, self.context.metadata.prompt_parts
+        )
+        if self.timing is not None:
+            self.timing.record_first_event(
+                self.context.expected_prefill_s, self.context.now
+            )
+
     def start_stream(self, response: exchange.ResponseHead) -> None:
         """Send the head of an event stream that begins at the target."""
         if self.was_identified or self.target.identity is None:
@@ -539,6 +550,20 @@
         self.tokens = 0
 
 
+def check_progress(
+    progress: stream_progress.StreamProgress, events_data: bytes, now: float
+) -> None:
+    """Record what has arrived of a stream, and check that it goes on.
+
+    :raises InvalidResponseError: when it has stalled.
+    """
+    progress.record(events_data, now)
+    if progress.has_stalled(now):
+        raise exchange.InvalidResponseError(
+            f"no event for {progress.max_stall_s} s"
+        )
+
+
 def has_body_framing(request_headers: header_codec.Headers) -> bool:
     """Return whether a request declares a body, even an empty one."""
     return any(
--- a/src/hemlockkeel/_internal/relay/process.py
+++ b/src/hemlockkeel/_internal/relay/process.py
@@ -26,7 +26,9 @@
 from hemlockkeel._internal.relay import rate_limits
 from hemlockkeel._internal.relay import results
 from hemlockkeel._internal.relay import shared_state
+from hemlockkeel._internal.relay import speed_notices
 from hemlockkeel._internal.relay import target_registry as registry_module
+from hemlockkeel._internal.relay import target_speeds
 from hemlockkeel._internal.relay import version_proofs
 from hemlockkeel._internal.routes import budget
 from hemlockkeel._internal.routes import codec
@@ -113,10 +115,8 @@
                 self.without_versions.discard(address)
             case messages.RateLimitNotice():
                 self.entry.on_rate_limit(message)
-            case messages.CrashReport():
-                self.entry.crashes.handle_report(message)
-            case messages.CrashCleared():
-                self.entry.crashes.handle_cleared(message)
+            case _:
+                self.entry.on_target_notice(message)
 
     def on_first_update(
         self, peer: link.Link, message: messages.MembersUpdate
@@ -211,12 +211,17 @@
             clock.SuspendAwareClock(),
         )
         self.registry.on_added = self.rate_limits.handle_added
+        self.speed_notices = speed_notices.SpeedNotices(
+            self.control_links, self.registry, log
+        )
+        self.registry.on_measured = self.speed_notices.handle_measurement
         self.registry.on_crashed = self.crashes.handle_replaced
         self.agent_listener = AgentListener(self)
         self.agent_links = dialer.DialerSet(hello, self.agent_listener, log)
         self.adapter_client = adapters.AdapterClient(
             self.agent_links, settings.agent_port
         )
+        self.speed_report = target_speeds.SpeedReport(log, self.instruments)
         self.connection_watches = connection_watch.ConnectionWatches(log)
         self.shared = shared_state.SharedState(
             self.registry,
@@ -353,6 +358,7 @@
             now = asyncio.get_running_loop().time()
             self.registry.advance_contact(now, self.has_control_majority())
             self.registry.expire(now)
+            self.speed_report.update(self.registry.targets.values(), now)
             self.crashes.probe_silent_targets(self.registry.targets.values())
             self.crashes.expire()
             self.shared.origins.expire()
@@ -415,6 +421,17 @@
         if addresses != known:
             self.log.write("control_members", addresses=sorted(addresses))
 
+    def on_target_notice(self, message: messages.AnyMessage) -> None:
+        """Pass on what other entries have noticed of targets."""
+        match message:
+            case messages.SpeedNotice():
+                now = asyncio.get_running_loop().time()
+                self.speed_notices.handle_notice(message, now)
+            case messages.CrashReport():
+                self.crashes.handle_report(message)
+            case messages.CrashCleared():
+                self.crashes.handle_cleared(message)
+
     def on_rate_limit(self, notice: messages.RateLimitNotice) -> None:
         """Apply a limit that a target has named to another entry."""
         target = self.registry.targets.get(records.InstanceId(notice.target))
