Answer the requests of the connections that are accepted last

Cause: an entry that stops closed new connections as idle ones; closing the listener reset those that were not accepted or attached yet; a control member did not wait for its calls.

Change: connections without a first request are not idle, listeners accept what waits before they close, and control members wait 1 s for their answers.

--- a/src/hemlockkeel/_internal/coordinator/process.py
+++ b/src/hemlockkeel/_internal/coordinator/process.py
@@ -49,8 +49,9 @@
 # A member that hears of no leader for this long publishes the state that it
 # has, longer than an election after a restart of all members.
 PUBLISH_WITHOUT_LEADER_AFTER_S = 4.0
-# Time that a member spends on its removal when it ends, a small part of the
-# time that the platform gives it.
+# Times that a member spends on its last answers and on its removal when it
+# ends, a small part of the time that the platform gives it.
+LAST_ANSWERS_S = 1.0
 LEAVE_TIMEOUT_S = 2.0
 LEAVE_RETRY_INTERVAL_S = 0.05
 EXIT_DISK_FAILED = 4
@@ -90,6 +91,7 @@
         self.call_codec = call_codec
         self.loop = asyncio.get_running_loop()
         self.clock = clock.SuspendAwareClock()
+        self.stopping = False
         self.join_requests: dict[str, membership.JoinRequest] = {}
         self.is_publication_scheduled = False
         self.sender = sender.LinkSender(self.loop, settings.link_address)
@@ -167,7 +169,8 @@
 
     async def stop(self) -> None:
         """Stop serving; acknowledged changes are already on disk."""
-        self.api.stop_listening()
+        self.stopping = True
+        await self.api.finish(LAST_ANSWERS_S)
         self.api.close_idle()
         for task in self.tasks:
             task.cancel()
@@ -425,6 +428,9 @@
     def get_limits(self) -> table.RequestLimits:
         return API_LIMITS
 
+    def is_stopping(self) -> bool:
+        return self.stopping
+
     # Links from other processes
 
     def on_hello(self, peer: link.Link) -> None:
--- a/src/hemlockkeel/_internal/relay/caller.py
+++ b/src/hemlockkeel/_internal/relay/caller.py
@@ -75,6 +75,8 @@
         # Bytes received since the head of the current request.
         self.received_bytes = 0
         self.idle = True
+        # Whether a request has arrived on the connection.
+        self.used = False
         self.request_task: asyncio.Task[None] | None = None
         # Ends the reading of a request that has begun; None at other times.
         self.reading: asyncio.Timeout | None = None
@@ -162,6 +164,7 @@
         if not await self.wait_for_bytes(limits.idle_timeout_s):
             return None
         self.idle = False
+        self.used = True
         try:
             async with asyncio.timeout(None) as self.reading:
                 return await self.read_started_request(limits)
--- a/src/hemlockkeel/_internal/relay/process.py
+++ b/src/hemlockkeel/_internal/relay/process.py
@@ -42,8 +42,6 @@
 STOP_MARGIN_S = 0.3
 # Time in which the last responses are sent before the process ends.
 FINAL_RESPONSES_S = 0.2
-# Time in which the last connections are read once no more are accepted.
-LAST_READ_S = 0.05
 
 
 @dataclasses.dataclass(frozen=True)
@@ -242,10 +240,7 @@
         await self.wait_until_idle(self.shared.stops_at)
         self.give_up_requests()
         await self.wait_until_idle(ends_at)
-        self.caller_listener.stop_listening()
-        # Requests of connections that were accepted before may be unread.
-        await asyncio.sleep(LAST_READ_S)
-        await self.wait_until_idle(ends_at)
+        await self.caller_listener.finish(max(0.0, ends_at - loop.time()))
         self.log.write("drained", unfinished=self.caller_listener.count_busy())
 
     async def wait_until_idle(self, limit_at: float) -> None:
--- a/src/hemlockkeel/_internal/utils/http_service.py
+++ b/src/hemlockkeel/_internal/utils/http_service.py
@@ -1,7 +1,9 @@
 """HTTP listener, and the readiness and metrics endpoints of a process."""
 
 import asyncio
+import contextlib
 import http
+import socket
 import typing
 
 from hemlockkeel._internal.relay import caller
@@ -10,6 +12,12 @@
 from hemlockkeel._internal.routes import table
 
 BACKLOG = 1024
+# Time in which the first bytes of a connection that was accepted last are
+# read.
+LAST_READ_S = 0.05
+POLL_INTERVAL_S = 0.02
+# Iterations of the event loop until an accepted connection is attached.
+TURNS_TO_ATTACH = 3
 
 
 class HttpListener:
@@ -53,12 +61,40 @@
         if self.server is not None:
             self.server.close()
 
+    async def finish(self, wait_s: float) -> None:
+        """Stop accepting connections and wait for their last answers.
+
+        Closing the server at once would reset the connections that wait to
+        be accepted, and those that it has accepted but not attached.
+        """
+        if self.server is None:
+            return
+        loop = asyncio.get_running_loop()
+        waiting = [sock.dup() for sock in self.server.sockets]
+        for sock in self.server.sockets:
+            loop.remove_reader(sock.fileno())
+        for _ in range(TURNS_TO_ATTACH):
+            await asyncio.sleep(0)
+        self.stop_listening()
+        accepted = [each for sock in waiting for each in accept_all(sock)]
+        for sock in accepted:
+            await loop.connect_accepted_socket(
+                lambda: channel.Channel(self.accept), sock
+            )
+        ends_at = loop.time() + wait_s
+        await asyncio.sleep(LAST_READ_S)
+        while self.count_busy() and loop.time() < ends_at:
+            await asyncio.sleep(POLL_INTERVAL_S)
+
     def close_idle(self) -> None:
         """Close connections that have no request in flight.
 
-        One whose request has arrived but has not been looked at stays open.
+        One whose request has arrived but has not been looked at stays open,
+        as does a new one, whose first request is about to arrive.
         """
         for connection, task in list(self.connections.items()):
+            if not connection.used:
+                continue
             if connection.idle and not connection.channel.received:
                 task.cancel()
 
@@ -79,6 +115,18 @@
         )
 
 
+def accept_all(listening: socket.socket) -> list[socket.socket]:
+    """Accept the connections that wait, and close the listening socket."""
+    accepted = []
+    listening.setblocking(False)
+    with listening, contextlib.suppress(OSError):
+        while True:
+            accepted.append(listening.accept()[0])
+    for sock in accepted:
+        sock.setblocking(False)
+    return accepted
+
+
 class SimpleRequestHandler(caller.RequestHandler):
     """Base of handlers that respond at once, with the default limits."""
 
