--- a/src/hemlockkeel/_internal/relay/caller.py
+++ b/src/hemlockkeel/_internal/relay/caller.py
@@ -98,6 +98,8 @@
         # Bytes received since the head of the current request.
         self.received_bytes = 0
         self.idle = True
+        # Whether a request has arrived on the connection.
+        self.used = False
         self.request_task: asyncio.Task[None] | None = None
         # Ends the reading of a request that has begun; None at other times.
         self.reading: asyncio.Timeout | None = None
@@ -247,6 +249,7 @@
         if not await self.wait_for_bytes(limits.idle_timeout_s):
             return None
         self.idle = False
+        self.used = True
         self.budget.set_activity(
             self.holder, process_budget.Activity.RECEIVING
         )
--- a/src/hemlockkeel/_internal/utils/acceptor.py
+++ b/src/hemlockkeel/_internal/utils/acceptor.py
@@ -56,19 +56,27 @@
                 raise
             self.loop.add_reader(sock, self.accept, sock)
 
-    def accept(self, listening: socket.socket) -> None:
-        """Accept connections that wait."""
+    async def accept_waiting(self) -> None:
+        """Accept all connections that wait, and attach them."""
+        for sock in self.sockets:
+            while self.accept(sock):
+                continue
+        if self.tasks:
+            await asyncio.wait(self.tasks)
+
+    def accept(self, listening: socket.socket) -> bool:
+        """Accept some connections; return whether more may wait."""
         for _ in range(ACCEPTED_PER_TURN):
             try:
                 sock, _ = listening.accept()
             except (BlockingIOError, InterruptedError, ConnectionError):
-                return
+                return False
             except OSError as error:
                 if error.errno not in NO_RESOURCES:
                     raise
                 self.loop.remove_reader(listening)
                 self.loop.call_later(RETRY_AFTER_S, self.resume, listening)
-                return
+                return False
             sock.setblocking(False)
             if not self.limit.make_room():
                 self.refuse(sock)
@@ -81,6 +89,7 @@
             self.tasks.add(task)
             self.limit.pending += 1
             task.add_done_callback(self.on_connected)
+        return True
 
     def on_connected(self, task: asyncio.Task[object]) -> None:
         """Forget a connection that counts as a holder, or has failed."""
--- a/src/hemlockkeel/_internal/utils/http_service.py
+++ b/src/hemlockkeel/_internal/utils/http_service.py
@@ -18,6 +18,10 @@
     b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
     b"Connection: close\r\nContent-Length: 0\r\n\r\n"
 )
+# Time in which the first bytes of a connection that was accepted last are
+# read.
+LAST_READ_S = 0.05
+POLL_INTERVAL_S = 0.02
 
 
 class HttpListener:
@@ -74,12 +78,31 @@
         if self.server is not None:
             self.server.close()
 
+    async def finish(self, wait_s: float) -> None:
+        """Stop accepting connections and wait for their last answers.
+
+        Closing the server at once would reset the connections that wait to
+        be accepted.
+        """
+        if self.server is None:
+            return
+        loop = asyncio.get_running_loop()
+        await self.server.accept_waiting()
+        self.stop_listening()
+        ends_at = loop.time() + wait_s
+        await asyncio.sleep(LAST_READ_S)
+        while self.count_busy() and loop.time() < ends_at:
+            await asyncio.sleep(POLL_INTERVAL_S)
+
     def close_idle(self) -> None:
         """Close connections that have no request in flight.
 
-        One whose request has arrived but has not been looked at stays open.
+        One whose request has arrived but has not been looked at stays open,
+        as does a new one, whose first request is about to arrive.
         """
         for connection, task in list(self.connections.items()):
+            if not connection.used:
+                continue
             if connection.idle and not connection.channel.received:
                 task.cancel()
 
