Drop what has been read before more is awaited

Cause: with 400 clients at 152 MiB the peak was 153 to 183 MiB: each connection kept its last read of up to 80 KiB in a variable while it waited (for the rest of a body, or for what it drops after a rejection), and freed reads fragmented the heap.

Change: no variable, traceback or small block keeps them; blocks from 32 KiB are mapped on their own where memory is limited.

--- a/src/hemlockkeel/_internal/relay/caller.py
+++ b/src/hemlockkeel/_internal/relay/caller.py
@@ -177,12 +177,13 @@
         try:
             request = await self.read_request()
         except RequestRejectedError as error:
-            rejection = error
+            # Without its traceback, whose frames keep what they have read.
+            rejection = error.status, error.retryable
+            self.handler.on_request_rejected(error.status, str(error))
         self.body = bytearray()
         if rejection is not None:
-            # Not in the except clause, which would keep the body alive.
-            self.handler.on_request_rejected(rejection.status, str(rejection))
-            await self.reject(rejection.status, rejection.retryable)
+            self.parser_bytes = 0
+            await self.reject(*rejection)
             return False
         if request is None:
             return False
@@ -372,11 +373,10 @@
                 self.send(
                     h11.InformationalResponse(status_code=100, headers=[])
                 )
-            data = await self.channel.read()
             if self.protocol.their_state is h11.SEND_BODY:
                 # The parser has returned all that arrived before.
                 self.parser_bytes = 0
-            self.receive(data)
+            self.receive(await self.channel.read())
 
     def get_body_limit_at(
         self, begun_at: float, limits: table.RequestLimits
@@ -430,6 +430,8 @@
                 )
             self.check_not_shed()
             self.body += event.data
+            # Its data would be kept while the next event is awaited.
+            del event
             size = len(self.body)
             framing_bytes = self.received_bytes - size
             if framing_bytes > MAX_FRAMING_BYTES + FRAMING_RATIO * size:
@@ -542,10 +544,11 @@
         try:
             async with asyncio.timeout(LINGER_S):
                 while dropped < LINGER_BYTES:
-                    data = await self.channel.read()
-                    if not data:
+                    # Not kept in a variable while more is awaited.
+                    count = len(await self.channel.read())
+                    if not count:
                         return
-                    dropped += len(data)
+                    dropped += count
         except (TimeoutError, ConnectionError):
             return
 
--- a/src/hemlockkeel/_internal/utils/process_budget.py
+++ b/src/hemlockkeel/_internal/utils/process_budget.py
@@ -48,7 +48,8 @@
 CHECK_CONNECTIONS = 16
 # Options of mallopt(3).
 M_MMAP_THRESHOLD = -3
-MMAP_THRESHOLD_BYTES = 128 * 1024
+# Below what is read at once, so that reads do not fragment the heap either.
+MMAP_THRESHOLD_BYTES = 32 * 1024
 
 
 @dataclasses.dataclass(frozen=True)
