Free the parser and receive buffer of rejected requests

Change: both are dropped when the request is shed or rejected, and what the parser has returned is no longer counted twice.

--- a/src/hemlockkeel/_internal/relay/caller.py
+++ b/src/hemlockkeel/_internal/relay/caller.py
@@ -148,6 +148,7 @@
         if self.holder.activity is process_budget.Activity.RECEIVING:
             # Not when the task runs next: the memory is needed now.
             self.body = bytearray()
+            self.channel.received.clear()
             self.refuse_incomplete()
             return
         self.channel.abort()
@@ -182,7 +183,6 @@
             self.handler.on_request_rejected(error.status, str(error))
         self.body = bytearray()
         if rejection is not None:
-            self.parser_bytes = 0
             await self.reject(*rejection)
             return False
         if request is None:
@@ -430,6 +430,7 @@
                 )
             self.check_not_shed()
             self.body += event.data
+            self.parser_bytes = max(0, self.parser_bytes - len(event.data))
             # Its data would be kept while the next event is awaited.
             del event
             size = len(self.body)
@@ -536,6 +537,10 @@
             return
         if self.channel.transport and self.channel.transport.can_write_eof():
             self.channel.transport.write_eof()
+        # What the parser has received is not looked at any more.
+        self.protocol = h11.Connection(h11.SERVER)
+        self.parser_bytes = 0
+        self.update_held()
         await self.linger()
 
     async def linger(self) -> None:
