Use a part of the quota's tolerance for bursts

Change: bounds.quotaSlack is read; 0.35 of it is added to bursts at the leader and half of it is used by entries without a leader, in place of a constant.

--- a/src/hemlockkeel/_internal/coordinator/credits.py
+++ b/src/hemlockkeel/_internal/coordinator/credits.py
@@ -41,8 +41,11 @@
         decoder: concurrent.futures.Executor,
         own_clock: clock.Clock,
         log: event_log.EventLog,
+        tolerance: float = 0.0,
     ) -> None:
         self.node = member
+        # Tokens that a window may hold beyond a quota.
+        self.tolerance = tolerance
         self.catalogue = replicated
         self.codec = codec
         self.decoder = decoder
@@ -142,9 +145,13 @@
             state = self.catalogue.state
             begun_at = loop.time()
             try:
-                self.quotas = await loop.run_in_executor(
+                decoded = await loop.run_in_executor(
                     self.decoder, self.codec.decode_quotas, state.body
                 )
+                self.quotas = {
+                    name: credit.add_tolerance(quota, self.tolerance)
+                    for name, quota in decoded.items()
+                }
             except exceptions.BadDeclarationError as error:
                 self.log.write(
                     "credit_limits_unreadable",
--- a/src/hemlockkeel/_internal/coordinator/process.py
+++ b/src/hemlockkeel/_internal/coordinator/process.py
@@ -159,6 +159,7 @@
             self.decoder,
             self.clock,
             log,
+            settings.quota_tolerance,
         )
         self.links = server.LinkServer(self, log, self.budget)
 
--- a/src/hemlockkeel/_internal/coordinator/settings.py
+++ b/src/hemlockkeel/_internal/coordinator/settings.py
@@ -29,6 +29,8 @@
     limits: process_budget.ProcessLimits = dataclasses.field(
         default_factory=process_budget.ProcessLimits
     )
+    # Tokens that a window may hold beyond an organisation's quota.
+    quota_tolerance: float = 0.0
 
     @property
     def link_address(self) -> str:
--- a/src/hemlockkeel/_internal/policy/credit.py
+++ b/src/hemlockkeel/_internal/policy/credit.py
@@ -44,10 +44,14 @@
 LONG_ISOLATION_SHARE = 0.5
 # Time for which the leader leaves lost entries their parts of all rates.
 LOST_ENTRY_S = 60.0
-# Tokens that all entries together may use beside their parts of the rate
-# when they lose the leader, half of what a window may hold beyond a quota.
-# Few entries could run a single request during an election otherwise.
-ISOLATION_TOKENS = 55_000.0
+# Parts of the tolerance, which is what a window may hold beyond a quota. The
+# leader adds one to each burst, as requests that come close together would be
+# refused otherwise although their organisation is within its quota. All
+# entries together may use the other beside their parts of the rate when they
+# lose the leader: few could run a single request during an election otherwise.
+# The rest covers credit that was issued just before a window.
+BURST_TOLERANCE_SHARE = 0.35
+ISOLATION_TOLERANCE_SHARE = 0.5
 # Time after which they may do so again, and for which the last level of a
 # bucket that the leader has told is true.
 ISOLATION_WINDOW_S = 8.0
@@ -66,6 +70,17 @@
     level: float = 0.0
 
 
+def add_tolerance(
+    quota: organisations.Quota, tolerance: float
+) -> organisations.Quota:
+    """Return a quota with a part of the tolerance in its burst."""
+    if quota.unit is not organisations.QuotaUnit.TOKENS:
+        return quota
+    return dataclasses.replace(
+        quota, burst=quota.burst + BURST_TOLERANCE_SHARE * tolerance
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class Bucket:
     """Credit of one organisation that has not been issued."""
@@ -292,8 +307,12 @@
 class EntryAccount:
     """What one entry knows of one organisation."""
 
-    def __init__(self, quota: organisations.Quota, now: float) -> None:
+    def __init__(
+        self, quota: organisations.Quota, now: float, tolerance: float = 0.0
+    ) -> None:
         self.quota = quota
+        # Tokens that a window may hold beyond the quota.
+        self.tolerance = tolerance
         # In the order of expiry.
         self.held: list[Lot] = []
         self.use = UseMeter(now)
@@ -420,7 +439,7 @@
             return 0.0
         bonus = 0.0
         if self.quota.unit is organisations.QuotaUnit.TOKENS:
-            bonus = ISOLATION_TOKENS
+            bonus = ISOLATION_TOLERANCE_SHARE * self.tolerance
         if isolated_at - self.level_at < LEVEL_LIFETIME_S:
             bonus += min(self.level, self.quota.burst)
         return bonus
--- a/src/hemlockkeel/_internal/relay/process.py
+++ b/src/hemlockkeel/_internal/relay/process.py
@@ -77,6 +77,8 @@
     limits: process_budget.ProcessLimits = dataclasses.field(
         default_factory=process_budget.ProcessLimits
     )
+    # Tokens that a window may hold beyond an organisation's quota.
+    quota_tolerance: float = 0.0
 
 
 class ControlListener(dialer.Listener):
@@ -207,6 +209,7 @@
             self.count_announced_entries,
             random.Random(),
             clock.SuspendAwareClock(),
+            settings.quota_tolerance,
         )
         self.registry.on_added = self.rate_limits.handle_added
         self.speed_notices = speed_notices.SpeedNotices(
--- a/src/hemlockkeel/_internal/relay/quotas.py
+++ b/src/hemlockkeel/_internal/relay/quotas.py
@@ -58,8 +58,10 @@
 class Account:
     """Credit of one organisation; one request at a time asks for it."""
 
-    def __init__(self, quota: organisations.Quota, now: float) -> None:
-        self.credit = credit.EntryAccount(quota, now)
+    def __init__(
+        self, quota: organisations.Quota, now: float, tolerance: float
+    ) -> None:
+        self.credit = credit.EntryAccount(quota, now, tolerance)
         self.lock = asyncio.Lock()
 
 
@@ -74,8 +76,11 @@
         get_entry_count: collections.abc.Callable[[], int],
         rng: random.Random,
         own_clock: clock.Clock,
+        tolerance: float = 0.0,
     ) -> None:
         self.control = control
+        # Tokens that a window may hold beyond a quota.
+        self.tolerance = tolerance
         self.log = log
         self.instruments = metrics
         # Returns 0 while no control member has announced the number.
@@ -148,7 +153,7 @@
         """Return the account of an organisation under its newest quota."""
         account = self.accounts.get(name)
         if account is None:
-            account = Account(quota, self.clock.monotonic())
+            account = Account(quota, self.clock.monotonic(), self.tolerance)
             self.accounts[name] = account
         account.credit.set_quota(quota)
         return account
