Let a long load estimate fall while an agent loads nothing

An agent's estimate of a load from the store changed only with loads. Once many engines loaded at a time and the estimate exceeded what requests can wait, the agent refused each request that needed a load and the estimate was never corrected. It now falls towards the prior, with a half-life of 1 s, while no load is in progress.

--- a/src/hemlockkeel/_internal/orders/requests.py
+++ b/src/hemlockkeel/_internal/orders/requests.py
@@ -26,6 +26,10 @@
 # and how long a load from the weight store takes.
 INITIAL_USE_S = 1.0
 INITIAL_LOAD_S = 0.25
+# Half-life of a measured load time's excess over the initial one while the
+# engine loads nothing from the store. An estimate above the requests' limits
+# would otherwise refuse every load that could correct it.
+LOAD_ESTIMATE_HALF_LIFE_S = 1.0
 # Weight of a new measurement in a moving average.
 SMOOTHING_FACTOR = 0.05
 # How far past its SLO deadline a request may still wait for a contended slot:
@@ -105,6 +109,8 @@
         self.mean_load_s = INITIAL_LOAD_S
         # Start of each load from the weight store that is in progress.
         self.load_started_at: dict[slots.AdapterKey, float] = {}
+        # When `mean_load_s` was last updated; None before the first report.
+        self.load_estimated_at: float | None = None
         # Moving average of the share of grants of each priority.
         self.grant_shares = [0.0] * PRIORITY_RANKS
 
@@ -329,6 +335,7 @@
         self, state: slots.EngineState, now: float
     ) -> None:
         """Update the mean time of loads that are no longer in progress."""
+        self.decay_load_estimate(now)
         for key in list(self.load_started_at):
             if key in state.loading:
                 continue
@@ -338,6 +345,15 @@
                     took_s - self.mean_load_s
                 )
 
+    def decay_load_estimate(self, now: float) -> None:
+        """Reduce a long mean load time while no load could correct it."""
+        before, self.load_estimated_at = self.load_estimated_at, now
+        excess_s = self.mean_load_s - INITIAL_LOAD_S
+        if self.load_started_at or before is None or excess_s <= 0.0:
+            return
+        excess_s *= 0.5 ** ((now - before) / LOAD_ESTIMATE_HALF_LIFE_S)
+        self.mean_load_s = INITIAL_LOAD_S + excess_s
+
     def record_use(self, key: slots.AdapterKey, now: float) -> None:
         """Record the last use of an adapter."""
         self.last_used_at.pop(key, None)
