Fetch one adapter at a time at an engine while the store is slow

Each agent had up to four loads from the store in progress, whatever they took. Beyond three loads over all engines, more of them only delay each other, so that requests gave up before their load ended. An agent whose mean load takes 1.5 times the prior or more now starts the next load from the store after the last one. Reloads don't count, and nothing is unloaded for a load that cannot start yet.

--- a/src/hemlockkeel/_internal/orders/requests.py
+++ b/src/hemlockkeel/_internal/orders/requests.py
@@ -26,6 +26,9 @@
 # and how long a load from the weight store takes.
 INITIAL_USE_S = 1.0
 INITIAL_LOAD_S = 0.25
+# Mean load time, relative to the initial one, beyond which the store counts as
+# congested.
+SLOW_LOAD_RATIO = 1.5
 # Half-life of a measured load time's excess over the initial one while the
 # engine loads nothing from the store. An estimate above the requests' limits
 # would otherwise refuse every load that could correct it.
@@ -189,6 +192,8 @@
             self.get_adapters_in_use(),
             self.last_used_at,
             self.newest_versions,
+            self.get_recent() - self.load_started_at.keys(),
+            self.get_max_store_loads(),
         )
 
     def grant_loaded(
@@ -271,10 +276,22 @@
 
         The adapters used last are taken for those that it had loaded last.
         """
-        recent = itertools.islice(
-            reversed(self.last_used_at), MAX_RECENT_ADAPTERS
-        )
-        return key in recent
+        return key in self.get_recent()
+
+    def get_recent(self) -> frozenset[slots.AdapterKey]:
+        """Return the adapters that the engine can probably reload fast."""
+        recent = reversed(self.last_used_at)
+        return frozenset(itertools.islice(recent, MAX_RECENT_ADAPTERS))
+
+    def get_max_store_loads(self) -> int:
+        """Return how many loads from the store may be in progress.
+
+        The store's rate is shared by all engines: when loads take long, more
+        of them at a time only delay each other.
+        """
+        if self.mean_load_s > SLOW_LOAD_RATIO * INITIAL_LOAD_S:
+            return 1
+        return slots.MAX_CONCURRENT_LOADS
 
     def estimate_slot_wait_s(
         self,
--- a/src/hemlockkeel/_internal/orders/slots.py
+++ b/src/hemlockkeel/_internal/orders/slots.py
@@ -5,6 +5,7 @@
 others is unloaded.
 """
 
+import collections.abc
 import dataclasses
 
 from hemlockkeel._internal.orders import engine
@@ -43,6 +44,18 @@
     last_used_at: dict[AdapterKey, float]
     # Newest version of each adapter that control members have announced.
     newest_versions: dict[AdapterKey, int]
+    # Adapters that the engine can reload without the store.
+    recent: collections.abc.Set[AdapterKey] = frozenset()
+    # Loads from the store that may be in progress at a time.
+    max_store_loads: int = MAX_CONCURRENT_LOADS
+
+    def may_load(self, key: AdapterKey, state: EngineState) -> bool:
+        """Return whether a load may be added to those in progress."""
+        if len(state.loading) >= MAX_CONCURRENT_LOADS:
+            return False
+        if key in self.recent:
+            return True
+        return len(state.loading - self.recent) < self.max_store_loads
 
 
 def is_current(key: AdapterKey, state: EngineState, demand: Demand) -> bool:
@@ -83,10 +96,11 @@
         # The engine replaces an older version only after the requests that
         # use it have ended, and accepts no other order meanwhile.
         return None if key in demand.in_use else make_load_order(key, demand)
+    if not demand.may_load(key, state):
+        # A slot that is freed early would only lose its adapter.
+        return None
     taken = len(state.adapters.keys() | state.loading)
     if taken < state.adapter_slots:
-        if len(state.loading) >= MAX_CONCURRENT_LOADS:
-            return None
         return make_load_order(key, demand)
     victim = choose_victim(state, demand)
     if victim is None:
--- a/tests/lib/adapter_fleet.py
+++ b/tests/lib/adapter_fleet.py
@@ -56,6 +56,7 @@
     tokens: int
     objective_s: float
     deadline_s: float
+    attempts: int = 0
     tried: set[records.IncarnationKey] = dataclasses.field(default_factory=set)
 
 
@@ -242,9 +243,10 @@
             0,
             request.tokens,
         )
-        if chosen is None or len(request.tried) >= MAX_ATTEMPTS:
+        if chosen is None or request.attempts >= MAX_ATTEMPTS:
             self.refused += 1
             return
+        request.attempts += 1
         request.tried.add(chosen.record.incarnation_key)
         target = registry.targets[chosen.record.instance_id]
         target.in_flight += 1
@@ -378,6 +380,7 @@
             "fetches": self.fetches.total(),
             "requests": self.count,
             "late": self.late,
+            "on_time": len(ordered) - self.late,
             "refused": self.refused,
             "wait_mean_ms": 1000 * statistics.fmean(self.adapter_wait_s),
             "first_byte_mean_ms": 1000 * statistics.fmean(ordered),
--- a/tests/unit/test_adapter_placement.py
+++ b/tests/unit/test_adapter_placement.py
@@ -1,10 +1,14 @@
 """Fetches of adapters from the store, and waits for them, over all engines."""
 
+import dataclasses
 import unittest
 
+from hemlockkeel._internal.orders import engine
 from hemlockkeel._internal.orders import requests
 from hemlockkeel._internal.orders import slots
 
+UNLOAD = engine.Operation.UNLOAD
+
 
 class TestLoadEstimate(unittest.TestCase):
     """The agent's estimate of how long a load from the store takes."""
@@ -41,5 +45,44 @@
         self.assertEqual(demand.mean_load_s, 2.0)
 
 
+class TestStoreLoads(unittest.TestCase):
+    """How many loads from the store an agent has in progress."""
+
+    def setUp(self) -> None:
+        self.demand = requests.AdapterRequests()
+        self.demand.record_use(("m", "recent"), 0.0)
+        self.demand.record_load_start(("m", "a"), 0.0)
+        self.state = slots.EngineState(
+            {("m", "old"): 1}, {("m", "a")}, {"m"}, 2
+        )
+
+    def choose(self, *names: str) -> engine.Order | None:
+        """Return the next order while requests wait for some adapters."""
+        pending = [("m", name) for name in names]
+        demand = dataclasses.replace(
+            self.demand.get_demand(0.0), pending=pending
+        )
+        return slots.choose_order(self.state, demand)
+
+    def test_fast_store_gets_more_loads(self) -> None:
+        order = self.choose("b")
+        self.assertEqual(order, engine.Order(UNLOAD, "m", "old"))
+
+    def test_slow_store_gets_one_load(self) -> None:
+        """Guards against loads that all end too late for their requests.
+
+        Nothing may be unloaded for a load that cannot start yet either.
+        """
+        self.demand.mean_load_s = 2.0
+        self.assertIsNone(self.choose("b"))
+
+    def test_reload_does_not_wait_for_the_store(self) -> None:
+        self.demand.mean_load_s = 2.0
+        self.state.adapters = {}
+        order = self.choose("b", "recent")
+        assert order is not None
+        self.assertEqual(order.adapter, "recent")
+
+
 if __name__ == "__main__":
     unittest.main()
