Ask the engine that is loading an adapter again, not another one

An agent's refusal now says that the adapter is being loaded, and the entry may then select the same engine again. The number of attempts and the limit of all waits stay as before.

--- a/src/hemlockkeel/_internal/links/messages.py
+++ b/src/hemlockkeel/_internal/links/messages.py
@@ -192,6 +192,8 @@
     # Start of the engine's process that has the adapter, milliseconds since
     # the epoch; 0 if the engine does not report it.
     started_at_ms: int = 0
+    # Whether the wait ended while the engine was loading the adapter.
+    loading: bool = False
 
 
 class ReleaseAdapter(Message, frozen=True, tag=True, kw_only=True):
--- a/src/hemlockkeel/_internal/orders/adapter_manager.py
+++ b/src/hemlockkeel/_internal/orders/adapter_manager.py
@@ -101,7 +101,9 @@
             # event loop in which the wait timed out.
             self.requests.discard(waiter)
             grant = messages.AdapterGrant(
-                granted=False, reason="no adapter slot became free in time"
+                granted=False,
+                reason="no adapter slot became free in time",
+                loading=self.is_loading(waiter.key),
             )
         if not grant.granted:
             self.log_refusal(call, grant)
@@ -109,6 +111,18 @@
             grant, started_at_ms=self.started_at_ms or 0
         )
 
+    def is_loading(self, key: slots.AdapterKey) -> bool:
+        """Return whether the engine is loading or has just loaded an adapter.
+
+        A request that asks again then gets it soon.
+        """
+        state = self.get_engine_state()
+        if state is None or not self.can_order or self.is_leaving:
+            return False
+        return key in state.loading or slots.is_current(
+            key, state, self.requests.get_demand(self.now)
+        )
+
     def find_refusal(
         self, key: slots.AdapterKey
     ) -> messages.AdapterGrant | None:
--- a/src/hemlockkeel/_internal/relay/adapters.py
+++ b/src/hemlockkeel/_internal/relay/adapters.py
@@ -29,6 +29,8 @@
     # Start of the engine's process that has the adapter, milliseconds since
     # the epoch; 0 if unknown.
     started_at_ms: int = 0
+    # Whether the agent refused because the load takes longer than the wait.
+    loading: bool = False
 
 
 class AdapterClient:
@@ -87,6 +89,7 @@
             call_id,
             peer,
             reply.started_at_ms,
+            reply.loading,
         )
 
     def release(self, grant: Grant) -> None:
--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -1,5 +1,7 @@
 """One attempt to get a response to a request from one target."""
 
+import dataclasses
+
 from hemlockkeel._internal.discovery import stream_origins
 from hemlockkeel._internal.links import link
 from hemlockkeel._internal.links import messages
@@ -81,7 +83,10 @@
         try:
             if not grant.granted:
                 self.context.record_expected_wait(grant.expected_wait_s)
-                return self.fail_unsent(results.Cause.NO_ADAPTER, grant.reason)
+                return dataclasses.replace(
+                    self.fail_unsent(results.Cause.NO_ADAPTER, grant.reason),
+                    loading=grant.loading,
+                )
             if grant.started_at_ms not in (
                 0,
                 self.target.record.started_at_ms,
--- a/src/hemlockkeel/_internal/relay/forwarder.py
+++ b/src/hemlockkeel/_internal/relay/forwarder.py
@@ -211,6 +211,10 @@
             if isinstance(result, results.Completed):
                 return
             self.last_result = result
+            if isinstance(result, results.AttemptFailed) and result.loading:
+                # Another target would fetch a second copy of the adapter,
+                # and later than this one.
+                self.tried_targets.discard(target.incarnation_key)
             if not self.should_try_another(route, result):
                 self.send_final_response(service)
                 return
--- a/src/hemlockkeel/_internal/relay/results.py
+++ b/src/hemlockkeel/_internal/relay/results.py
@@ -51,6 +51,8 @@
     reason: str
     # Whether the request was sent to the target.
     sent: bool = True
+    # Whether the target is loading the request's adapter.
+    loading: bool = False
 
 
 @dataclasses.dataclass
--- a/tests/lib/adapter_fleet.py
+++ b/tests/lib/adapter_fleet.py
@@ -352,6 +352,9 @@
         if not grant.granted:
             target.in_flight -= 1
             target.in_flight_prefill_tokens -= request.tokens
+            if waiter.key in each.state.loading:
+                # As `Forwarder.try_targets`; only such waits time out.
+                request.tried.discard(target.record.incarnation_key)
             self.send(request)
             return
         each.backlog.add(request.tokens, self.now)
--- a/tests/unit/test_adapter_orders.py
+++ b/tests/unit/test_adapter_orders.py
@@ -211,6 +211,30 @@
         await self.run_cycles(manager, 4)
         self.assertTrue((await task).granted)
 
+    async def test_refusal_during_the_load_says_so(self) -> None:
+        """Guards against a second fetch of it for the same request."""
+        client = FakeEngine(random.Random(1))
+        manager = make_manager(client)
+        await manager.refresh()
+        calls = [make_call("a", 0.01), make_call("b", 0.01, number=2)]
+        manager.requests.mean_load_s = 0.0
+        tasks = [
+            asyncio.create_task(manager.ensure_adapter("e", call))
+            for call in calls
+        ]
+        await asyncio.sleep(0)
+        order = engine.Order(LOAD, "m", "a")
+        self.assertTrue(await manager.send_order(order))
+        assert manager.report is not None
+        manager.report = dataclasses.replace(
+            manager.report,
+            models=(records.LoadedModel("m", 1, {}),),
+            loading=(("m", "a"),),
+        )
+        grants = await asyncio.gather(*tasks)
+        self.assertEqual([grant.granted for grant in grants], [False, False])
+        self.assertEqual([grant.loading for grant in grants], [True, False])
+
     async def test_request_waits_for_the_newest_version(self) -> None:
         client = FakeEngine(random.Random(1))
         client.loaded["a"] = 1
