Let organisations take turns for adapter slots

Within the same lateness and priority, requests that wait for an adapter went by arrival, so that one organisation's burst was loaded before all others. Agents now order them by start-time fair queueing: each load costs the organisation that gets it one turn. EnsureAdapter carries the name of the organisation. The expected wait counts only the requests that are ahead, else a burst would have others refused by the estimate.

--- a/src/hemlockkeel/_internal/links/messages.py
+++ b/src/hemlockkeel/_internal/links/messages.py
@@ -178,6 +178,8 @@
     request_id: str = ""
     # Newest version of the adapter that the entry knows; 0 if none is named.
     newest_version: int = 0
+    # Name of the caller's organisation; empty if it has none.
+    organisation: str = ""
 
 
 class AdapterGrant(Message, frozen=True, tag=True, kw_only=True):
--- a/src/hemlockkeel/_internal/orders/requests.py
+++ b/src/hemlockkeel/_internal/orders/requests.py
@@ -6,12 +6,14 @@
 """
 
 import asyncio
+import collections
 import dataclasses
 import itertools
 
 from hemlockkeel._internal.links import link
 from hemlockkeel._internal.links import messages
 from hemlockkeel._internal.orders import slots
+from hemlockkeel._internal.policy import fair_order
 
 # Link over which a call arrived, and the id of the call.
 CallKey = tuple[link.Link, int]
@@ -56,6 +58,16 @@
     # Increases with each request.
     sequence: int
     future: asyncio.Future[messages.AdapterGrant]
+    # Virtual time of its arrival, and its start tag in the latest order.
+    virtual_time: float = 0.0
+    tag: float = 0.0
+
+    @property
+    def claim(self) -> fair_order.Claim:
+        """Return what it claims of the turns of its organisation."""
+        return fair_order.Claim(
+            self.request.organisation, self.key, self.virtual_time
+        )
 
     @property
     def key(self) -> slots.AdapterKey:
@@ -84,13 +96,13 @@
             self.deadline_at, self.slo_deadline_at + LATENESS_TOLERANCE_S
         )
 
-    def get_sort_key(self, now: float) -> tuple[bool, int, int]:
-        """Return a key that sorts by lateness, priority and arrival.
+    def get_class(self, now: float) -> tuple[bool, int]:
+        """Return a key that sorts by lateness and priority.
 
         Requests that miss their SLO anyway come last: under high load they
         would otherwise make all later ones miss theirs too.
         """
-        return now > self.slo_deadline_at, self.request.priority, self.sequence
+        return now > self.slo_deadline_at, self.request.priority
 
 
 class AdapterRequests:
@@ -116,6 +128,8 @@
         self.load_estimated_at: float | None = None
         # Moving average of the share of grants of each priority.
         self.grant_shares = [0.0] * PRIORITY_RANKS
+        # Turns of organisations for loads.
+        self.turns = fair_order.FairOrder()
 
     def record_version(self, key: slots.AdapterKey, version: int) -> None:
         """Remember the newest version of an adapter; 0 names none."""
@@ -132,6 +146,7 @@
             now,
             next(self.sequence_numbers),
             asyncio.get_running_loop().create_future(),
+            self.turns.virtual_time,
         )
         self.waiters.append(waiter)
         return waiter
@@ -175,18 +190,8 @@
         return set(self.grants.values())
 
     def get_demand(self, now: float) -> slots.Demand:
-        """Return the demand for adapters, in the order of urgency.
-
-        Each waiter's lateness is judged by the time at which a load that
-        starts now would end.
-        """
-        ordered = sorted(
-            self.waiters,
-            key=lambda waiter: waiter.get_sort_key(
-                now + self.estimate_load_s(waiter.key)
-            ),
-        )
-        waiting = [w.key for w in ordered if not w.future.done()]
+        """Return the demand for adapters, in the order of urgency."""
+        waiting = [w.key for w in self.sort(now) if not w.future.done()]
         return slots.Demand(
             list(dict.fromkeys(waiting)),
             self.get_adapters_in_use(),
@@ -196,6 +201,28 @@
             self.get_max_store_loads(),
         )
 
+    def sort(self, now: float) -> list[Waiter]:
+        """Return the waiters by lateness, priority and fair turns.
+
+        Each waiter's lateness is judged by the time at which a load that
+        starts now would end. Organisations take turns within a class of
+        lateness and priority; one's own requests go by arrival.
+        """
+        recent = self.get_recent()
+        classes = collections.defaultdict(list)
+        for waiter in self.waiters:
+            load_s = (
+                ADAPTER_RELOAD_S if waiter.key in recent else self.mean_load_s
+            )
+            classes[waiter.get_class(now + load_s)].append(waiter)
+        ordered: list[Waiter] = []
+        for _, members in sorted(classes.items()):
+            tags = self.turns.make_tags(waiter.claim for waiter in members)
+            for waiter, tag in zip(members, tags, strict=True):
+                waiter.tag = tag
+            ordered += sorted(members, key=lambda w: (w.tag, w.sequence))
+        return ordered
+
     def grant_loaded(
         self, state: slots.EngineState, now: float
     ) -> list[Waiter]:
@@ -228,12 +255,13 @@
         A load for them would only take a slot from others. Returns the
         refused waiters.
         """
+        self.sort(now)
         overdue = []
         for waiter in list(self.waiters):
             if waiter.key in state.loading:
                 continue
             wait_s = self.estimate_slot_wait_s(
-                waiter.request.priority, state, waiter.key
+                waiter.request.priority, state, waiter
             )
             loaded_at = now + self.estimate_load_s(waiter.key)
             if loaded_at > waiter.get_wait_limit(wait_s):
@@ -249,8 +277,9 @@
         """Refuse a new request if its expected wait exceeds its limit."""
         if waiter.key in state.loading or waiter.future.done():
             return
+        self.sort(now)
         wait_s = self.estimate_slot_wait_s(
-            waiter.request.priority, state, waiter.key
+            waiter.request.priority, state, waiter
         )
         limit = waiter.get_wait_limit(wait_s)
         wait_s += self.estimate_load_s(waiter.key)
@@ -297,18 +326,34 @@
         self,
         rank: int,
         state: slots.EngineState,
-        key: slots.AdapterKey | None = None,
+        waiter: Waiter | None = None,
     ) -> float:
         """Return the expected wait for a slot, rounded to `SLOT_WAIT_STEP_S`.
 
         Later requests of a higher priority overtake. As in a priority queue,
         the wait grows with the share of grants that they get. A slot that
-        ``key`` already occupies is not counted as taken.
+        the adapter of ``waiter`` already occupies is not counted as taken,
+        nor are those for which other organisations wait that have their turn
+        later. Without a ``waiter``, the wait is that of an organisation that
+        has no other request.
         """
         if not state.adapter_slots:
             return 0.0
+        key = waiter.key if waiter is not None else None
+        own = waiter.request.organisation if waiter is not None else None
+        tag = waiter.tag if waiter is not None else self.turns.virtual_time
+        takes_turns = len({w.request.organisation for w in self.waiters}) > 1
         used = self.get_adapters_in_use() | state.loading
-        used |= {w.key for w in self.waiters if w.request.priority <= rank}
+        used |= {
+            w.key
+            for w in self.waiters
+            if w.request.priority <= rank
+            and (
+                not takes_turns
+                or w.request.organisation == own
+                or w.tag <= tag
+            )
+        }
         missing = len(used - {key}) + 1 - state.adapter_slots
         if missing <= 0:
             return 0.0
@@ -334,6 +379,9 @@
         """Record that a load has started."""
         if not self.was_recently_loaded(key):
             self.load_started_at[key] = now
+        first = next((w for w in self.sort(now) if w.key == key), None)
+        if first is not None:
+            self.turns.record_turn(first.request.organisation, first.tag)
         self.in_use_since[key] = now
         self.record_use(key, now)
 
--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -116,6 +116,11 @@
             prompt_tokens=limits.uncached_tokens,
             request_id=metadata.request_id,
             newest_version=self.get_newest_version(),
+            organisation=(
+                self.context.organisation.name
+                if self.context.organisation is not None
+                else ""
+            ),
         )
 
     def get_wait_limits(self) -> waits.WaitLimits:
--- a/tests/unit/test_adapter_placement.py
+++ b/tests/unit/test_adapter_placement.py
@@ -1,13 +1,18 @@
 """Fetches of adapters from the store, and waits for them, over all engines."""
 
 import dataclasses
+import statistics
 import unittest
 
+from hemlockkeel._internal.links import messages
 from hemlockkeel._internal.orders import engine
 from hemlockkeel._internal.orders import requests
 from hemlockkeel._internal.orders import slots
+from tests.unit import test_adapter_load
 
 UNLOAD = engine.Operation.UNLOAD
+# Load of sixteen organisations without a burst, as a share of the capacity.
+USUAL_LOAD = 0.8
 
 
 class TestLoadEstimate(unittest.TestCase):
@@ -84,5 +89,95 @@
         self.assertEqual(order.adapter, "recent")
 
 
+class Crowd(test_adapter_load.Simulation):
+    """Sixteen organisations at an engine, one of which bursts."""
+
+    def __init__(self, seed: int, burst: float, last: bool = False) -> None:
+        super().__init__(USUAL_LOAD * (15 + burst) / 16, seed)
+        self.burst_share = burst / (15 + burst)
+        # Whether the others always go first, by priority.
+        self.last = last
+        self.others: set[int] = set()
+        self.of_others: list[test_adapter_load.Result] = []
+
+    def arrive(self, now: float) -> None:
+        """Add a request of the organisation that bursts or of another."""
+        self.count += 1
+        name = "o0"
+        if self.rng.random() >= self.burst_share:
+            name = f"o{self.rng.randint(1, 15)}"
+            self.others.add(self.count)
+        call = messages.EnsureAdapter(
+            model="m",
+            adapter=f"a{self.count}",
+            priority=2 if self.last and name == "o0" else 0,
+            wait_s=test_adapter_load.MAX_WAIT_S,
+            slo_budget_s=test_adapter_load.SLO_S,
+            organisation="" if self.last else name,
+        )
+        waiter = self.requests.add((self, self.count), call, now)
+        self.waiting[self.count] = (waiter, now)
+        self.requests.refuse_if_too_late(waiter, self.state, now)
+
+    def collect_results(self, now: float) -> None:
+        """Keep the results of the organisations that do not burst."""
+        ended = [
+            number
+            for number, (waiter, _) in self.waiting.items()
+            if waiter.future.done()
+        ]
+        count = len(self.results)
+        super().collect_results(now)
+        self.of_others += [
+            result
+            for number, result in zip(ended, self.results[count:], strict=True)
+            if number in self.others
+        ]
+
+    def measure(self) -> tuple[float, float]:
+        """Return the others' share of grants and mean wait, seconds."""
+        self.run()
+        granted = [r.waited_s for r in self.of_others if r.granted]
+        return len(granted) / len(self.of_others), statistics.fmean(granted)
+
+
+class TestOrganisations(unittest.IsolatedAsyncioTestCase):
+    """Turns of organisations for adapter slots."""
+
+    async def test_burst_does_not_displace_others(self) -> None:
+        """Guards against one organisation's queue before all others.
+
+        At best, the others go before it always. The turns that are its own
+        may cost them no more: a sixteenth of the grants, and a wait of one
+        turn. By arrival alone, they would lose more.
+        """
+        best = [Crowd(seed, 7.5, last=True).measure() for seed in range(8)]
+        fair = [Crowd(seed, 7.5).measure() for seed in range(8)]
+        best_share, best_wait_s = map(
+            statistics.fmean, zip(*best, strict=True)
+        )
+        share, wait_s = map(statistics.fmean, zip(*fair, strict=True))
+        turn_s = statistics.fmean(test_adapter_load.USE_S)
+        turn_s /= test_adapter_load.SLOTS
+        self.assertGreaterEqual(share, best_share - 1 / 16)
+        self.assertLessEqual(wait_s, best_wait_s + turn_s)
+
+    async def test_requests_without_organisation_go_by_arrival(self) -> None:
+        demand = requests.AdapterRequests()
+        for number in range(4):
+            call = messages.EnsureAdapter(
+                model="m",
+                adapter=f"a{number}",
+                priority=0,
+                wait_s=9.0,
+                slo_budget_s=9.0,
+            )
+            demand.add((self, number), call, 0.0)
+            if number == 1:
+                demand.record_load_start(("m", "a0"), 0.0)
+        names = [adapter for _, adapter in demand.get_demand(0.0).pending]
+        self.assertEqual(names, ["a0", "a1", "a2", "a3"])
+
+
 if __name__ == "__main__":
     unittest.main()
