Count an agent's loads of adapters by cause

hemlockkeel_adapter_loads has first loads at an engine, new versions, adapters that were evicted long ago, and reloads, which are not fetched from the store. The agent cannot tell a second copy from a first load: the sum of first loads over all agents less the number of different adapters gives these.

--- a/src/hemlockkeel/_internal/orders/adapter_manager.py
+++ b/src/hemlockkeel/_internal/orders/adapter_manager.py
@@ -1,6 +1,7 @@
 """Loads and unloads an engine's adapters as requests need them."""
 
 import asyncio
+import collections.abc
 
 import msgspec
 
@@ -40,6 +41,10 @@
     ) -> None:
         self.client = client
         self.holder = holder
+        # Called with the cause of each load of an adapter.
+        self.on_load: collections.abc.Callable[[requests.LoadCause], None] = (
+            ignore_load
+        )
         self.log = log
         self.report: engine.Report | None = None
         # Whether the engine has stopped responding after an earlier report.
@@ -436,10 +441,17 @@
         if order.operation is engine.Operation.UNLOAD:
             self.requests.record_unload(key)
         elif order.adapter:
+            self.on_load(
+                self.requests.find_load_cause(key, order.version or 0)
+            )
             self.requests.record_load_start(key, self.now)
         return await self.refresh()
 
 
+def ignore_load(cause: requests.LoadCause) -> None:
+    """Do nothing about a load."""
+
+
 def make_refusal(
     reason: str, expected_s: float = 0.0
 ) -> messages.AdapterGrant:
--- a/src/hemlockkeel/_internal/orders/process.py
+++ b/src/hemlockkeel/_internal/orders/process.py
@@ -84,6 +84,7 @@
         self.manager = adapter_manager.AdapterManager(
             client, settings.name, log
         )
+        self.manager.on_load = self.count_load
         self.control_links = dialer.DialerSet(
             messages.Hello(
                 role="agent",
@@ -96,6 +97,10 @@
         )
         self.links = server.LinkServer(self, log)
 
+    def count_load(self, cause: orders_requests.LoadCause) -> None:
+        """Count a load of an adapter by its cause."""
+        self.instruments.adapter_loads.labels(cause.value).inc()
+
     # Process
 
     async def start(self) -> None:
--- a/src/hemlockkeel/_internal/orders/requests.py
+++ b/src/hemlockkeel/_internal/orders/requests.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 import dataclasses
+import enum
 import itertools
 
 from hemlockkeel._internal.links import link
@@ -48,6 +49,18 @@
 MAX_HIGHER_PRIORITY_SHARE = 0.75
 
 
+class LoadCause(enum.Enum):
+    """Why an engine loads an adapter; all but a reload are fetches."""
+
+    # The engine has not had it since its start or that of its agent.
+    FIRST = "first"
+    VERSION = "version"
+    # It was evicted long ago.
+    AGAIN = "again"
+    # It was evicted recently, so that the engine need not fetch it.
+    RELOAD = "reload"
+
+
 @dataclasses.dataclass
 class Waiter:
     """A request that waits for an adapter; times are those of the loop."""
@@ -118,6 +131,9 @@
         # Last use of each adapter, the oldest first.
         self.last_used_at: dict[slots.AdapterKey, float] = {}
         self.newest_versions: dict[slots.AdapterKey, int] = {}
+        # Version of each adapter's last load, the oldest load first; 0 if
+        # none was named.
+        self.loaded_versions: dict[slots.AdapterKey, int] = {}
         # Moving averages of how long an adapter is in use and how long a
         # load from the weight store takes.
         self.mean_use_s = INITIAL_USE_S
@@ -375,6 +391,22 @@
                 hit - self.grant_shares[rank]
             )
 
+    def find_load_cause(
+        self, key: slots.AdapterKey, version: int
+    ) -> LoadCause:
+        """Return why an adapter is loaded now, and remember the load."""
+        known = self.loaded_versions.pop(key, None)
+        self.loaded_versions[key] = version
+        if len(self.loaded_versions) > MAX_TRACKED_ADAPTERS:
+            del self.loaded_versions[next(iter(self.loaded_versions))]
+        if known is None:
+            return LoadCause.FIRST
+        if version > known:
+            return LoadCause.VERSION
+        if self.was_recently_loaded(key):
+            return LoadCause.RELOAD
+        return LoadCause.AGAIN
+
     def record_load_start(self, key: slots.AdapterKey, now: float) -> None:
         """Record that a load has started."""
         if not self.was_recently_loaded(key):
@@ -429,5 +461,6 @@
     def reset(self) -> None:
         """Forget uses and loads of adapters after a restart of the engine."""
         self.last_used_at.clear()
+        self.loaded_versions.clear()
         self.in_use_since.clear()
         self.load_started_at.clear()
--- a/src/hemlockkeel/_internal/utils/instruments.py
+++ b/src/hemlockkeel/_internal/utils/instruments.py
@@ -44,6 +44,12 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self.adapter_loads = prometheus_client.Counter(
+            "hemlockkeel_adapter_loads",
+            "Loads of adapters that an agent has ordered, by cause",
+            ["cause"],
+            registry=self.registry,
+        )
         self.events = prometheus_client.Counter(
             "hemlockkeel_events",
             "State changes by name",
--- a/tests/unit/test_adapter_orders.py
+++ b/tests/unit/test_adapter_orders.py
@@ -11,6 +11,7 @@
 from hemlockkeel._internal.links import messages
 from hemlockkeel._internal.orders import adapter_manager
 from hemlockkeel._internal.orders import engine
+from hemlockkeel._internal.orders import requests
 from hemlockkeel._internal.orders import slots
 from hemlockkeel._internal.routes import table
 from tests.lib import logs
@@ -211,6 +212,23 @@
         await self.run_cycles(manager, 4)
         self.assertTrue((await task).granted)
 
+    async def test_loads_are_counted_by_cause(self) -> None:
+        """Guards against fetches whose reason nobody can tell."""
+        manager = make_manager(FakeEngine(random.Random(1)))
+        causes: list[str] = []
+        manager.on_load = lambda cause: causes.append(cause.value)
+        await manager.refresh()
+        load, unload = (
+            engine.Order(each, "m", "a", 1) for each in (LOAD, UNLOAD)
+        )
+        for order in (load, unload, load):
+            await manager.send_order(order)
+        await manager.send_order(engine.Order(LOAD, "m", "a", 2))
+        for index in range(requests.MAX_RECENT_ADAPTERS):
+            manager.requests.record_use(("m", f"b{index}"), 0.0)
+        await manager.send_order(engine.Order(LOAD, "m", "a", 2))
+        self.assertEqual(causes, ["first", "reload", "version", "again"])
+
     async def test_refusal_during_the_load_says_so(self) -> None:
         """Guards against a second fetch of it for the same request."""
         client = FakeEngine(random.Random(1))
