--- a/tests/lib/adapter_fleet.py
+++ b/tests/lib/adapter_fleet.py
@@ -147,7 +147,8 @@
         self.first_byte_s: list[float] = []
         self.adapter_wait_s: list[float] = []
         self.late = self.refused = self.count = 0
-        self.arrivals: list[str] = []
+        # Adapters with versions in the order of the requests for them.
+        self.arrivals: list[tuple[str, int]] = []
 
     def at(self, time: float, action: Action) -> None:
         """Call an action at a time."""
@@ -204,7 +205,7 @@
         """Let a request arrive, and plan the next one."""
         kind = self.rng.choice(KINDS)
         name = self.rng.choices(self.names, cum_weights=self.weights)[0]
-        self.arrivals.append(name)
+        self.arrivals.append((name, self.versions.get(name, 1)))
         self.count += 1
         self.send(
             Request(
@@ -404,3 +405,38 @@
         slots=64,
         models=[],
     )
+
+
+def count_lru_fetches(arrivals: list[tuple[str, int]], capacity: int) -> int:
+    """Return the fetches of one LRU cache that all engines would share."""
+    cached: collections.OrderedDict[tuple[str, int], None] = (
+        collections.OrderedDict()
+    )
+    fetches = 0
+    for item in arrivals:
+        fetches += item not in cached
+        cached[item] = None
+        cached.move_to_end(item)
+        if len(cached) > capacity:
+            cached.popitem(last=False)
+    return fetches
+
+
+def count_belady_fetches(
+    arrivals: list[tuple[str, int]], capacity: int
+) -> int:
+    """Return the fetches of such a cache that knows all later requests."""
+    next_use = [len(arrivals)] * len(arrivals)
+    last: dict[tuple[str, int], int] = {}
+    for index in reversed(range(len(arrivals))):
+        next_use[index] = last.get(arrivals[index], len(arrivals))
+        last[arrivals[index]] = index
+    cached: dict[tuple[str, int], int] = {}
+    fetches = 0
+    for item, used_at in zip(arrivals, next_use, strict=True):
+        if item not in cached:
+            fetches += 1
+            if len(cached) >= capacity:
+                del cached[max(cached, key=cached.__getitem__)]
+        cached[item] = used_at
+    return fetches
--- a/tests/unit/test_adapter_placement.py
+++ b/tests/unit/test_adapter_placement.py
@@ -8,11 +8,14 @@
 from hemlockkeel._internal.orders import engine
 from hemlockkeel._internal.orders import requests
 from hemlockkeel._internal.orders import slots
+from tests.lib import adapter_fleet
 from tests.unit import test_adapter_load
 
 UNLOAD = engine.Operation.UNLOAD
 # Load of sixteen organisations without a burst, as a share of the capacity.
 USUAL_LOAD = 0.8
+# Share of fetches for which some engine has the adapter or had it recently.
+MAX_AVOIDABLE_SHARE = 0.05
 
 
 class TestLoadEstimate(unittest.TestCase):
@@ -89,6 +92,38 @@
         self.assertEqual(order.adapter, "recent")
 
 
+class TestFleet(unittest.IsolatedAsyncioTestCase):
+    """Engines and entries together, beside caches that all would share."""
+
+    async def test_fetches_stay_near_the_least_possible(self) -> None:
+        """Guards against decisions that fetch what some engine has."""
+        fleet = adapter_fleet.Fleet(1, 45.0, 22.0, 19)
+        fleet.run()
+        capacity = len(fleet.engines)
+        recent = adapter_fleet.count_belady_fetches(
+            fleet.arrivals, capacity * adapter_fleet.RECENT_ADAPTERS
+        )
+        lru = adapter_fleet.count_lru_fetches(fleet.arrivals, capacity * 6)
+        self.assertLessEqual(
+            fleet.fetches.total(), recent * (1.0 + MAX_AVOIDABLE_SHARE)
+        )
+        self.assertLess(fleet.fetches.total(), lru)
+
+    async def test_slow_store_causes_no_second_copies(self) -> None:
+        """Guards against a fetch at each engine that a request waits at.
+
+        The store is slower than first uses alone would need.
+        """
+        fleet = adapter_fleet.Fleet(1, 30.0, 38.0, 19)
+        fleet.run()
+        avoidable = sum(
+            fleet.fetches[cause] for cause in ("copy", "held", "forgotten")
+        )
+        self.assertLessEqual(
+            avoidable, fleet.fetches.total() * MAX_AVOIDABLE_SHARE
+        )
+
+
 class Crowd(test_adapter_load.Simulation):
     """Sixteen organisations at an engine, one of which bursts."""
 
