--- a/src/hemlockkeel/_internal/links/messages.py
+++ b/src/hemlockkeel/_internal/links/messages.py
@@ -181,6 +181,8 @@
     request_id: str = ""
     # Newest version of the adapter that the entry knows; 0 if none is named.
     newest_version: int = 0
+    # Name of the caller's organisation; empty if it has none.
+    organisation: str = ""
 
 
 class AdapterGrant(Message, frozen=True, tag=True, kw_only=True):
@@ -195,6 +197,8 @@
     # Start of the engine's process that has the adapter, milliseconds since
     # the epoch; 0 if the engine does not report it.
     started_at_ms: int = 0
+    # Whether the wait ended while the engine was loading the adapter.
+    loading: bool = False
 
 
 class ReleaseAdapter(Message, frozen=True, tag=True, kw_only=True):
--- a/src/hemlockkeel/_internal/orders/adapter_manager.py
+++ b/src/hemlockkeel/_internal/orders/adapter_manager.py
@@ -1,6 +1,7 @@
 """Loads and unloads an engine's adapters as requests need them."""
 
 import asyncio
+import collections.abc
 
 import msgspec
 
@@ -43,6 +44,10 @@
     ) -> None:
         self.client = client
         self.holder = holder
+        # Called with the cause of each load of an adapter.
+        self.on_load: collections.abc.Callable[[requests.LoadCause], None] = (
+            ignore_load
+        )
         self.log = log
         self.report: engine.Report | None = None
         # Whether the engine has stopped responding after an earlier report.
@@ -108,7 +113,9 @@
             # event loop in which the wait timed out.
             self.requests.discard(waiter)
             grant = messages.AdapterGrant(
-                granted=False, reason="no adapter slot became free in time"
+                granted=False,
+                reason="no adapter slot became free in time",
+                loading=self.is_loading(waiter.key),
             )
         if not grant.granted:
             self.log_refusal(call, grant)
@@ -116,6 +123,18 @@
             grant, started_at_ms=self.started_at_ms or 0
         )
 
+    def is_loading(self, key: slots.AdapterKey) -> bool:
+        """Return whether the engine is loading or has just loaded an adapter.
+
+        A request that asks again then gets it soon.
+        """
+        state = self.get_engine_state()
+        if state is None or not self.can_order or self.is_leaving:
+            return False
+        return key in state.loading or slots.is_current(
+            key, state, self.requests.get_demand(self.now)
+        )
+
     def find_refusal(
         self, key: slots.AdapterKey
     ) -> messages.AdapterGrant | None:
@@ -462,10 +481,17 @@
         if order.operation is engine.Operation.UNLOAD:
             self.requests.record_unload(key)
         elif order.adapter:
+            self.on_load(
+                self.requests.find_load_cause(key, order.version or 0)
+            )
             self.requests.record_load_start(key, self.now)
         return await self.refresh()
 
 
+def ignore_load(cause: requests.LoadCause) -> None:
+    """Do nothing about a load."""
+
+
 def make_refusal(
     reason: str, expected_s: float = 0.0
 ) -> messages.AdapterGrant:
--- a/src/hemlockkeel/_internal/relay/attempt.py
+++ b/src/hemlockkeel/_internal/relay/attempt.py
@@ -1,5 +1,7 @@
 """One attempt to get a response to a request from one target."""
 
+import dataclasses
+
 from hemlockkeel._internal.discovery import stream_origins
 from hemlockkeel._internal.links import link
 from hemlockkeel._internal.links import messages
@@ -86,7 +88,10 @@
         try:
             if not grant.granted:
                 self.context.record_expected_wait(grant.expected_wait_s)
-                return self.fail_unsent(results.Cause.NO_ADAPTER, grant.reason)
+                return dataclasses.replace(
+                    self.fail_unsent(results.Cause.NO_ADAPTER, grant.reason),
+                    loading=grant.loading,
+                )
             if grant.started_at_ms not in (
                 0,
                 self.target.record.started_at_ms,
@@ -116,6 +121,11 @@
             prompt_tokens=limits.uncached_tokens,
             request_id=metadata.request_id,
             newest_version=self.get_newest_version(),
+            organisation=(
+                self.context.organisation.name
+                if self.context.organisation is not None
+                else ""
+            ),
         )
 
     def get_wait_limits(self) -> waits.WaitLimits:
