--- a/src/hemlockkeel/_internal/relay/target_registry.py
+++ b/src/hemlockkeel/_internal/relay/target_registry.py
@@ -299,9 +299,7 @@
                     adapter in target.recent_adapters,
                     silence_s / self.max_silence_s,
                     record.address in self.silent_addresses,
-                    target.speed.expect_service_s(usual_s, now),
-                    target.speed.expect_occupancy(now),
-                    target.prefill_speed.get_factor(usual_ratio, now),
+                    *estimate_speed(target, usual_s, usual_ratio, now),
                 )
             )
         return candidates
@@ -387,6 +385,21 @@
     """Do nothing about a target."""
 
 
+def estimate_speed(
+    target: target_module.Target,
+    usual_s: float,
+    usual_ratio: float,
+    now: float,
+) -> tuple[float, float | None, float]:
+    """Return the service time, occupancy and prefill factor of a target."""
+    if target.engine is None:
+        speed = target.speed
+        occupancy = speed.expect_occupancy(now)
+        return speed.expect_service_s(usual_s, now), occupancy, 1.0
+    factor = target.prefill_speed.get_factor(usual_ratio, now)
+    return target_selection.PRIOR_PLAIN_SERVICE_S, None, factor
+
+
 def ignore_measurement(target: target_module.Target, now: float) -> None:
     """Do nothing about a measurement."""
 
