Merge the placement of scarce adapters, and cheaper estimates

Cause: the parts were built side by side. Change: both merged; the metrics of pauses and of loads by cause stand beside each other.

--- a/src/hemlockkeel/_internal/utils/instruments.py
+++ b/src/hemlockkeel/_internal/utils/instruments.py
@@ -56,6 +56,8 @@
             "hemlockkeel_late_pauses",
             "Pauses between events of streams beyond the route's objective",
             ["route"],
+            registry=self.registry,
+        )
         self.adapter_loads = prometheus_client.Counter(
             "hemlockkeel_adapter_loads",
             "Loads of adapters that an agent has ordered, by cause",
