Read the configuration only once all that is committed is applied

Cause: a leader whose disk is slow can have committed a change that a follower has applied and acknowledged again; GET of the configuration then answered with the one before, although the leader held its lease. Measured: test_read_waits_for_what_is_committed fails on the code before.

--- a/src/hemlockkeel/_internal/coordinator/process.py
+++ b/src/hemlockkeel/_internal/coordinator/process.py
@@ -551,7 +551,7 @@
                     version_reads.READ_TIMEOUT_S
                 )
             case messages.Read():
-                return self.replicated_state.read_local()
+                return await self.replicated_state.read_local()
             case messages.Join(leaving=True):
                 return await self.handle_leaving(message)
             case messages.Join():
--- a/src/hemlockkeel/_internal/coordinator/replicated_state.py
+++ b/src/hemlockkeel/_internal/coordinator/replicated_state.py
@@ -46,7 +46,7 @@
 
         ``done`` is false when no leader could be reached.
         """
-        outcome = self.read_local()
+        outcome = await self.read_local()
         if not outcome.done:
             outcome = await self.forward_to_leader(messages.Read())
         return outcome
@@ -63,19 +63,8 @@
         )
 
     async def read_applied_version(self, timeout_s: float) -> messages.Outcome:
-        """Return the newest version if this member has a leader lease.
-
-        Other members may have applied, and acknowledged again, a change that
-        this one has committed but, with a slow disk, not applied.
-        """
-        if not self.node.has_lease():
-            return messages.Outcome(done=False)
-        committed = self.node.core.commit_index
-        try:
-            async with asyncio.timeout(timeout_s):
-                while self.node.applied_index < committed:
-                    await asyncio.sleep(APPLY_CHECK_INTERVAL_S)
-        except TimeoutError:
+        """Return the newest version if this member has a leader lease."""
+        if not await self.wait_until_applied(timeout_s):
             return messages.Outcome(done=False)
         return messages.Outcome(done=True, index=self.catalogue.state.version)
 
@@ -164,18 +153,35 @@
             )
         return proposed
 
-    def read_local(self) -> messages.Outcome:
+    async def read_local(self) -> messages.Outcome:
         """Return the newest configuration if this member has a leader lease.
 
         The lease guarantees that no other leader has committed a newer one.
         """
-        if not self.node.has_lease():
+        if not await self.wait_until_applied(CALL_TIMEOUT_S):
             return messages.Outcome(done=False)
         state = self.catalogue.state
         return messages.Outcome(
             done=True, data=state.body, index=state.version
         )
 
+    async def wait_until_applied(self, timeout_s: float) -> bool:
+        """Return whether this member leads and has applied what it committed.
+
+        Other members may have applied, and acknowledged again, a change that
+        this one has committed but, with a slow disk, not applied.
+        """
+        if not self.node.has_lease():
+            return False
+        committed = self.node.core.commit_index
+        try:
+            async with asyncio.timeout(timeout_s):
+                while self.node.applied_index < committed:
+                    await asyncio.sleep(APPLY_CHECK_INTERVAL_S)
+        except TimeoutError:
+            return False
+        return True
+
     async def forward_to_leader(
         self,
         call: messages.Propose | messages.Read | messages.Join,
--- a/tests/unit/test_replicated_state.py
+++ b/tests/unit/test_replicated_state.py
@@ -102,5 +102,28 @@
         self.assertEqual(await task, 10)
 
 
+class TestRead(StateCase):
+    """Guards against old configurations from a leader with a slow disk."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.member = typing.cast(typing.Any, self.state.node)
+        self.member.has_lease = lambda: True
+        self.member.core.commit_index = 10
+
+    async def test_read_waits_for_what_is_committed(self) -> None:
+        task = asyncio.create_task(self.state.read())
+        await asyncio.sleep(0)
+        self.assertFalse(task.done())
+        self.state.catalogue.apply(10, msgspec.msgpack.encode(CHANGE))
+        self.member.applied_index = 10
+        outcome = await task
+        self.assertEqual((outcome.done, outcome.index), (True, CHANGE.version))
+
+    async def test_lost_lease_is_no_answer(self) -> None:
+        self.member.has_lease = lambda: False
+        self.assertFalse((await self.state.read_local()).done)
+
+
 if __name__ == "__main__":
     unittest.main()
