--- a/tests/functional/test_target_availability.py
+++ b/tests/functional/test_target_availability.py
@@ -7,6 +7,7 @@
 from hemlockkeel._internal.discovery import records
 from hemlockkeel._internal.links import link
 from hemlockkeel._internal.links import messages
+from hemlockkeel._internal.relay import adapters
 from hemlockkeel._internal.relay import target as target_module
 from hemlockkeel._internal.relay import target_selection
 from tests.functional import test_relay
@@ -335,6 +336,36 @@
             frozenset({"m/a"}), can_load=True
         )
 
+    async def list_asked(self, loading: bool) -> list[int]:
+        """Return the targets asked if the first one refuses once."""
+        asked = []
+
+        async def acquire(address, call):  # type: ignore
+            asked.append(1 if address == self.targets[0].address else 2)
+            if len(asked) == 1:
+                return adapters.Grant(
+                    False, 0, "late", 0.0, 1, None, loading=loading
+                )
+
+        self.configure()
+        self.entry.shared.adapter_client.acquire = acquire
+        await self.add_target(test_relay.respond_ok)
+        self.set_loaded(1)
+        await self.add_target(test_relay.respond_ok)
+        self.get_target(2).engine = target_selection.EngineView(can_load=True)
+        response = await self.send_request(
+            "once", extra=b"X-Model-Name: m/a\r\n"
+        )
+        self.assertTrue(response.startswith(b"HTTP/1.1 200"), response)
+        return asked
+
+    async def test_engine_that_loads_the_adapter_is_asked_again(self) -> None:
+        """Guards against a second fetch at another engine."""
+        self.assertEqual(await self.list_asked(loading=True), [1, 1])
+
+    async def test_engine_that_refuses_is_not_asked_again(self) -> None:
+        self.assertEqual(await self.list_asked(loading=False), [1, 2])
+
     async def test_target_leaves(self) -> None:
         await self.check_chosen_anew(b"200 OK", LEAVING)
 
