--- a/src/hemlockkeel/_internal/coordinator/credits.py
+++ b/src/hemlockkeel/_internal/coordinator/credits.py
@@ -41,10 +41,9 @@
         decoder: concurrent.futures.Executor,
         own_clock: clock.Clock,
         log: event_log.EventLog,
-        tolerance: float = 0.0,
+        tolerance: credit.Tolerance = credit.NO_TOLERANCE,
     ) -> None:
         self.node = member
-        # Tokens that a window may hold beyond a quota.
         self.tolerance = tolerance
         self.catalogue = replicated
         self.codec = codec
@@ -149,7 +148,7 @@
                     self.decoder, self.codec.decode_quotas, state.body
                 )
                 self.quotas = {
-                    name: credit.add_tolerance(quota, self.tolerance)
+                    name: self.tolerance.apply(quota)
                     for name, quota in decoded.items()
                 }
             except exceptions.BadDeclarationError as error:
--- a/src/hemlockkeel/_internal/coordinator/settings.py
+++ b/src/hemlockkeel/_internal/coordinator/settings.py
@@ -6,6 +6,7 @@
 from hemlockkeel._internal.consensus import core
 from hemlockkeel._internal.consensus import messages
 from hemlockkeel._internal.consensus import node
+from hemlockkeel._internal.policy import credit
 from hemlockkeel._internal.utils import process_budget
 
 
@@ -29,8 +30,7 @@
     limits: process_budget.ProcessLimits = dataclasses.field(
         default_factory=process_budget.ProcessLimits
     )
-    # Tokens that a window may hold beyond an organisation's quota.
-    quota_tolerance: float = 0.0
+    quota_tolerance: credit.Tolerance = credit.NO_TOLERANCE
 
     @property
     def link_address(self) -> str:
--- a/src/hemlockkeel/_internal/policy/credit.py
+++ b/src/hemlockkeel/_internal/policy/credit.py
@@ -44,13 +44,14 @@
 LONG_ISOLATION_SHARE = 0.5
 # Time for which the leader leaves lost entries their parts of all rates.
 LOST_ENTRY_S = 60.0
-# Parts of the tolerance, which is what a window may hold beyond a quota. The
-# leader adds one to each burst, as requests that come close together would be
-# refused otherwise although their organisation is within its quota. All
-# entries together may use the other beside their parts of the rate when they
-# lose the leader: few could run a single request during an election otherwise.
-# The rest covers credit that was issued just before a window.
-BURST_TOLERANCE_SHARE = 0.35
+# Part of what a window may hold that the leader issues. The rest covers credit
+# that was issued just before a window.
+WINDOW_SHARE = 0.85
+# Parts of the tolerated tokens. The leader adds one to each burst, as requests
+# come in groups. All entries together may use the other beside their parts of
+# the rate when they lose the leader: few could run a single request during an
+# election otherwise.
+BURST_TOLERANCE_SHARE = 0.2
 ISOLATION_TOLERANCE_SHARE = 0.5
 # Time after which they may do so again, and for which the last level of a
 # bucket that the leader has told is true.
@@ -70,15 +71,38 @@
     level: float = 0.0
 
 
-def add_tolerance(
-    quota: organisations.Quota, tolerance: float
-) -> organisations.Quota:
-    """Return a quota with a part of the tolerance in its burst."""
-    if quota.unit is not organisations.QuotaUnit.TOKENS:
-        return quota
-    return dataclasses.replace(
-        quota, burst=quota.burst + BURST_TOLERANCE_SHARE * tolerance
-    )
+@dataclasses.dataclass(frozen=True)
+class Tolerance:
+    """What a window may hold beyond a quota, as operators accept it."""
+
+    # Length of the windows, seconds.
+    window_s: float = 0.0
+    # Part of the quota, and tokens.
+    ratio: float = 0.0
+    tokens: float = 0.0
+
+    def apply(self, quota: organisations.Quota) -> organisations.Quota:
+        """Return the quota that the leader issues.
+
+        Requests within the tolerance are not refused, and no window holds
+        more than it allows.
+        """
+        if quota.unit is not organisations.QuotaUnit.TOKENS:
+            return quota
+        if self.window_s <= 0.0:
+            return quota
+        nominal = quota.rate * self.window_s + quota.burst
+        allowed = nominal * (1.0 + self.ratio) + self.tokens
+        issued = min(
+            WINDOW_SHARE * allowed,
+            allowed - ISOLATION_TOLERANCE_SHARE * self.tokens,
+        )
+        burst = quota.burst + BURST_TOLERANCE_SHARE * self.tokens
+        rate = max(quota.rate, (issued - burst) / self.window_s)
+        return dataclasses.replace(quota, rate=rate, burst=burst)
+
+
+NO_TOLERANCE = Tolerance()
 
 
 @dataclasses.dataclass(slots=True)
@@ -308,10 +332,12 @@
     """What one entry knows of one organisation."""
 
     def __init__(
-        self, quota: organisations.Quota, now: float, tolerance: float = 0.0
+        self,
+        quota: organisations.Quota,
+        now: float,
+        tolerance: Tolerance = NO_TOLERANCE,
     ) -> None:
         self.quota = quota
-        # Tokens that a window may hold beyond the quota.
         self.tolerance = tolerance
         # In the order of expiry.
         self.held: list[Lot] = []
@@ -439,7 +465,7 @@
             return 0.0
         bonus = 0.0
         if self.quota.unit is organisations.QuotaUnit.TOKENS:
-            bonus = ISOLATION_TOLERANCE_SHARE * self.tolerance
+            bonus = ISOLATION_TOLERANCE_SHARE * self.tolerance.tokens
         if isolated_at - self.level_at < LEVEL_LIFETIME_S:
             bonus += min(self.level, self.quota.burst)
         return bonus
--- a/src/hemlockkeel/_internal/relay/process.py
+++ b/src/hemlockkeel/_internal/relay/process.py
@@ -13,6 +13,7 @@
 from hemlockkeel._internal.links import dialer
 from hemlockkeel._internal.links import link
 from hemlockkeel._internal.links import messages
+from hemlockkeel._internal.policy import credit
 from hemlockkeel._internal.relay import adapters
 from hemlockkeel._internal.relay import admission
 from hemlockkeel._internal.relay import caller
@@ -77,8 +78,7 @@
     limits: process_budget.ProcessLimits = dataclasses.field(
         default_factory=process_budget.ProcessLimits
     )
-    # Tokens that a window may hold beyond an organisation's quota.
-    quota_tolerance: float = 0.0
+    quota_tolerance: credit.Tolerance = credit.NO_TOLERANCE
 
 
 class ControlListener(dialer.Listener):
--- a/src/hemlockkeel/_internal/relay/quotas.py
+++ b/src/hemlockkeel/_internal/relay/quotas.py
@@ -59,7 +59,10 @@
     """Credit of one organisation; one request at a time asks for it."""
 
     def __init__(
-        self, quota: organisations.Quota, now: float, tolerance: float
+        self,
+        quota: organisations.Quota,
+        now: float,
+        tolerance: credit.Tolerance,
     ) -> None:
         self.credit = credit.EntryAccount(quota, now, tolerance)
         self.lock = asyncio.Lock()
@@ -76,10 +79,9 @@
         get_entry_count: collections.abc.Callable[[], int],
         rng: random.Random,
         own_clock: clock.Clock,
-        tolerance: float = 0.0,
+        tolerance: credit.Tolerance = credit.NO_TOLERANCE,
     ) -> None:
         self.control = control
-        # Tokens that a window may hold beyond a quota.
         self.tolerance = tolerance
         self.log = log
         self.instruments = metrics
--- a/src/hemlockkeel/platform/control_settings.py
+++ b/src/hemlockkeel/platform/control_settings.py
@@ -32,5 +32,5 @@
         source.get("bootstrap") == "true",
         core.Timing(RAFT_HEARTBEAT_INTERVAL_S, *ELECTION_TIMEOUT_RANGE_S),
         source.get_limits(),
-        source.get_limit("bounds.quotaSlack") or 0.0,
+        source.get_quota_tolerance(),
     )
--- a/src/hemlockkeel/platform/entry_settings.py
+++ b/src/hemlockkeel/platform/entry_settings.py
@@ -37,5 +37,5 @@
         source.get_bool("bounds.strictRevoke", False),
         revoke_ms / settings_file.MS_PER_S,
         source.get_limits(),
-        source.get_limit("bounds.quotaSlack") or 0.0,
+        source.get_quota_tolerance(),
     )
--- a/src/hemlockkeel/platform/settings_file.py
+++ b/src/hemlockkeel/platform/settings_file.py
@@ -8,6 +8,7 @@
 import pathlib
 import re
 
+from hemlockkeel._internal.policy import credit
 from hemlockkeel._internal.utils import process_budget
 
 MS_PER_S = 1000.0
@@ -75,6 +76,18 @@
             None if max_fds is None else int(max_fds),
         )
 
+    def get_quota_tolerance(self) -> credit.Tolerance:
+        """Return what a window may hold beyond a quota; nothing if not set.
+
+        :raises ValueError: when a setting is not a finite number.
+        """
+        names = ("quotaWindowS", "quotaOverage", "quotaSlack")
+        if not all(self.values.get(f"bounds.{name}") for name in names):
+            return credit.NO_TOLERANCE
+        return credit.Tolerance(
+            *(self.get_number(f"bounds.{name}") for name in names)
+        )
+
     def get_limit(self, name: str) -> float | None:
         """Return the value of an optional limit.
 
--- a/tests/lib/quota_load.py
+++ b/tests/lib/quota_load.py
@@ -13,6 +13,7 @@
 # What a window may hold more than the quota: a part of it, and tokens.
 ALLOWED_RATIO = 1.1
 ALLOWED_TOKENS = 110_000.0
+TOLERANCE = credit.Tolerance(WINDOW_S, ALLOWED_RATIO - 1.0, ALLOWED_TOKENS)
 COSTS = (9246.0, 1114.0)
 # As `relay.quotas.MAX_HOLD_S`, and the time without a reply of the leader
 # after which an entry decides alone.
@@ -168,7 +169,7 @@
         quota = self.quotas[name]
         account = self.accounts.get((entry, name))
         if account is None:
-            account = credit.EntryAccount(quota, now, ALLOWED_TOKENS)
+            account = credit.EntryAccount(quota, now, TOLERANCE)
             self.accounts[entry, name] = account
         account.set_quota(quota)
         answer = account.decide(cost, now)
@@ -185,7 +186,7 @@
         self.issuer.share = self.entries.get_share(now)
         issue = self.issuer.issue(
             organisations.OrganisationName(name),
-            credit.add_tolerance(quota, ALLOWED_TOKENS),
+            TOLERANCE.apply(quota),
             cost,
             account.get_prefetch(now),
             now,
--- a/tests/unit/test_quotas.py
+++ b/tests/unit/test_quotas.py
@@ -128,7 +128,7 @@
             lambda: self.entry_count,
             random.Random(1),
             self.clock,
-            quota_load.ALLOWED_TOKENS,
+            quota_load.TOLERANCE,
         )
 
     async def fill(self, seconds: float = 10.0) -> None:
