Show that a late order exceeds the adapter slots of a restarted replica

Cause: the agent keeps its fencing token when the engine starts again under its id, so that an order from before the start is carried out after it.

One order gets no answer and is carried out 10 s later; the replica crashes and starts again meanwhile.

--- a/review/stands2/clients.py
+++ b/review/stands2/clients.py
@@ -20,6 +20,8 @@
         self.runs = system.folder / f"{name}.runs"
         self.log = system.folder / f"{name}.replica-log"
         self.number = 0
+        # Whether it starts again under the id that it had.
+        self.keeps_id = False
         self.process = None
         self.settings = {
             "host": ip,
@@ -34,7 +36,7 @@
 
     def start(self):
         """Start an incarnation, with an id of its own."""
-        self.number += 1
+        self.number += not (self.number and self.keeps_id)
         self.settings["id"] = f"i-{self.name}-{self.number}"
         self.path.write_text(json.dumps(self.settings))
         words = [
--- a/review/stands2/replica.py
+++ b/review/stands2/replica.py
@@ -147,7 +147,11 @@
             report = json.dumps(self.make_report()).encode()
             self.answer(writer, 200, report, headers)
         elif target == "/order" and self.model:
-            status = self.take_order(json.loads(body))
+            order = json.loads(body)
+            if self.hold_order(order, headers):
+                await asyncio.sleep(60)
+                return
+            status = self.take_order(order)
             self.answer(writer, status, b"{}", headers)
         elif target == "/health":
             self.answer(
@@ -241,6 +245,19 @@
 
     # Orders
 
+    def hold_order(self, order, headers):
+        """Leave one order unanswered; it is delivered again later."""
+        path = self.settings.get("late_file")
+        if not path or os.path.exists(path):
+            return False
+        if order.get("adapter") != self.settings["late_adapter"]:
+            return False
+        if order["operation"] != "load":
+            return False
+        kept = {"order": order, "instance": headers.get("x-expect-instance")}
+        pathlib.Path(path).write_text(json.dumps(kept))
+        return True
+
     def make_report(self):
         return {
             "stage": "unified",
@@ -266,6 +283,7 @@
         if order["fencingToken"] < self.fence:
             return 412
         self.fence = order["fencingToken"]
+        self.write_order(order)
         if order.get("expected", self.orders) != self.orders:
             return 409
         name = order.get("adapter")
@@ -295,6 +313,14 @@
         asyncio.get_running_loop().call_later(LOAD_S, self.hold, name)
         return 202
 
+    def write_order(self, order):
+        what = f"{order['operation']} {order.get('adapter') or 'the model'}"
+        self.write_run(
+            "-",
+            f"order to {what}, expected {order.get('expected')} at "
+            f"{self.orders}, holds {sorted(self.adapters)}",
+        )
+
     def take_model_order(self, order):
         if self.busy:
             return 409
