--- a/review/stands2/clients.py
+++ b/review/standins2_clients.py
@@ -7,7 +7,7 @@
 import sys
 import time
 
-from stands2 import processes
+import standins2_processes as processes
 
 
 class Replica:
@@ -41,7 +41,7 @@
         self.path.write_text(json.dumps(self.settings))
         words = [
             sys.executable,
-            str(processes.ROOT / "review" / "stands2" / "replica.py"),
+            str(processes.ROOT / "review" / "standins2_replica.py"),
             str(self.path),
         ]
         with self.log.open("ab") as log:
--- a/review/stands2/processes.py
+++ b/review/standins2_processes.py
@@ -12,7 +12,7 @@
 import time
 import tomllib
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 CLASSES = {"control": "core", "entry": "edge", "agent": "side"}
 
 SETTINGS = """\
