--- a/review/standins3.py
+++ b/review/standins3.py
@@ -20,6 +20,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HOST = "summons.example"
+ZONES = ("hoan-kiem", "cau-giay", "long-bien", "ha-dong")
 HEARTBEAT_S = 1.2
 # From the exit of a process to its next start.
 RESTART_DELAY_S = 0.3
@@ -227,9 +228,9 @@
             "machineClass": machine_class,
             "serves": serves,
             "ip": ip,
-            "zone": "hoan-kiem",
+            "zone": ZONES[0],
             "region": "hanoi",
-            "zones.hoan-kiem": "hanoi",
+            **{f"zones.{zone}": "hanoi" for zone in ZONES},
             "portRange": f"{self.links},{self.links + 15}",
             "seedNodes": ",".join(
                 f"{host}:{port}" for host, port in self.control_addresses[:3]
@@ -471,7 +472,7 @@
         described: dict[str, object] = {
             "service": self.service,
             "address": self.address,
-            "zone": "hoan-kiem",
+            "zone": ZONES[0],
             "version": "v1",
             "slots": self.slots,
             "state": self.state,
@@ -587,7 +588,7 @@
         try:
             self.runs.setdefault(request_id, []).append(time.monotonic())
             self.record.write(
-                "runs", replica=self.name, id=request_id, method=method,
+                "runs", replica=self.name, id=request_id[:40], method=method,
                 path=path,
             )
             self.on_run(request_id, headers)
