--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,48 +1,41 @@
-"""An entry cannot connect to a restarted core any more."""
+"""Long lists of prompt parts fill the memory of an entry."""
 
 import asyncio
 import contextlib
 import pathlib
-import signal
 import sys
-import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
 import standins3  # noqa: E402
 
 MODEL = "daka510000"
-CONTACT_S = 3.0
-APPLY_S = 2.0
-CLIENTS = 10
-STREAMS = 70
-# A whole head may have 16,384 bytes.
-ID_BYTES = 15000
+# As on the sheet of `ironbark-roster-grown`.
+EDGE_MEMORY_MB = 152
+EDGE_FDS = 1535
+# The sheet has 24 replicas, each beside an agent; fewer suffice.
+REPLICAS = 16
+# Bytes of a prompt's list of parts; a whole head may have 16,384.
+PREFIX_BYTES = 15000
 
 
-def make_config(version: int) -> dict[str, object]:
-    """Return the configuration; the second one drops a route."""
-    engine = {
-        "slots": 64, "kvCapacity": 232000, "kvTokenBytes": 327680,
-        "linkMbps": 1100000.0, "stride": 4, "adapterSlots": 8,
-        "weightsMb": 35300.0, "loadsPerS": 2.8,
-        "models": [{
-            "name": MODEL, "weightsMb": 34300.0, "loadTimeS": 1.0,
-            "adapters": 3000, "adapterMb": 40.0,
-        }],
-    }
-    models = {**standins3.make_plain_service("models"), "engine": engine}
-    routes = [
-        standins3.make_route("stream", "models", "streaming", resumable=True),
-        standins3.make_route("kept", "portal", "safe"),
-    ]
-    if version == 1:
-        routes.append(standins3.make_route("dropped", "portal", "safe"))
+def make_prefix(seed: int, size: int) -> str:
+    """Return parts of one token each, with ids of eight digits."""
+    count = size // 11
+    return ",".join(
+        f"{seed * 100000 + number:08x}:1" for number in range(count)
+    )
+
+
+def make_headers(request_id: str, prefix: str) -> dict[str, str]:
+    """Return the headers of a request to the models."""
+    tokens = prefix.count(":")
     return {
-        "version": version,
-        "routes": routes,
-        "services": [models, standins3.make_plain_service("portal")],
-        "limits": standins3.LIMITS,
+        "X-Request-Id": request_id,
+        "X-Request-Deadline": "6000",
+        "X-Model-Name": MODEL,
+        "X-Token-Usage": f"{tokens},12",
+        "X-Prompt-Prefix": prefix,
     }
 
 
@@ -50,11 +43,10 @@
     """Return whether the rule was broken."""
     platform = standins3.Platform(record, core=3)
     try:
-        # As on the sheet: the core is in three of the four zones.
-        for number, zone in enumerate(standins3.ZONES[:3], 1):
-            platform.add_machine("control", number, 296, zone=zone)
-        platform.add_machine("entry", 1, 300, zone=standins3.ZONES[3])
-        for number in (1, 2):
+        for number in (1, 2, 3):
+            platform.add_machine("control", number, 296)
+        entry = platform.add_machine("entry", 1, EDGE_MEMORY_MB, EDGE_FDS)
+        for number in range(1, REPLICAS + 1):
             replica = standins3.Replica(
                 platform, f"i-m{number}", "models", number, model=MODEL
             )
@@ -65,68 +57,107 @@
         plain = standins3.Replica(platform, "i-p1", "portal", 100)
         await plain.start()
         await platform.start()
-        await platform.put_config(make_config(1))
+        await platform.put_config(make_config())
         platform.disable_bootstrap()
         await platform.wait_ready(1)
-        await asyncio.sleep(CONTACT_S + 1.0)
-        return await play(platform, plain, record, trouble)
+        await asyncio.sleep(4.0)
+        record.write("traffic", memory_mb=round(entry.read_memory_mb()))
+        return await send_traffic(platform, entry, record, trouble)
     finally:
         await platform.stop()
 
 
-async def play(
+def make_config() -> dict[str, object]:
+    """Return the configuration."""
+    engine = {
+        "slots": 64, "kvCapacity": 232000, "kvTokenBytes": 327680,
+        "linkMbps": 1100000.0, "stride": 4, "adapterSlots": 8,
+        "weightsMb": 35300.0, "loadsPerS": 2.8,
+        "models": [{
+            "name": MODEL, "weightsMb": 34300.0, "loadTimeS": 1.0,
+            "adapters": 3000, "adapterMb": 40.0,
+        }],
+    }
+    models = {**standins3.make_plain_service("models"), "engine": engine}
+    return {
+        "version": 1,
+        "routes": [
+            standins3.make_route(
+                "stream", "models", "streaming", sticky=True, attempts=1
+            ),
+            standins3.make_route("plain", "portal", "safe"),
+        ],
+        "services": [models, standins3.make_plain_service("portal")],
+        "limits": standins3.LIMITS,
+    }
+
+
+async def send_traffic(
     platform: standins3.Platform,
-    plain: standins3.Replica,
+    entry: standins3.Machine,
     record: standins3.Record,
     trouble: bool,
 ) -> bool:
-    """Send streams, kill the core, change the configuration, and look."""
-    entry = platform.machines["entry-1"]
+    """Send plain requests on kept connections, and streams beside them."""
     address = (entry.ip, platform.front)
+    cut: list[str] = []
+
+    async def send_plain(client: int) -> None:
+        reader, writer = await asyncio.open_connection(*address)
+        with contextlib.closing(writer):
+            for turn in range(8):
+                request_id = f"plain-{client}-{turn}"
+                headers = {
+                    "X-Request-Id": request_id,
+                    "X-Request-Deadline": "6000",
+                    "X-Test-Work-S": "1.0" if turn else "0.05",
+                }
+                record.write("sends", id=request_id)
+                try:
+                    answer = await standins3.exchange(
+                        reader, writer, "GET", "/plain/x", b"", headers
+                    )
+                except (ConnectionError, OSError) as error:
+                    if turn:
+                        cut.append(request_id)
+                    record.write("cut", id=request_id, error=repr(error))
+                    return
+                record.write("answer", id=request_id, status=answer.status)
 
     async def send_streams(client: int) -> None:
-        for turn in range(STREAMS):
-            name = f"stream-{client}-{turn}"
-            headers = {
-                "X-Request-Id": name.ljust(ID_BYTES, "x"),
-                "X-Request-Deadline": "120000",
-                "X-Model-Name": MODEL,
-                "X-Token-Usage": "100,12",
-                "X-Prompt-Prefix": f"{client:x}{turn:04x}:100",
-            }
-            with contextlib.suppress(OSError):
+        await asyncio.sleep(0.5)
+        for turn in range(10):
+            seed = client * 100 + turn
+            request_id = f"stream-{client}-{turn}"
+            prefix = make_prefix(seed, PREFIX_BYTES if trouble else 66)
+            record.write("sends", id=request_id, parts=prefix.count(":"))
+            try:
                 answer = await standins3.call(
-                    address, "POST", "/stream/x", b"", headers
+                    address, "POST", "/stream/x", b"",
+                    make_headers(request_id, prefix),
                 )
-                record.write("answer", id=name, status=answer.status)
-
-    await asyncio.gather(*(send_streams(n) for n in range(CLIENTS)))
-    if trouble:
-        record.write("herd_kill", on="core")
-        for machine in platform.machines.values():
-            if machine.role == "control":
-                machine.kill(signal.SIGKILL)
-    # The core is stable, and the entry in touch, long before the change.
-    await asyncio.sleep(CONTACT_S + 3.0)
-    await platform.put_config(make_config(2))
-    acknowledged_at = time.monotonic()
-    await asyncio.sleep(APPLY_S + 0.5)
-    ran: list[str] = []
-    for number in range(20):
-        request_id = f"dropped-{number}"
-        answer = await standins3.call(
-            address, "GET", "/dropped/x", b"",
-            {"X-Request-Id": request_id, "X-Request-Deadline": "2500"},
-        )
-        record.write(
-            "answer", id=request_id, status=answer.status,
-            after_ack_s=round(time.monotonic() - acknowledged_at, 2),
-        )
-        if request_id in plain.runs:
-            ran.append(request_id)
-        await asyncio.sleep(0.2)
-    record.write("seen", ran_on_the_dropped_route=len(ran))
-    return bool(ran)
+            except (ConnectionError, OSError) as error:
+                record.write("cut", id=request_id, error=repr(error))
+                await asyncio.sleep(0.5)
+                continue
+            record.write(
+                "answer", id=request_id, status=answer.status,
+                memory_mb=round(entry.read_memory_mb()),
+            )
+
+    await asyncio.gather(
+        *(send_plain(client) for client in range(8)),
+        *(send_streams(client) for client in range(12)),
+    )
+    ran = {request_id for request_id in cut if any(
+        request_id in replica.runs for replica in platform.replicas
+    )}
+    record.write(
+        "seen", peak_mb=round(entry.peak_mb), limit_mb=entry.memory_mb,
+        over_memory=entry.over_memory, cut_after_passing_on=len(ran),
+    )
+    # LOST: more than three requests of kept connections.
+    return len(ran) > 3
 
 
 standins3.run_case(__file__, run)
--- a/review/standins3.py
+++ b/review/standins3.py
@@ -519,7 +519,10 @@
                 method, path, _ = first.split(" ")
                 await self.answer(writer, method, path, headers, body)
                 await writer.drain()
-        except (ConnectionError, ValueError, asyncio.LimitOverrunError):
+        except (
+            ConnectionError, ValueError, asyncio.LimitOverrunError,
+            asyncio.CancelledError,
+        ):
             return
         finally:
             self.writers.discard(writer)
