--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,241 +1,110 @@
-"""A replica is ordered to load more adapters than its memory holds."""
+"""Machines of the core that were replaced stay voters for good."""
 
 import asyncio
 import contextlib
 import json
 import pathlib
 import sys
-import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
 import standins3  # noqa: E402
 
-MODEL = "daka510000"
-# Memory for weights and adapters together, the model, and each adapter. Five
-# adapters fit; the sheet's eight places don't bind.
-WEIGHTS_MB = 35300.0
-MODEL_MB = 34300.0
-ADAPTER_MB = 200.0
-ADAPTER_SLOTS = 8
-ADAPTER_LOAD_S = 0.25
-REPLICAS = 2
-CLIENTS = 8
-DURATION_S = 15.0
-DOWN_S = 3.0
+CATCH_UP_S = 4.0
+RECOVER_S = 12.0
+# Longer than any time-out of the system.
+CALM_S = 10.0
+# A machine that loses its disk is back after so long.
+DOWN_S = 1.0
+READ_S = 8.0
 
 
-class Engine(standins3.Replica):
-    """A model replica that carries out orders; it crashes as the pages say."""
-
-    def __init__(self, *arguments: object, **options: object) -> None:
-        super().__init__(*arguments, model=MODEL, **options)
-        self.has_model = True
-        self.busy = False
-        self.adapters: dict[str, int] = {}
-        self.coming: set[str] = set()
-        self.orders = 0
-        self.fence = 0
-        # Orders beyond what it holds, and the requests that each one cut.
-        self.beyond: list[int] = []
-        self.users: dict[str, int] = {}
-
-    def list_models(self) -> list[dict[str, object]]:
-        if not self.has_model:
-            return []
-        adapters = [f"{name}@1" for name in self.adapters]
-        return [{"name": MODEL, "version": 1, "adapters": adapters}]
-
-    def get_used_mb(self) -> float:
-        """Return the memory of all that is loaded or being loaded."""
-        count = len(self.adapters.keys() | self.coming)
-        return MODEL_MB + count * ADAPTER_MB
-
-    async def answer(
-        self, writer: asyncio.StreamWriter, method: str, path: str,
-        headers: dict[str, str], body: bytes,
-    ) -> None:
-        if path == "/report":
-            report = {
-                "stage": "unified", "models": self.list_models(),
-                "busy": self.busy, "sequence": self.orders,
-                "queued": self.waiting, "active": self.running, "kvUsed": 0,
-                "kvTotal": 232000, "handles": 0, "born": self.born,
-                "coming": [f"{MODEL}/{name}@1" for name in self.coming],
-            }
-            self.send(writer, method, 200, json.dumps(report).encode())
-        elif path == "/order":
-            self.send(writer, method, self.take_order(json.loads(body)), b"")
-        else:
-            await self.answer_request(writer, method, path, headers, body)
-
-    async def answer_request(
-        self, writer: asyncio.StreamWriter, method: str, path: str,
-        headers: dict[str, str], body: bytes,
-    ) -> None:
-        """Run a request if its adapter is loaded."""
-        adapter = headers.get("x-model-name", "").partition("/")[2]
-        if adapter not in self.adapters:
-            self.send(writer, method, 421, b"", X_Instance_Id=self.name)
-            return
-        users = self.users
-        users[adapter] = users.get(adapter, 0) + 1
-        try:
-            await super().answer(writer, method, path, headers, body)
-        finally:
-            users[adapter] -= 1
-
-    def take_order(self, order: dict[str, object]) -> int:
-        """Carry out an order; return the status of the response."""
-        name = str(order.get("adapter", ""))
-        if order["fencingToken"] < self.fence:
-            return 412
-        self.fence = order["fencingToken"]
-        if order.get("expected", self.orders) != self.orders:
-            return 409
-        if not name:
-            return self.load_model(order)
-        if not self.has_model:
-            return 400
-        if order["operation"] == "unload":
-            if name not in self.adapters:
-                return 200
-            if self.users.get(name):
-                # It would wait for the runs to end; the agent asks again.
-                return 409
-            del self.adapters[name]
-            self.orders += 1
-            self.record.write("unload", replica=self.name, adapter=name)
-            return 200
-        if name in self.adapters or name in self.coming:
-            return 200
-        if len(self.coming) >= 4:
-            return 409
-        self.orders += 1
-        self.coming.add(name)
-        self.record.write(
-            "load", replica=self.name, adapter=name,
-            used_mb=self.get_used_mb(), holds_mb=WEIGHTS_MB,
-        )
-        if self.get_used_mb() > WEIGHTS_MB:
-            self.beyond.append(self.running)
-            self.record.write("crash", replica=self.name, runs=self.running)
-            asyncio.get_running_loop().create_task(self.crash())
-            return 202
-        asyncio.get_running_loop().call_later(ADAPTER_LOAD_S, self.load, name)
-        return 202
-
-    def load_model(self, order: dict[str, object]) -> int:
-        """Load the model, which a replica lacks after a crash."""
-        if self.busy:
-            return 409
-        if self.has_model or order["operation"] != "load":
-            return 200
-        self.orders += 1
-        self.busy = True
-        asyncio.get_running_loop().call_later(1.0, self.end_model_load)
-        return 202
-
-    def end_model_load(self) -> None:
-        """End the load of the model."""
-        self.busy = False
-        self.has_model = True
-
-    def load(self, name: str) -> None:
-        """End the load of an adapter, unless the replica has crashed."""
-        if name in self.coming:
-            self.coming.discard(name)
-            self.adapters[name] = 1
-
-    async def crash(self) -> None:
-        """End, and come back empty after some seconds."""
-        await self.stop()
-        self.has_model = self.busy = False
-        self.adapters.clear()
-        self.coming.clear()
-        self.users = {}
-        self.orders = self.fence = self.sequence = 0
-        await asyncio.sleep(DOWN_S)
-        self.born = int(time.time() * 1000)
-        await self.start()
-
-
-def make_config() -> dict[str, object]:
-    """Return the configuration."""
-    engine = {
-        "slots": 64, "kvCapacity": 232000, "kvTokenBytes": 327680,
-        "linkMbps": 1100000.0, "stride": 4, "adapterSlots": ADAPTER_SLOTS,
-        "weightsMb": WEIGHTS_MB, "loadsPerS": 2.8,
-        "models": [{
-            "name": MODEL, "weightsMb": MODEL_MB, "loadTimeS": 1.0,
-            "adapters": 3000, "adapterMb": ADAPTER_MB,
-        }],
-    }
+def make_config(version: int) -> dict[str, object]:
+    """Return a version of the configuration."""
     return {
-        "version": 1,
+        "version": version,
         "routes": [
-            standins3.make_route("stream", "models", "streaming", sticky=True)
-        ],
-        "services": [
-            {**standins3.make_plain_service("models"), "engine": engine}
+            standins3.make_route("pull", "portal", "safe"),
+            *(
+                standins3.make_route(f"v{number}", "portal", "safe")
+                for number in range(version)
+            ),
         ],
+        "services": [standins3.make_plain_service("portal")],
         "limits": standins3.LIMITS,
     }
 
 
+async def read_version(
+    address: tuple[str, int], record: standins3.Record
+) -> int | None:
+    """Return the version that a machine reads back; None without one."""
+    status: object = "no answer"
+    version = None
+    with contextlib.suppress(OSError, ValueError, TimeoutError):
+        async with asyncio.timeout(1.0):
+            answer = await standins3.call(address, "GET", "/config")
+        status = answer.status
+        if answer.status == 200:
+            version = json.loads(answer.body)["version"]
+    record.write("read", at=address[0], status=status, version=version)
+    return version
+
+
 async def run(record: standins3.Record, trouble: bool) -> bool:
     """Return whether the rule was broken."""
     platform = standins3.Platform(record, core=3)
     try:
-        for number in (1, 2, 3):
-            platform.add_machine("control", number, 296)
+        core = {
+            number: platform.add_machine("control", number, 296)
+            for number in (1, 2, 3)
+        }
         entry = platform.add_machine("entry", 1, 300)
-        engines = []
-        for number in range(1, REPLICAS + 1):
-            engine = Engine(
-                platform, f"i-m{number}", "models", number, work_s=0.2
-            )
-            engines.append(engine)
-            await engine.start()
-            platform.add_machine(
-                "agent", number, 232, app=engine.address, service="models"
-            )
+        replica = standins3.Replica(platform, "i-p1", "portal", 1)
+        await replica.start()
         await platform.start()
-        await platform.put_config(make_config())
+        await platform.put_config(make_config(1))
         platform.disable_bootstrap()
         await platform.wait_ready(1)
         await asyncio.sleep(4.0)
-        # Usual demand is for two adapters; then it moves on to rare ones.
-        names = [f"a{number}" for number in range(1, 17 if trouble else 3)]
-        ends_at = time.monotonic() + DURATION_S
-
-        async def send(client: int) -> None:
-            turn = 0
-            while time.monotonic() < ends_at:
-                turn += 1
-                request_id = f"stream-{client}-{turn}"
-                name = names[(client + turn * 3) % len(names)]
-                record.write("sends", id=request_id, adapter=name)
-                with contextlib.suppress(OSError):
-                    answer = await standins3.call(
-                        (entry.ip, platform.front), "POST", "/stream/x", b"",
-                        {
-                            "X-Request-Id": request_id,
-                            "X-Request-Deadline": "6000",
-                            "X-Model-Name": f"{MODEL}/{name}",
-                            "X-Token-Usage": "200,12",
-                            "X-Prompt-Prefix": f"{client:08x}:100,{turn:08x}:100",
-                        },
-                    )
-                    record.write("answer", id=request_id, status=answer.status)
-                await asyncio.sleep(0.1)
-
-        await asyncio.gather(*(send(client) for client in range(CLIENTS)))
-        beyond = [cut for engine in engines for cut in engine.beyond]
+        # Two planned replacements: the new machines first, one by one, then
+        # the old ones go with SIGTERM. Never more than one counts as lost.
+        for number in (4, 5):
+            core[number] = platform.add_machine("control", number, 296)
+            platform.start_machine(core[number], bootstrap=False)
+            await asyncio.sleep(CATCH_UP_S + 2.0)
+        for number in (3, 2):
+            await core[number].stop()
+            await asyncio.sleep(2.0)
+        await asyncio.sleep(CALM_S)
+        running = [core[1], core[4], core[5]]
+        for machine in running:
+            await read_version((machine.ip, platform.api), record)
+        await platform.put_config(make_config(2))
+        # The settings of a start name the machines that serve control then.
+        core[1].settings["seedNodes"] = ",".join(
+            f"{machine.ip}:{platform.api}" for machine in running
+        )
+        core[1].write_settings(bootstrap=False)
+        if trouble:
+            await core[1].lose_disk(DOWN_S)
+        await asyncio.sleep(CATCH_UP_S + RECOVER_S)
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + READ_S
+        versions = []
+        while loop.time() < ends_at:
+            for machine in running:
+                versions.append(
+                    await read_version((machine.ip, platform.api), record)
+                )
+            await asyncio.sleep(0.5)
+        newest = max((each for each in versions if each), default=0)
         record.write(
-            "seen", orders_beyond_memory=len(beyond), runs_cut=sum(beyond)
+            "seen", reads=len(versions),
+            answered=sum(each is not None for each in versions),
+            newest=newest, acknowledged=2, entry=entry.ip,
         )
-        return bool(beyond)
+        return newest < 2
     finally:
         await platform.stop()
 
--- a/review/standins3.py
+++ b/review/standins3.py
@@ -178,6 +178,33 @@
                 return int(line.split()[1]) / 1024
         return 0.0
 
+    def remove(self) -> None:
+        """Take the machine away for good, without SIGTERM."""
+        self.held = True
+        self.platform.record.write("removed", machine=self.name)
+        self.kill(signal.SIGKILL)
+
+    async def stop(self) -> None:
+        """Take the machine away for good, with SIGTERM first."""
+        self.held = True
+        self.platform.record.write("sigterm", machine=self.name)
+        self.kill(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(float(BOUNDS["graceS"])):
+                await self.process.wait()
+        except TimeoutError:
+            self.kill(signal.SIGKILL)
+
+    async def lose_disk(self, down_s: float) -> None:
+        """End the process, empty its disk, and start it after a while."""
+        self.held = True
+        self.platform.record.write("disk_lost", machine=self.name)
+        self.kill(signal.SIGKILL)
+        await self.process.wait()
+        shutil.rmtree(self.settings["dataDir"], ignore_errors=True)
+        await asyncio.sleep(down_s)
+        self.held = False
+
     def kill(self, number: signal.Signals) -> None:
         """Send a signal to the process if it runs."""
         if self.process is not None and self.process.returncode is None:
@@ -259,10 +286,14 @@
     async def start(self) -> None:
         """Start all machines, watch their memory, and await the entries."""
         for machine in self.machines.values():
-            machine.write_settings(bootstrap=True)
-            machine.task = asyncio.create_task(machine.run())
-            self.tasks.append(machine.task)
-            self.tasks.append(asyncio.create_task(machine.watch_memory()))
+            self.start_machine(machine, bootstrap=True)
+
+    def start_machine(self, machine: Machine, bootstrap: bool) -> None:
+        """Start a machine, and watch its memory."""
+        machine.write_settings(bootstrap)
+        machine.task = asyncio.create_task(machine.run())
+        self.tasks.append(machine.task)
+        self.tasks.append(asyncio.create_task(machine.watch_memory()))
 
     def disable_bootstrap(self) -> None:
         """Write the settings of every later start."""
