--- a/src/hemlockkeel_bench/replacement_simulation.py
+++ b/src/hemlockkeel_bench/replacement_simulation.py
@@ -1,4 +1,4 @@
-"""Simulates a control member that is replaced while others lose their disks.
+"""Simulates control members that are replaced while others fail.
 
 The Raft cores and the decisions on the membership are the real ones; the
 loops of the processes, the network and the disks are simulated. Each machine
@@ -14,10 +14,12 @@
 from hemlockkeel._internal.consensus import messages
 from hemlockkeel._internal.coordinator import membership
 from hemlockkeel._internal.coordinator import process
+from hemlockkeel_bench import member_rules
 from hemlockkeel_bench import raft_simulation
 
 STEP_S = 0.04
 PROPOSAL_INTERVAL_S = 0.12
+LOSS_SHARE = 0.5
 # Time after the last loss within which changes are acknowledged again.
 RECOVERY_S = 12.0
 
@@ -32,16 +34,34 @@
 
 
 class ReplacementSimulation(raft_simulation.SimulatedCluster):
-    """Control members on machines, with the loops of their processes."""
+    """Control members on machines, with the loops of their processes.
 
-    def __init__(self, size: int, rng: random.Random) -> None:
+    ``cuts`` are pairs of addresses between which no message passes, ``paused``
+    the addresses of machines that stand still, and ``lossy`` those that lose
+    half of their messages.
+    """
+
+    def __init__(
+        self,
+        size: int,
+        rng: random.Random,
+        rule: member_rules.MemberRule | None = None,
+    ) -> None:
         super().__init__(size, rng)
+        self.rule = rule or member_rules.ProductRule()
+        self.cuts: set[frozenset[str]] = set()
+        self.paused: set[str] = set()
+        self.lossy: set[str] = set()
         first = next(iter(self.members.values()))
         assert first.raft is not None
         self.machines = {
             peer.address: Machine(peer.address, peer.member_id)
             for peer in first.raft.membership.peers
         }
+        self.addresses = {
+            machine.member_id: address
+            for address, machine in self.machines.items()
+        }
         self.joins: dict[str, dict[str, membership.JoinRequest]] = {}
         self.next_loop_at: dict[str, float] = {}
         self.empty_voters: list[str] = []
@@ -71,12 +91,36 @@
             self.make_id(), raft_simulation.SimulatedDisk()
         )
         self.machines[address] = Machine(address, member.member_id)
+        self.addresses[member.member_id] = address
 
     def remove_machine(self, address: str) -> None:
         """End a machine for good."""
         member_id = self.machines.pop(address).member_id
         self.members[member_id].raft = None
 
+    def stop_machine(self, address: str) -> None:
+        """End the member of a machine, which keeps its disk."""
+        self.crash(self.find_running(address))
+
+    def restart_machine(self, address: str) -> None:
+        """Start the member of a machine with its disk again."""
+        self.restart(self.find_running(address))
+
+    def cut_machines(self, some: set[str], others: set[str]) -> None:
+        """Let no message pass between machines and others."""
+        self.cuts |= {
+            frozenset((one, other))
+            for one in some
+            for other in others
+            if one != other
+        }
+
+    def is_reachable(self, address: str, other: str) -> bool:
+        """Return whether messages pass between two running machines."""
+        if self.paused & {address, other}:
+            return False
+        return frozenset((address, other)) not in self.cuts
+
     def lose_disk(self, address: str) -> None:
         """End the member of a machine, whose disk is lost."""
         member = self.find_running(address)
@@ -90,7 +134,7 @@
             self.now += STEP_S
             for address in list(self.machines):
                 member = self.find_running(address)
-                if member.raft is None:
+                if member.raft is None or address in self.paused:
                     continue
                 self.tick(member)
                 self.run_loops(address, member)
@@ -98,6 +142,7 @@
                 self.deliver_all()
             if self.is_due("proposals", PROPOSAL_INTERVAL_S):
                 self.propose_value()
+            self.check_step()
 
     def is_due(self, name: str, interval_s: float) -> bool:
         """Return whether a loop of the given interval is due."""
@@ -106,6 +151,9 @@
         self.next_loop_at[name] = self.now + interval_s
         return True
 
+    def check_step(self) -> None:
+        """Do nothing; called after each step of `play`."""
+
     def propose_value(self) -> None:
         """Propose a value at each member that believes to lead."""
         for position in range(len(self.list_running())):
@@ -135,6 +183,8 @@
             peer = self.members[other.member_id]
             if peer is member or peer.raft is None:
                 continue
+            if not self.is_reachable(address, other.address):
+                continue
             self.joins.setdefault(other.member_id, {})[member.member_id] = (
                 membership.JoinRequest(
                     member.member_id, address, self.read_clock(peer)
@@ -165,14 +215,16 @@
             return
         if raft.has_pending_membership():
             return
-        changed = membership.plan_change(
-            raft.membership,
-            member.member_id,
-            membership.get_peer_states(raft),
-            list(self.joins.get(member.member_id, {}).values()),
-            raft.leader_since,
-            self.read_clock(member),
-            raft.members.lost,
+        changed = self.rule.plan_change(
+            member_rules.LeaderView(
+                raft.membership,
+                member.member_id,
+                membership.get_peer_states(raft),
+                list(self.joins.get(member.member_id, {}).values()),
+                raft.leader_since,
+                self.read_clock(member),
+                raft.members.lost,
+            )
         )
         if changed is not None:
             self.propose_membership(member, changed.peers)
@@ -184,7 +236,12 @@
             return
         if not leader.raft.members.is_confirmed:
             return
-        changed = membership.plan_leaving(
+        if not self.is_reachable(
+            self.addresses[member.member_id],
+            self.addresses[leader.member_id],
+        ):
+            return
+        changed = self.rule.plan_leaving(
             leader.raft.membership, member.member_id
         )
         if changed is not None:
@@ -204,6 +261,9 @@
             return
         position %= len(self.in_flight)
         message = self.in_flight[position]
+        if self.is_lost(message):
+            del self.in_flight[position]
+            return
         successor = self.find_successor(message)
         if successor is None:
             super().deliver(position, crash_point)
@@ -213,6 +273,16 @@
         if reply is not None:
             self.in_flight.append(reply)
 
+    def is_lost(self, message: messages.AnyMessage) -> bool:
+        """Return whether a message does not arrive."""
+        ends = {
+            self.addresses[message.sender],
+            self.addresses[message.receiver],
+        }
+        if self.lossy & ends and self.rng.random() < LOSS_SHARE:
+            return True
+        return len(ends) == 2 and not self.is_reachable(*ends)
+
     def find_successor(
         self, message: messages.AnyMessage
     ) -> raft_simulation.SimulatedMember | None:
