--- a/src/hemlockkeel/_internal/coordinator/membership.py
+++ b/src/hemlockkeel/_internal/coordinator/membership.py
@@ -42,6 +42,26 @@
     lag_entries: int | None
 
 
+@dataclasses.dataclass(frozen=True)
+class LeaderView:
+    """What a leader knows when it decides on the members.
+
+    ``own_id`` is the leader, which is never removed. ``leader_since`` is the
+    monotonic time of its election: peers are given time to answer a new
+    leader before they count as unresponsive. ``lost`` are members whose disks
+    are known to be lost.
+    """
+
+    members: messages.Membership
+    own_id: str
+    states: dict[str, PeerState]
+    joins: list[JoinRequest]
+    leader_since: float
+    # Monotonic time in seconds.
+    now: float
+    lost: collections.abc.Set[str] = frozenset()
+
+
 def get_peer_states(raft: core.RaftCore) -> dict[str, PeerState]:
     """Return the states of a leader's peers by member id."""
     return {
@@ -55,42 +75,28 @@
     }
 
 
-def plan_change(
-    membership: messages.Membership,
-    own_id: str,
-    states: dict[str, PeerState],
-    joins: list[JoinRequest],
-    leader_since: float,
-    now: float,
-    lost: collections.abc.Set[str] = frozenset(),
-) -> messages.Membership | None:
+def plan_change(view: LeaderView) -> messages.Membership | None:
     """Return the next membership, or None if no change is needed.
 
     It differs from the current one in a single member, as Raft requires.
-
-    ``own_id`` is the leader, which is never removed. ``leader_since`` is the
-    monotonic time of its election: peers are given time to answer a new
-    leader before they count as unresponsive. ``lost`` are members whose disks
-    are known to be lost.
     """
-    recent = find_recent(joins, now)
-    replaced = find_lost(membership, lost) or find_replaced(
-        membership, own_id, recent
+    members = view.members
+    recent = find_recent(view.joins, view.now)
+    replaced = find_lost(members, view.lost) or find_replaced(
+        members, view.own_id, recent
     )
     if replaced is not None:
-        return remove_member(membership, replaced)
-    unresponsive = find_unresponsive(
-        membership, own_id, states, leader_since, now
-    )
+        return remove_member(members, replaced)
+    unresponsive = find_unresponsive(view)
     if unresponsive is not None:
-        return remove_member(membership, unresponsive)
-    learner = find_caught_up_learner(membership, own_id, states)
+        return remove_member(members, unresponsive)
+    learner = find_caught_up_learner(members, view.own_id, view.states)
     if learner is not None:
-        return promote_learner(membership, learner)
+        return promote_learner(members, learner)
     for join in recent:
-        if membership.get(join.member_id) is None:
+        if members.get(join.member_id) is None:
             peer = messages.Peer(join.member_id, join.address, False)
-            return messages.Membership([*membership.peers, peer])
+            return messages.Membership([*members.peers, peer])
     return None
 
 
@@ -144,13 +150,7 @@
     return len(membership.voters) > 1
 
 
-def find_unresponsive(
-    membership: messages.Membership,
-    own_id: str,
-    states: dict[str, PeerState],
-    leader_since: float,
-    now: float,
-) -> str | None:
+def find_unresponsive(view: LeaderView) -> str | None:
     """Return a silent member that can be removed; None if there is none.
 
     A leader that no quorum has answered lately knows nothing of the others:
@@ -158,16 +158,17 @@
     """
     silent = {
         member_id
-        for member_id, state in states.items()
-        if now - max(state.last_ack_at, leader_since) > UNRESPONSIVE_AFTER_S
+        for member_id, state in view.states.items()
+        if view.now - max(state.last_ack_at, view.leader_since)
+        > UNRESPONSIVE_AFTER_S
     }
-    voters = set(membership.voters)
-    if len(voters - silent) < membership.quorum:
+    members = view.members
+    if len(set(members.voters) - silent) < members.quorum:
         return None
-    for peer in membership.peers:
-        if peer.member_id == own_id or peer.member_id not in silent:
+    for peer in members.peers:
+        if peer.member_id == view.own_id or peer.member_id not in silent:
             continue
-        if not peer.voter or has_spare_voter(membership):
+        if not peer.voter or has_spare_voter(members):
             return peer.member_id
     return None
 
--- a/src/hemlockkeel/_internal/coordinator/process.py
+++ b/src/hemlockkeel/_internal/coordinator/process.py
@@ -334,24 +334,21 @@
                 return
             if raft.has_pending_membership():
                 return
-            states = membership.get_peer_states(raft)
-            current = raft.membership
-            leader_since = raft.leader_since
-            lost = frozenset(raft.members.lost)
-        changed = membership.plan_change(
-            current,
-            self.node.member_id,
-            states,
-            list(self.join_requests.values()),
-            leader_since,
-            now,
-            lost,
-        )
+            view = membership.LeaderView(
+                raft.membership,
+                self.node.member_id,
+                membership.get_peer_states(raft),
+                list(self.join_requests.values()),
+                raft.leader_since,
+                now,
+                frozenset(raft.members.lost),
+            )
+        changed = membership.plan_change(view)
         if changed is None:
             return
         self.log.write(
             "membership_change",
-            before=[peer.member_id for peer in current.peers],
+            before=[peer.member_id for peer in view.members.peers],
             after=[
                 f"{peer.member_id}{'' if peer.voter else ' (learner)'}"
                 for peer in changed.peers
--- a/src/hemlockkeel_bench/member_rules.py
+++ b/src/hemlockkeel_bench/member_rules.py
@@ -6,33 +6,18 @@
 
 import abc
 import collections.abc
-import dataclasses
 
 from hemlockkeel._internal.consensus import messages
 from hemlockkeel._internal.coordinator import membership
 
 
-@dataclasses.dataclass(frozen=True)
-class LeaderView:
-    """What a leader knows when it decides on the members.
-
-    The fields are the arguments of `membership.plan_change`.
-    """
-
-    members: messages.Membership
-    own_id: str
-    states: dict[str, membership.PeerState]
-    joins: list[membership.JoinRequest]
-    leader_since: float
-    now: float
-    lost: collections.abc.Set[str]
-
-
 class MemberRule(abc.ABC):
     """Decides changes of the members as a leader."""
 
     @abc.abstractmethod
-    def plan_change(self, view: LeaderView) -> messages.Membership | None:
+    def plan_change(
+        self, view: membership.LeaderView
+    ) -> messages.Membership | None:
         """Return the next membership, or None if no change is needed."""
 
     @abc.abstractmethod
@@ -48,16 +33,10 @@
 class ProductRule(MemberRule):
     """The rule of the product."""
 
-    def plan_change(self, view: LeaderView) -> messages.Membership | None:
-        return membership.plan_change(
-            view.members,
-            view.own_id,
-            view.states,
-            view.joins,
-            view.leader_since,
-            view.now,
-            view.lost,
-        )
+    def plan_change(
+        self, view: membership.LeaderView
+    ) -> messages.Membership | None:
+        return membership.plan_change(view)
 
     def plan_leaving(
         self, members: messages.Membership, member_id: str
--- a/src/hemlockkeel_bench/replacement_simulation.py
+++ b/src/hemlockkeel_bench/replacement_simulation.py
@@ -216,7 +216,7 @@
         if raft.has_pending_membership():
             return
         changed = self.rule.plan_change(
-            member_rules.LeaderView(
+            membership.LeaderView(
                 raft.membership,
                 member.member_id,
                 membership.get_peer_states(raft),
--- a/tests/unit/test_membership_plan.py
+++ b/tests/unit/test_membership_plan.py
@@ -43,13 +43,15 @@
             for peer in members.peers
         }
         return membership.plan_change(
-            members,
-            "a",
-            states,
-            [membership.JoinRequest(name, at, NOW) for name, at in joins],
-            leader_since,
-            NOW,
-            lost,
+            membership.LeaderView(
+                members,
+                "a",
+                states,
+                [membership.JoinRequest(name, at, NOW) for name, at in joins],
+                leader_since,
+                NOW,
+                lost,
+            )
         )
 
     def test_member_whose_disk_is_lost_is_removed_first(self) -> None:
@@ -116,7 +118,9 @@
                     for peer in members.peers
                 }
                 planned = membership.plan_change(
-                    members, "a", states, joins, 0.0, NOW
+                    membership.LeaderView(
+                        members, "a", states, joins, 0.0, NOW
+                    )
                 )
                 removed = planned is not None and last not in planned.peers
                 self.assertEqual(removed, last is not second)
@@ -151,9 +155,8 @@
             peer.member_id: membership.PeerState(NOW, 0)
             for peer in members.peers
         }
-        self.assertIsNone(
-            membership.plan_change(members, "a", states, [join], 0.0, NOW)
-        )
+        view = membership.LeaderView(members, "a", states, [join], 0.0, NOW)
+        self.assertIsNone(membership.plan_change(view))
 
 
 class TestLeaving(unittest.TestCase):
