Let replaced members leave a group of any number of voters

A disk lost later (two of five) left no quorum: GET /config was 503 everywhere and no change was acknowledged.

Cause: whether a voter is spare was inferred from an even number of voters. With both successors there were five (seven), so that neither the signal nor silence removed a voter. Seen in the logs of the script: five voters, no membership_change after the signals and none in the ten calm seconds after.

The deployment declares how many members it bears to lose (faultTolerance.machines): `VotePolicy.least_voters` are the 2n + 1 that it takes, three at least. Voters beyond those are spare, whatever their number. A member that keeps its vote when it ends says so (membership_kept).

What is left is losses soon after a removal without a signal.

--- a/src/hemlockkeel/_internal/coordinator/membership.py
+++ b/src/hemlockkeel/_internal/coordinator/membership.py
@@ -21,6 +21,24 @@
 MAX_PROMOTION_LAG_ENTRIES = 50
 
 
+@dataclasses.dataclass(frozen=True)
+class VotePolicy:
+    """Which members may vote.
+
+    ``least_voters`` are as many as it takes to bear the losses that the
+    deployment declares. More of them vote while members are replaced.
+    """
+
+    least_voters: int
+
+    def has_spare_voter(self, membership: messages.Membership) -> bool:
+        """Return whether a voter that is down should be removed.
+
+        Otherwise it is waited for, as it may only be restarted.
+        """
+        return len(membership.voters) > self.least_voters
+
+
 @dataclasses.dataclass(frozen=True)
 class JoinRequest:
     """A request of a process to become a member."""
@@ -75,7 +93,9 @@
     }
 
 
-def plan_change(view: LeaderView) -> messages.Membership | None:
+def plan_change(
+    view: LeaderView, policy: VotePolicy
+) -> messages.Membership | None:
     """Return the next membership, or None if no change is needed.
 
     It differs from the current one in a single member, as Raft requires.
@@ -87,7 +107,7 @@
     )
     if replaced is not None:
         return remove_member(members, replaced)
-    unresponsive = find_unresponsive(view)
+    unresponsive = find_unresponsive(view, policy)
     if unresponsive is not None:
         return remove_member(members, unresponsive)
     learner = find_caught_up_learner(members, view.own_id, view.states)
@@ -150,7 +170,7 @@
     return len(membership.voters) > 1
 
 
-def find_unresponsive(view: LeaderView) -> str | None:
+def find_unresponsive(view: LeaderView, policy: VotePolicy) -> str | None:
     """Return a silent member that can be removed; None if there is none.
 
     A leader that no quorum has answered lately knows nothing of the others:
@@ -168,22 +188,13 @@
     for peer in members.peers:
         if peer.member_id == view.own_id or peer.member_id not in silent:
             continue
-        if not peer.voter or has_spare_voter(members):
+        if not peer.voter or policy.has_spare_voter(members):
             return peer.member_id
     return None
 
 
-def has_spare_voter(membership: messages.Membership) -> bool:
-    """Return whether a voter that is down should be removed.
-
-    That is so for an even number of at least four voters: one less has a
-    smaller quorum, and a replacement is already a voter.
-    """
-    return len(membership.voters) > 2 and len(membership.voters) % 2 == 0
-
-
 def plan_leaving(
-    membership: messages.Membership, member_id: str
+    membership: messages.Membership, member_id: str, policy: VotePolicy
 ) -> messages.Membership | None:
     """Return the membership without a member whose process is to end.
 
@@ -191,7 +202,9 @@
     may only be restarted.
     """
     peer = membership.get(member_id)
-    if peer is None or not peer.voter or not has_spare_voter(membership):
+    if peer is None or not peer.voter:
+        return None
+    if not policy.has_spare_voter(membership):
         return None
     return remove_member(membership, member_id)
 
--- a/src/hemlockkeel/_internal/coordinator/process.py
+++ b/src/hemlockkeel/_internal/coordinator/process.py
@@ -198,6 +198,7 @@
             applied=self.node.applied_index,
             entries=len(self.node.core.log.entries),
             log_bytes=self.node.storage.log_bytes,
+            least_voters=self.settings.vote_policy.least_voters,
         )
 
     async def stop(self) -> None:
@@ -343,7 +344,7 @@
                 now,
                 frozenset(raft.members.lost),
             )
-        changed = membership.plan_change(view)
+        changed = membership.plan_change(view, self.settings.vote_policy)
         if changed is None:
             return
         self.log.write(
@@ -397,7 +398,15 @@
         Gives up after `LEAVE_TIMEOUT_S`.
         """
         own_id = self.node.member_id
-        if membership.plan_leaving(self.node.core.membership, own_id) is None:
+        current = self.node.core.membership
+        policy = self.settings.vote_policy
+        if membership.plan_leaving(current, own_id, policy) is None:
+            self.log.write(
+                "membership_kept",
+                member=own_id,
+                voters=len(current.voters),
+                least_voters=policy.least_voters,
+            )
             return
         call = messages.Join(
             member_id=own_id,
@@ -432,7 +441,9 @@
             if raft.state is not core.State.LEADER:
                 return messages.Outcome(done=False)
             current = raft.membership
-        changed = membership.plan_leaving(current, message.member_id)
+        changed = membership.plan_leaving(
+            current, message.member_id, self.settings.vote_policy
+        )
         if changed is None:
             return messages.Outcome(done=True)
         self.join_requests.pop(message.member_id, None)
--- a/src/hemlockkeel/_internal/coordinator/settings.py
+++ b/src/hemlockkeel/_internal/coordinator/settings.py
@@ -6,9 +6,14 @@
 from hemlockkeel._internal.consensus import core
 from hemlockkeel._internal.consensus import messages
 from hemlockkeel._internal.consensus import node
+from hemlockkeel._internal.coordinator import membership
 from hemlockkeel._internal.policy import credit
 from hemlockkeel._internal.utils import process_budget
 
+# A group that declares fewer is kept as if it bore one, so that its members
+# can be restarted in turn.
+MIN_TOLERATED_LOSSES = 1
+
 
 @dataclasses.dataclass(frozen=True)
 class ControlSettings:
@@ -31,12 +36,23 @@
         default_factory=process_budget.ProcessLimits
     )
     quota_tolerance: credit.Tolerance = credit.NO_TOLERANCE
+    # Control members that the deployment bears to lose at once.
+    tolerated_losses: int = MIN_TOLERATED_LOSSES
 
     @property
     def link_address(self) -> str:
         """Return the address at which other processes connect."""
         return f"{self.host}:{self.link_port}"
 
+    @property
+    def vote_policy(self) -> membership.VotePolicy:
+        """Return which members may vote.
+
+        A majority is left of them after the declared losses.
+        """
+        losses = max(self.tolerated_losses, MIN_TOLERATED_LOSSES)
+        return membership.VotePolicy(2 * losses + 1)
+
 
 def make_initial_cluster(
     settings: ControlSettings,
--- a/src/hemlockkeel/platform/control_settings.py
+++ b/src/hemlockkeel/platform/control_settings.py
@@ -33,4 +33,5 @@
         core.Timing(RAFT_HEARTBEAT_INTERVAL_S, *ELECTION_TIMEOUT_RANGE_S),
         source.get_limits(),
         source.get_quota_tolerance(),
+        source.get_count("faultTolerance.machines"),
     )
--- a/src/hemlockkeel/platform/settings_file.py
+++ b/src/hemlockkeel/platform/settings_file.py
@@ -64,6 +64,16 @@
             raise ValueError(f"{name} must be a finite number of at least 0")
         return value
 
+    def get_count(self, name: str) -> int:
+        """Return an optional setting as a whole number; 0 if it is absent.
+
+        :raises ValueError: when it is not a whole number of at least 0.
+        """
+        value = self.get_number(name, 0.0)
+        if not value.is_integer():
+            raise ValueError(f"{name} must be a whole number")
+        return int(value)
+
     def get_limits(self) -> process_budget.ProcessLimits:
         """Return the memory and descriptors of the process, if limited.
 
--- a/src/hemlockkeel_bench/member_rules.py
+++ b/src/hemlockkeel_bench/member_rules.py
@@ -31,29 +31,60 @@
 
 
 class ProductRule(MemberRule):
-    """The rule of the product."""
+    """The rule of the product, for a group of a declared size."""
+
+    def __init__(self, size: int) -> None:
+        self.policy = membership.VotePolicy(least_voters=size)
+
+    def plan_change(
+        self, view: membership.LeaderView
+    ) -> messages.Membership | None:
+        return membership.plan_change(view, self.policy)
+
+    def plan_leaving(
+        self, members: messages.Membership, member_id: str
+    ) -> messages.Membership | None:
+        return membership.plan_leaving(members, member_id, self.policy)
+
+
+class ParityRule(MemberRule):
+    """Takes a voter for spare if the number of voters is even.
+
+    That was the product's rule before the size of a group was declared.
+    """
+
+    def get_policy(
+        self, members: messages.Membership
+    ) -> membership.VotePolicy:
+        """Return the policy that the number of voters suggests."""
+        count = len(members.voters)
+        is_spare = count > 2 and count % 2 == 0
+        return membership.VotePolicy(count - 1 if is_spare else count)
 
     def plan_change(
         self, view: membership.LeaderView
     ) -> messages.Membership | None:
-        return membership.plan_change(view)
+        return membership.plan_change(view, self.get_policy(view.members))
 
     def plan_leaving(
         self, members: messages.Membership, member_id: str
     ) -> messages.Membership | None:
-        return membership.plan_leaving(members, member_id)
+        return membership.plan_leaving(
+            members, member_id, self.get_policy(members)
+        )
 
 
-RULES: dict[str, collections.abc.Callable[[], MemberRule]] = {
+RULES: dict[str, collections.abc.Callable[[int], MemberRule]] = {
     "product": ProductRule,
+    "parity": lambda size: ParityRule(),
 }
 
 
-def make_rule(name: str) -> MemberRule:
-    """Return the rule of a name.
+def make_rule(name: str, size: int) -> MemberRule:
+    """Return the rule of a name for a group of a size.
 
     :raises ValueError: when there is none.
     """
     if name not in RULES:
         raise ValueError(f"rule {name!r} is not one of {', '.join(RULES)}")
-    return RULES[name]()
+    return RULES[name](size)
--- a/src/hemlockkeel_bench/replacement_series.py
+++ b/src/hemlockkeel_bench/replacement_series.py
@@ -273,13 +273,16 @@
         """Remove a new machine, whose predecessor still runs."""
         while not self.may_remove() or address in self.taken:
             yield RETRY_S
+        if address not in self.ledger.ready_at:
+            # Another replacement has removed it.
+            return
         self.note("goes again", address)
         yield from self.remove(address)
         yield self.rng.uniform(0.0, 3.0)
 
     def remove_first(self) -> Script:
         """Remove a machine, and start another one later."""
-        while not self.may_lose():
+        while not self.may_lose() or not self.list_free():
             yield RETRY_S
         yield from self.remove_one()
         yield self.rng.choice([0.5, 1.0, 2.0, 4.0])
@@ -308,11 +311,7 @@
 
     def remove_one(self) -> Script:
         """Remove a sound machine, which leads in half of the cases."""
-        sound = [
-            each
-            for each in self.ledger.list_sound(self.now)
-            if each not in self.taken
-        ]
+        sound = self.list_free()
         leader = self.cluster.get_leader_address()
         if leader in sound and self.rng.random() < 0.5:
             yield from self.remove(leader)
@@ -356,6 +355,14 @@
 
     # Permission
 
+    def list_free(self) -> list[str]:
+        """Return the machines that are sound and in no script's hands."""
+        return [
+            each
+            for each in self.ledger.list_sound(self.now)
+            if each not in self.taken
+        ]
+
     def may_lose(self, count: int = 1) -> bool:
         """Return whether further machines may be lost now."""
         lost = self.ledger.count(self.now) + count
@@ -373,6 +380,7 @@
             since_s >= self.notice_s
             and self.may_lose(0)
             and self.ledger.spare > 0
+            and bool(self.list_free())
         )
 
     # Other trouble
@@ -399,11 +407,7 @@
             if kind is Trouble.DISK
             else self.may_lose_silently(count)
         )
-        candidates = [
-            each
-            for each in self.ledger.list_sound(self.now)
-            if each not in self.taken
-        ]
+        candidates = self.list_free()
         if not permitted or len(candidates) < count:
             return
         lost = self.rng.sample(candidates, count)
@@ -505,7 +509,8 @@
     seed: int, size: int, rule_name: str, notice_s: float
 ) -> Violation | None:
     """Play the series of a seed; return its violation, if there is one."""
-    series = Series(seed, size, member_rules.make_rule(rule_name), notice_s)
+    rule = member_rules.make_rule(rule_name, size)
+    series = Series(seed, size, rule, notice_s)
     try:
         series.run()
     except exceptions.InvariantError as error:
--- a/src/hemlockkeel_bench/replacement_simulation.py
+++ b/src/hemlockkeel_bench/replacement_simulation.py
@@ -48,7 +48,7 @@
         rule: member_rules.MemberRule | None = None,
     ) -> None:
         super().__init__(size, rng)
-        self.rule = rule or member_rules.ProductRule()
+        self.rule = rule or member_rules.ProductRule(size)
         self.cuts: set[frozenset[str]] = set()
         self.paused: set[str] = set()
         self.lossy: set[str] = set()
--- a/tests/functional/test_coordinator.py
+++ b/tests/functional/test_coordinator.py
@@ -475,6 +475,27 @@
     async def test_disk_lost_right_after_a_replaced_leader_ended(self) -> None:
         await self.check_loss_after_planned_replacement(leads=True)
 
+    async def test_disk_lost_after_two_members_were_replaced(self) -> None:
+        """Those that had ended stayed voters of an odd number for good."""
+        await self.put(1, 5)
+        for number in (4, 5):
+            joined = await self.start(number, bootstrap=False)
+            await self.wait_for(
+                lambda count=number, joined=joined: (
+                    len(joined.catalogue.membership.voters) == count
+                )
+            )
+        for number in (3, 2):
+            await self.stop(number)
+        await self.put(4, 6)
+        await self.stop(1)
+        self.seeds = frozenset(
+            member.settings.link_address for member in self.members.values()
+        )
+        back = await self.start(1, bootstrap=False, disk="blank")
+        self.assertEqual(await self.read(5), 6)
+        await self.wait_for(lambda: self.is_replaced(back.node.member_id))
+
     async def test_leader_is_told_that_its_removal_is_committed(self) -> None:
         """Otherwise it asks until its time to leave has passed."""
         await self.put(1, 5)
--- a/tests/unit/test_member_replacement.py
+++ b/tests/unit/test_member_replacement.py
@@ -132,6 +132,39 @@
         self.check(5, 2, range(1))
 
 
+class TestTwoReplacements(unittest.TestCase):
+    """Members that are replaced after their successors have started."""
+
+    def check(self, size: int, stops: bool) -> None:
+        """Replace two members, then let as many as allowed lose disks."""
+        cluster = replacement_simulation.ReplacementSimulation(
+            size, random.Random(size)
+        )
+        old = list(cluster.machines)
+        cluster.play(3.0)
+        for number in range(2):
+            cluster.add_machine(f"host-new-{number}:1")
+            cluster.play(CATCH_UP_S)
+        for address in old[:2]:
+            cluster.machines[address].is_leaving = stops
+            cluster.play(GRACE_S)
+            cluster.remove_machine(address)
+            cluster.play(RECOVERY_S)
+        lost = list(cluster.machines)[: size // 2]
+        for address in lost:
+            cluster.lose_disk(address)
+        cluster.play(BACK_S)
+        for address in lost:
+            cluster.add_machine(address)
+        cluster.check_recovery()
+
+    def test_replaced_members_do_not_stay_voters(self) -> None:
+        """They stayed in an odd number, and lost disks ended the majority."""
+        for size, stops in itertools.product((3, 5), (True, False)):
+            with self.subTest(size=size, stops=stops):
+                self.check(size, stops)
+
+
 class TestQuorums(unittest.TestCase):
     """Quorums of the same voters, some of which lose their disks."""
 
--- a/tests/unit/test_membership_plan.py
+++ b/tests/unit/test_membership_plan.py
@@ -1,11 +1,13 @@
 """Decisions on changes of the control members."""
 
+import itertools
 import unittest
 
 from hemlockkeel._internal.consensus import messages
 from hemlockkeel._internal.coordinator import membership
 
 NOW = 100.0
+POLICY = membership.VotePolicy(least_voters=3)
 
 
 def make_peer(name: str, voter: bool = True) -> messages.Peer:
@@ -51,7 +53,8 @@
                 leader_since,
                 NOW,
                 lost,
-            )
+            ),
+            POLICY,
         )
 
     def test_member_whose_disk_is_lost_is_removed_first(self) -> None:
@@ -120,7 +123,8 @@
                 planned = membership.plan_change(
                     membership.LeaderView(
                         members, "a", states, joins, 0.0, NOW
-                    )
+                    ),
+                    POLICY,
                 )
                 removed = planned is not None and last not in planned.peers
                 self.assertEqual(removed, last is not second)
@@ -156,20 +160,25 @@
             for peer in members.peers
         }
         view = membership.LeaderView(members, "a", states, [join], 0.0, NOW)
-        self.assertIsNone(membership.plan_change(view))
+        self.assertIsNone(membership.plan_change(view, POLICY))
 
 
 class TestLeaving(unittest.TestCase):
     """Members that end on a signal."""
 
     def test_only_a_spare_voter_leaves(self) -> None:
-        for count, leaves in ((1, 0), (2, 0), (3, 0), (4, 1), (5, 0), (6, 1)):
-            members = make_members(*map(make_peer, "abcdef"[:count]))
-            planned = membership.plan_leaving(members, "a")
-            self.assertEqual(planned is not None, bool(leaves), count)
+        """An odd number of voters said that none was spare."""
+        for least, count in itertools.product((1, 3, 5), range(1, 8)):
+            members = make_members(*map(make_peer, "abcdefg"[:count]))
+            planned = membership.plan_leaving(
+                members, "a", membership.VotePolicy(least)
+            )
+            left = planned.voters if planned else members.voters
+            self.assertEqual(len(left), count - 1 if count > least else count)
 
     def test_successor_that_does_not_vote_yet_takes_no_place(self) -> None:
         learner = make_peer("d", voter=False)
         members = make_members(*map(make_peer, "abc"), learner)
         for name in ("a", "d", "gone"):
-            self.assertIsNone(membership.plan_leaving(members, name))
+            planned = membership.plan_leaving(members, name, POLICY)
+            self.assertIsNone(planned)
--- a/tests/unit/test_platform.py
+++ b/tests/unit/test_platform.py
@@ -616,6 +616,22 @@
         self.assertEqual(agent.engine_address, "10.1.0.41:8145")
         self.assertTrue(agent.engine_enforces_fencing)
 
+    def test_voters_bear_the_declared_losses(self) -> None:
+        for text, least in (
+            ("", 3),
+            ("faultTolerance.machines=0\n", 3),
+            ("faultTolerance.machines=1\n", 3),
+            ("faultTolerance.machines=2\n", 5),
+        ):
+            control = control_settings.read_control(
+                self.write(self.TEXT + text)
+            )
+            self.assertEqual(control.vote_policy.least_voters, least)
+        for value in ("some", "1.5", "-1"):
+            path = self.write(self.TEXT + f"faultTolerance.machines={value}")
+            with self.subTest(value), self.assertRaises(ValueError):
+                control_settings.read_control(path)
+
     def test_missing_or_invalid_setting_is_refused(self) -> None:
         with self.assertRaisesRegex(ValueError, "listen.front"):
             entry_settings.read_entry(self.write("nodeName=x\nzone=z\nip=1\n"))
