Give a new control member time for its first answer

A learner counted as silent since the leader's election, until it had answered once: one that was added later and needed more than the leader's next check (0.2 s) was removed, asked to join, was added, and so on. On a slow disk or link a successor would never get a vote.

Peers are silent since the first message to them, or the latest one that they have answered. A new leader's peers are thereby silent since its election at the earliest, so that the time of the election is not needed for it any more.

The new test of test_member_replacement failed before: the member was removed within 2.4 s of silence in which it may stay. In test_membership_plan the state of a peer carries what the time of the election did; no case changed.

--- a/src/hemlockkeel/_internal/consensus/replication.py
+++ b/src/hemlockkeel/_internal/consensus/replication.py
@@ -26,6 +26,8 @@
     # Leader's monotonic time in seconds at which it sent the latest message
     # that the peer has answered.
     acked_sent_at: float = float("-inf")
+    # Since when the peer is expected to answer; None before the first message.
+    expected_since: float | None = None
     # Snapshot that is being sent; it stays the same until it is complete,
     # whatever snapshots are written meanwhile.
     snapshot: tuple[messages.SnapshotMeta, bytes] | None = None
@@ -36,6 +38,17 @@
     in_flight: bool = False
     last_sent_at: float = float("-inf")
 
+    @property
+    def silent_since(self) -> float | None:
+        """Return since when the peer has not answered; None if it is unasked.
+
+        That is when the latest message was sent that it has answered, or the
+        first one.
+        """
+        if self.expected_since is None:
+            return None
+        return max(self.expected_since, self.acked_sent_at)
+
 
 @dataclasses.dataclass(frozen=True)
 class LeaderState:
@@ -106,6 +119,8 @@
             now - progress.last_sent_at
             > RESEND_AFTER_HEARTBEATS * self.heartbeat_s
         )
+        if progress.expected_since is None:
+            progress.expected_since = now
         if progress.in_flight and not (heartbeat and timed_out):
             if not heartbeat:
                 return None
--- a/src/hemlockkeel/_internal/coordinator/membership.py
+++ b/src/hemlockkeel/_internal/coordinator/membership.py
@@ -53,9 +53,9 @@
 class PeerState:
     """What the leader knows about a peer."""
 
-    # Monotonic time in seconds at which the leader sent the latest message
-    # that the peer has answered.
-    last_ack_at: float
+    # Monotonic time in seconds since which the peer has not answered; None if
+    # no message has been sent to it yet.
+    silent_since: float | None
     # Log entries that the peer lacks; None before its first answer.
     lag_entries: int | None
 
@@ -64,27 +64,33 @@
 class LeaderView:
     """What a leader knows when it decides on the members.
 
-    ``own_id`` is the leader, which is never removed. ``leader_since`` is the
-    monotonic time of its election: peers are given time to answer a new
-    leader before they count as unresponsive. ``lost`` are members whose disks
-    are known to be lost.
+    ``own_id`` is the leader, which is never removed. ``lost`` are members
+    whose disks are known to be lost.
     """
 
     members: messages.Membership
     own_id: str
     states: dict[str, PeerState]
     joins: list[JoinRequest]
-    leader_since: float
     # Monotonic time in seconds.
     now: float
     lost: collections.abc.Set[str] = frozenset()
 
+    def find_silent(self, seconds: float) -> set[str]:
+        """Return the members that have not answered for so long."""
+        return {
+            member_id
+            for member_id, state in self.states.items()
+            if state.silent_since is not None
+            and self.now - state.silent_since > seconds
+        }
+
 
 def get_peer_states(raft: core.RaftCore) -> dict[str, PeerState]:
     """Return the states of a leader's peers by member id."""
     return {
         member_id: PeerState(
-            progress.acked_sent_at,
+            progress.silent_since,
             raft.log.last_index - progress.match_index
             if progress.match_index
             else None,
@@ -176,12 +182,7 @@
     A leader that no quorum has answered lately knows nothing of the others:
     it may have been paused itself.
     """
-    silent = {
-        member_id
-        for member_id, state in view.states.items()
-        if view.now - max(state.last_ack_at, view.leader_since)
-        > UNRESPONSIVE_AFTER_S
-    }
+    silent = view.find_silent(UNRESPONSIVE_AFTER_S)
     members = view.members
     if len(set(members.voters) - silent) < members.quorum:
         return None
--- a/src/hemlockkeel/_internal/coordinator/process.py
+++ b/src/hemlockkeel/_internal/coordinator/process.py
@@ -340,7 +340,6 @@
                 self.node.member_id,
                 membership.get_peer_states(raft),
                 list(self.join_requests.values()),
-                raft.leader_since,
                 now,
                 frozenset(raft.members.lost),
             )
--- a/src/hemlockkeel_bench/replacement_simulation.py
+++ b/src/hemlockkeel_bench/replacement_simulation.py
@@ -221,7 +221,6 @@
                 member.member_id,
                 membership.get_peer_states(raft),
                 list(self.joins.get(member.member_id, {}).values()),
-                raft.leader_since,
                 self.read_clock(member),
                 raft.members.lost,
             )
--- a/tests/unit/test_member_replacement.py
+++ b/tests/unit/test_member_replacement.py
@@ -165,6 +165,28 @@
                 self.check(size, stops)
 
 
+class TestNewMember(unittest.TestCase):
+    """A new member whose first answers take a while."""
+
+    def test_slow_first_answer_does_not_remove_it(self) -> None:
+        """It was removed after 0.2 s, and added again and again."""
+        cluster = replacement_simulation.ReplacementSimulation(
+            3, random.Random(1)
+        )
+        cluster.play(3.0)
+        cluster.add_machine(NEW)
+        added = cluster.find_running(NEW).member_id
+        leader = cluster.find_leader()
+        assert leader is not None and leader.raft is not None
+        while leader.raft.membership.get(added) is None:
+            cluster.play(replacement_simulation.STEP_S)
+        cluster.cut_machines({NEW}, set(cluster.machines))
+        cluster.play(membership.UNRESPONSIVE_AFTER_S - 0.1)
+        self.assertIsNotNone(leader.raft.membership.get(added))
+        cluster.play(0.4)
+        self.assertIsNone(leader.raft.membership.get(added))
+
+
 class TestQuorums(unittest.TestCase):
     """Quorums of the same voters, some of which lose their disks."""
 
--- a/tests/unit/test_membership_plan.py
+++ b/tests/unit/test_membership_plan.py
@@ -39,7 +39,7 @@
         """
         states = {
             peer.member_id: membership.PeerState(
-                0.0 if peer.member_id in unresponsive else NOW,
+                leader_since if peer.member_id in unresponsive else NOW,
                 (lags or {}).get(peer.member_id, 0),
             )
             for peer in members.peers
@@ -50,7 +50,6 @@
                 "a",
                 states,
                 [membership.JoinRequest(name, at, NOW) for name, at in joins],
-                leader_since,
                 NOW,
                 lost,
             ),
@@ -121,9 +120,7 @@
                     for peer in members.peers
                 }
                 planned = membership.plan_change(
-                    membership.LeaderView(
-                        members, "a", states, joins, 0.0, NOW
-                    ),
+                    membership.LeaderView(members, "a", states, joins, NOW),
                     POLICY,
                 )
                 removed = planned is not None and last not in planned.peers
@@ -152,6 +149,14 @@
         assert planned is not None
         self.assertEqual(planned.voters, ["a", "c", "d"])
 
+    def test_learner_that_was_not_asked_yet_stays(self) -> None:
+        learner = make_peer("d", voter=False)
+        members = make_members(*map(make_peer, "abc"), learner)
+        states = {name: membership.PeerState(NOW, 0) for name in "abc"}
+        states["d"] = membership.PeerState(None, None)
+        view = membership.LeaderView(members, "a", states, [], NOW)
+        self.assertIsNone(membership.plan_change(view, POLICY))
+
     def test_expired_join_request_is_ignored(self) -> None:
         members = make_members(*map(make_peer, "abc"))
         join = membership.JoinRequest("d", "d:1", NOW - 10.0)
@@ -159,7 +164,7 @@
             peer.member_id: membership.PeerState(NOW, 0)
             for peer in members.peers
         }
-        view = membership.LeaderView(members, "a", states, [join], 0.0, NOW)
+        view = membership.LeaderView(members, "a", states, [join], NOW)
         self.assertIsNone(membership.plan_change(view, POLICY))
 
 
