Take the vote of a silent member within the time of an election

Two of four voters were left for good, and GET /config was 503 everywhere.

Cause: in a group of four a silent voter counts in the quorum until it has been silent for 2.5 s, counted anew by a new leader. A second removal soon after a first is allowed: the first one does not count as lost, as its successor has caught up.

A vote is now moved instead of a member removed, which is cheap to undo: - a voter that is silent for as long as a leader may be (0.4 s on the platform) becomes a learner if more vote than the declared losses need, and a voter again when it answers; - a learner takes the vote of a silent voter in one step, without an even number in between; quorums before and after the change are both needed; - a new leader counts the former one's silence from its last message; - members whose process has ended are noticed by refused connections: such a leader has no lease, so its voters elect the next one at once, one after the other, and a leader takes the vote at once. What was sent after the attempt to connect began goes before such a notice; - voters draw their election timeouts from different parts of the range, as three of four that are left can bear no split vote. No timeout is shorter.

--- a/src/hemlockkeel/_internal/consensus/core.py
+++ b/src/hemlockkeel/_internal/consensus/core.py
@@ -20,6 +20,11 @@
 # Duration of a leader lease as a fraction of the shortest election timeout;
 # the rest allows for clock drift between members.
 LEASE_FRACTION = 0.8
+# Share of a voter's part of the range of election timeouts that it draws from;
+# the rest separates it from the next voter's.
+ELECTION_PART_SHARE = 0.5
+# Heartbeat intervals in which a former leader may answer its successor.
+FORMER_LEADER_HEARTBEATS = 2
 
 
 class State(enum.Enum):
@@ -35,7 +40,8 @@
 class Timing:
     """Heartbeat interval and bounds of the election timeout, in seconds.
 
-    Each election timeout is drawn at random between the bounds.
+    Each election timeout is drawn at random between the bounds, by each voter
+    from another part of the range.
     """
 
     heartbeat_s: float = 0.1
@@ -121,6 +127,10 @@
         # leader whose lease still relies on that. It therefore starts as if
         # it had just received a message from a leader.
         self.leader_contact_at = now
+        # The leader that sent the last message, and whether its process has
+        # ended since.
+        self.last_leader_id = ""
+        self.last_leader_ended = False
         self.election_deadline = 0.0
         self.votes: set[str] = set()
         self.replicator = replication.Replicator(
@@ -176,8 +186,17 @@
     # Time
 
     def reset_election_timeout(self, now: float) -> None:
-        """Restart the election timeout with a new random duration."""
+        """Restart the election timeout with a new random duration.
+
+        Each voter has a part of the range of its own, so that two of them
+        rarely stand for election at once and split the votes.
+        """
         low, high = self.timing.election_min_s, self.timing.election_max_s
+        voters = sorted(self.members.voters)
+        if self.member_id in voters:
+            part_s = (high - low) / len(voters)
+            low += voters.index(self.member_id) * part_s
+            high = low + part_s * ELECTION_PART_SHARE
         self.election_deadline = now + self.rng.uniform(low, high)
 
     def tick(self, now: float) -> None:
@@ -355,10 +374,25 @@
         self.term_start_index = self.log.last_index + 1
         self.leader_since = now
         self.replicator.reset(self.other_peers)
+        self.expect_former_leader(now)
         self.next_heartbeat_at = now + self.timing.heartbeat_s
         self.append_entry(messages.EntryKind.NOOP, b"")
         self.broadcast(now)
 
+    def expect_former_leader(self, now: float) -> None:
+        """Count the silence of the former leader from its last message.
+
+        It is given two heartbeats more to answer this one.
+        """
+        if self.last_leader_ended:
+            self.replicator.record_ended(self.last_leader_id, now)
+        answer_s = FORMER_LEADER_HEARTBEATS * self.timing.heartbeat_s
+        silent_since = max(
+            self.leader_contact_at,
+            now + answer_s - self.timing.election_min_s,
+        )
+        self.replicator.expect_since(self.last_leader_id, silent_since)
+
     # Proposals
 
     def propose(
@@ -382,7 +416,9 @@
         """Return whether a membership change is safe now.
 
         The previous change and an entry of the current term have to be
-        committed, and at most one voter may be added or removed.
+        committed, and at most one voter may be added and one removed. The
+        quorums before and after the latter need not have a member in common;
+        both are needed (see `active_members`).
         """
         if self.has_pending_membership():
             return False
@@ -390,7 +426,11 @@
             return False
         before = set(self.membership.voters)
         after = set(messages.decode_membership(data).voters)
-        return bool(after) and len(before ^ after) <= 1
+        return (
+            bool(after)
+            and len(before - after) <= 1
+            and len(after - before) <= 1
+        )
 
     def append_entry(self, kind: messages.EntryKind, data: bytes) -> int:
         """Append an entry of the current term to the leader's log."""
@@ -512,8 +552,7 @@
         self, message: messages.VoteRequest, now: float
     ) -> None:
         """Grant or refuse a vote or pre-vote."""
-        has_leader = now < self.leader_contact_at + self.timing.election_min_s
-        if has_leader or self.state is State.LEADER:
+        if self.has_leader(now) or self.state is State.LEADER:
             # The lease of a working leader forbids a vote or a new term.
             if message.term >= self.term:
                 return
@@ -533,6 +572,12 @@
             self.reset_election_timeout(now)
         self.reply_vote(message, granted, self.term)
 
+    def has_leader(self, now: float) -> bool:
+        """Return whether a leader's lease may rely on this member."""
+        if self.last_leader_ended:
+            return False
+        return now < self.leader_contact_at + self.timing.election_min_s
+
     def is_up_to_date(self, message: messages.VoteRequest) -> bool:
         """Return whether a candidate's log is at least as up to date."""
         return (message.last_term, message.last_index) >= (
@@ -615,8 +660,32 @@
         self.state = State.FOLLOWER
         self.leader_id = leader_id
         self.leader_contact_at = now
+        self.last_leader_id = leader_id
+        self.last_leader_ended = False
         self.reset_election_timeout(now)
 
+    def record_ended(self, member_id: str, seen_at: float, now: float) -> bool:
+        """Record that the process of a member did not run at a time.
+
+        Returns whether this is used and was not known.
+
+        A leader that has ended has no lease. Once the others may know of it,
+        the voters stand for election one after the other, so that they do not
+        split their votes.
+        """
+        if self.state is State.LEADER:
+            return self.replicator.record_ended(member_id, seen_at)
+        if member_id != self.leader_id or seen_at <= self.leader_contact_at:
+            return False
+        if self.last_leader_ended or not self.is_voter:
+            return False
+        self.last_leader_ended = True
+        others = sorted(self.members.voters - {member_id})
+        position = 1 + others.index(self.member_id)
+        delay_s = position * self.timing.heartbeat_s
+        self.election_deadline = min(self.election_deadline, now + delay_s)
+        return True
+
     def handle_append(
         self, message: messages.AppendRequest, now: float
     ) -> None:
--- a/src/hemlockkeel/_internal/consensus/node.py
+++ b/src/hemlockkeel/_internal/consensus/node.py
@@ -115,7 +115,18 @@
     address: str
 
 
-Input = Proposal | ReceivedMessage | None
+@dataclasses.dataclass(frozen=True)
+class EndedProcess:
+    """No process listened at the address of a member at a time.
+
+    ``seen_at`` is monotonic, in seconds.
+    """
+
+    address: str
+    seen_at: float
+
+
+Input = Proposal | ReceivedMessage | EndedProcess | None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -313,6 +324,10 @@
         if not self.inputs.put(ReceivedMessage(message, address), size):
             self.counters.count(metrics.Counter.RAFT_MESSAGES_DROPPED)
 
+    def report_ended(self, address: str, seen_at: float) -> None:
+        """Queue that no process listened at a member's address at a time."""
+        self.inputs.put(EndedProcess(address, seen_at))
+
     def acknowledge_busy(self, message: messages.AnyMessage) -> None:
         """Reply to the leader if its message has to wait for the disk."""
         if not isinstance(message, messages.AppendRequest):
@@ -547,6 +562,8 @@
                         "control_disk_lost",
                         members=sorted(self.core.members.lost),
                     )
+            case EndedProcess(address, seen_at):
+                self.record_ended(address, seen_at, now)
             case Proposal(future=future) if future.done():
                 # It was refused while this member took no part.
                 return
@@ -562,6 +579,18 @@
                     return
                 self.pending[index] = (self.core.term, item)
 
+    def record_ended(self, address: str, seen_at: float, now: float) -> None:
+        """Pass on that the member at an address has ended."""
+        for peer in self.core.members.peers:
+            if peer.address != address:
+                continue
+            if self.core.record_ended(peer.member_id, seen_at, now):
+                self.log_event(
+                    "control_member_ended",
+                    member=peer.member_id,
+                    led=peer.member_id == self.core.last_leader_id,
+                )
+
     def may_propose(self, size: int) -> bool:
         """Return whether uncommitted entries leave room for another one.
 
--- a/src/hemlockkeel/_internal/consensus/replication.py
+++ b/src/hemlockkeel/_internal/consensus/replication.py
@@ -37,6 +37,13 @@
     # ones were sent.
     in_flight: bool = False
     last_sent_at: float = float("-inf")
+    # When the peer's process was last seen not to run.
+    ended_at: float = float("-inf")
+
+    @property
+    def has_ended(self) -> bool:
+        """Return whether the peer has not answered since its process ended."""
+        return self.ended_at > self.acked_sent_at
 
     @property
     def silent_since(self) -> float | None:
@@ -217,6 +224,27 @@
         if progress.in_flight:
             progress.last_sent_at = max(progress.last_sent_at, reply.sent_at)
 
+    def expect_since(self, peer: str, silent_since: float) -> None:
+        """Record since when a peer has been silent that nothing was sent to.
+
+        Its silence counts from then.
+        """
+        progress = self.progress.get(peer)
+        if progress is not None:
+            progress.expected_since = silent_since
+
+    def record_ended(self, peer: str, seen_at: float) -> bool:
+        """Record that a peer's process did not run at a time.
+
+        Returns whether it was expected to run until now.
+        """
+        progress = self.progress.get(peer)
+        if progress is None:
+            return False
+        had_ended = progress.has_ended
+        progress.ended_at = max(progress.ended_at, seen_at)
+        return progress.has_ended and not had_ended
+
     @staticmethod
     def record_snapshot_reply(
         progress: Progress, reply: messages.SnapshotReply
--- a/src/hemlockkeel/_internal/control/process.py
+++ b/src/hemlockkeel/_internal/control/process.py
@@ -171,7 +171,7 @@
             )
             if learner is None:
                 return
-            promoted = membership.promote_learner(raft.membership, learner)
+            promoted = membership.set_vote(raft.membership, learner, True)
         self.node.propose(
             core.encode_membership(promoted),
             messages.EntryKind.MEMBERSHIP,
--- a/src/hemlockkeel/_internal/coordinator/membership.py
+++ b/src/hemlockkeel/_internal/coordinator/membership.py
@@ -1,8 +1,9 @@
 """Pure functions that decide changes of the cluster membership.
 
 A member that has lost its disk restarts with a new id. It is added as a
-learner, becomes a voter once its log has caught up, and the unresponsive
-member that it replaces is removed.
+learner and becomes a voter once its log has caught up. A voter that is silent
+hands its vote to such a learner, or loses it if enough others vote; it may
+vote again once it answers. See docs/design/member-replacement.md.
 """
 
 import collections.abc
@@ -10,8 +11,9 @@
 
 from hemlockkeel._internal.consensus import core
 from hemlockkeel._internal.consensus import messages
+from hemlockkeel._internal.consensus import quorums
 
-# A member that has not answered for this long may be removed. Longer than a
+# A learner that has not answered for this long is removed. Longer than a
 # restart or an election, shorter than a manual repair.
 UNRESPONSIVE_AFTER_S = 2.5
 # Join requests older than this are ignored; a process that wants to join
@@ -30,9 +32,11 @@
     """
 
     least_voters: int
+    # Time without an answer after which a voter may lose its vote.
+    silent_after_s: float
 
     def has_spare_voter(self, membership: messages.Membership) -> bool:
-        """Return whether a voter that is down should be removed.
+        """Return whether a voter that is down should lose its vote.
 
         Otherwise it is waited for, as it may only be restarted.
         """
@@ -58,6 +62,8 @@
     silent_since: float | None
     # Log entries that the peer lacks; None before its first answer.
     lag_entries: int | None
+    # Whether its process has ended, and has not answered since.
+    has_ended: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -85,6 +91,19 @@
             and self.now - state.silent_since > seconds
         }
 
+    def find_ended(self) -> set[str]:
+        """Return the members whose processes have ended."""
+        return {
+            member_id
+            for member_id, state in self.states.items()
+            if state.has_ended
+        }
+
+    def is_quorum(self, members: collections.abc.Set[str]) -> bool:
+        """Return whether members include a quorum of the present voters."""
+        voters = frozenset(self.members.voters)
+        return quorums.Quorum(voters, voters & self.lost).is_met_by(members)
+
 
 def get_peer_states(raft: core.RaftCore) -> dict[str, PeerState]:
     """Return the states of a leader's peers by member id."""
@@ -94,6 +113,7 @@
             raft.log.last_index - progress.match_index
             if progress.match_index
             else None,
+            progress.has_ended,
         )
         for member_id, progress in raft.replicator.progress.items()
     }
@@ -104,7 +124,7 @@
 ) -> messages.Membership | None:
     """Return the next membership, or None if no change is needed.
 
-    It differs from the current one in a single member, as Raft requires.
+    At most one voter is added and one removed.
     """
     members = view.members
     recent = find_recent(view.joins, view.now)
@@ -113,12 +133,12 @@
     )
     if replaced is not None:
         return remove_member(members, replaced)
-    unresponsive = find_unresponsive(view, policy)
+    changed = plan_votes(view, policy)
+    if changed is not None:
+        return changed
+    unresponsive = find_unresponsive_learner(view)
     if unresponsive is not None:
         return remove_member(members, unresponsive)
-    learner = find_caught_up_learner(members, view.own_id, view.states)
-    if learner is not None:
-        return promote_learner(members, learner)
     for join in recent:
         if members.get(join.member_id) is None:
             peer = messages.Peer(join.member_id, join.address, False)
@@ -176,20 +196,48 @@
     return len(membership.voters) > 1
 
 
-def find_unresponsive(view: LeaderView, policy: VotePolicy) -> str | None:
-    """Return a silent member that can be removed; None if there is none.
+def plan_votes(
+    view: LeaderView, policy: VotePolicy
+) -> messages.Membership | None:
+    """Return the membership after votes were given or taken; None if neither.
+
+    A learner that has caught up becomes a voter, in place of one that is
+    silent if there is one. Without a learner, a silent voter becomes one if
+    enough others vote.
+    """
+    members = view.members
+    silent = view.find_silent(policy.silent_after_s) | view.find_ended()
+    learner = find_caught_up_learner(members, view.own_id, view.states, silent)
+    voter = find_silent_voter(view, silent)
+    if voter is not None and (learner or policy.has_spare_voter(members)):
+        members = set_vote(members, voter, False)
+    if learner is not None:
+        members = set_vote(members, learner, True)
+    return members if members is not view.members else None
+
+
+def find_silent_voter(view: LeaderView, silent: set[str]) -> str | None:
+    """Return a silent voter whose vote can be taken; None if there is none.
 
     A leader that no quorum has answered lately knows nothing of the others:
     it may have been paused itself.
     """
+    voters = view.members.voters
+    if not view.is_quorum(set(voters) - silent):
+        return None
+    for voter in voters:
+        if voter in silent and voter != view.own_id:
+            return voter
+    return None
+
+
+def find_unresponsive_learner(view: LeaderView) -> str | None:
+    """Return a learner that may be gone for good; None if there is none."""
     silent = view.find_silent(UNRESPONSIVE_AFTER_S)
-    members = view.members
-    if len(set(members.voters) - silent) < members.quorum:
+    if not view.is_quorum(set(view.members.voters) - silent):
         return None
-    for peer in members.peers:
-        if peer.member_id == view.own_id or peer.member_id not in silent:
-            continue
-        if not peer.voter or policy.has_spare_voter(members):
+    for peer in view.members.peers:
+        if not peer.voter and peer.member_id in silent:
             return peer.member_id
     return None
 
@@ -214,10 +262,14 @@
     membership: messages.Membership,
     own_id: str,
     states: dict[str, PeerState],
+    silent: collections.abc.Set[str] = frozenset(),
 ) -> str | None:
-    """Return a learner whose log is almost complete; None if there is none."""
+    """Return a learner whose log is almost complete; None if there is none.
+
+    Those that are ``silent`` are left out.
+    """
     for peer in membership.peers:
-        if peer.voter or peer.member_id == own_id:
+        if peer.voter or peer.member_id in silent | {own_id}:
             continue
         state = states.get(peer.member_id)
         if state is None or state.lag_entries is None:
@@ -236,13 +288,13 @@
     )
 
 
-def promote_learner(
-    membership: messages.Membership, member_id: str
+def set_vote(
+    membership: messages.Membership, member_id: str, votes: bool
 ) -> messages.Membership:
-    """Return a copy of a membership in which a learner is a voter."""
+    """Return a copy of a membership in which a member votes or does not."""
     return messages.Membership(
         [
-            messages.Peer(peer.member_id, peer.address, True)
+            messages.Peer(peer.member_id, peer.address, votes)
             if peer.member_id == member_id
             else peer
             for peer in membership.peers
--- a/src/hemlockkeel/_internal/coordinator/process.py
+++ b/src/hemlockkeel/_internal/coordinator/process.py
@@ -43,7 +43,7 @@
 from hemlockkeel._internal.utils import process_budget
 from hemlockkeel._internal.utils import supervision
 
-LEADER_CHECK_INTERVAL_S = 0.2
+LEADER_CHECK_INTERVAL_S = 0.1
 JOIN_INTERVAL_S = 0.5
 # A member without contact to a majority for this long asks to join again.
 REJOIN_AFTER_S = 2.0
@@ -132,6 +132,7 @@
                 lambda peer: self.crash_reports.send_all(
                     peer, self.loop.time()
                 ),
+                self.node.report_ended,
             ),
             log,
         )
--- a/src/hemlockkeel/_internal/coordinator/settings.py
+++ b/src/hemlockkeel/_internal/coordinator/settings.py
@@ -48,10 +48,13 @@
     def vote_policy(self) -> membership.VotePolicy:
         """Return which members may vote.
 
-        A majority is left of them after the declared losses.
+        A majority is left of them after the declared losses. A voter may be
+        silent for as long as a leader, without which another one is elected.
         """
         losses = max(self.tolerated_losses, MIN_TOLERATED_LOSSES)
-        return membership.VotePolicy(2 * losses + 1)
+        return membership.VotePolicy(
+            2 * losses + 1, self.timing.election_min_s
+        )
 
 
 def make_initial_cluster(
--- a/src/hemlockkeel/_internal/links/dialer.py
+++ b/src/hemlockkeel/_internal/links/dialer.py
@@ -8,6 +8,7 @@
 
 from hemlockkeel._internal.links import link
 from hemlockkeel._internal.links import messages
+from hemlockkeel._internal.utils import clock
 from hemlockkeel._internal.utils import event_log
 from hemlockkeel._internal.utils import supervision
 
@@ -15,6 +16,8 @@
 # Delay before reconnecting; short because a restarted peer is back within
 # about a second.
 REDIAL_DELAY_S = 0.2
+# A link that was up for this long is replaced at once when it is lost.
+STABLE_LINK_S = 1.0
 PING_INTERVAL_S = 0.5
 # The same for each of more than `MANY_LINKS` links, most of which are idle.
 MANY_LINKS = 16
@@ -46,6 +49,14 @@
     def on_disconnected(self, address: str) -> None:
         """Handle the loss of the link to an address."""
 
+    def on_refused(self, address: str, began_at: float) -> None:
+        """Handle that no process listens at an address.
+
+        ``began_at`` is the time at which this attempt to connect began, by
+        `clock.SuspendAwareClock`. Does nothing by default.
+        """
+        return
+
 
 class NullListener(Listener):
     """Ignores all events, for links whose peer sends nothing but replies."""
@@ -82,6 +93,7 @@
         self.listener = listener
         self.log = log
         self.link: link.Link | None = None
+        self.clock = clock.SuspendAwareClock()
         self.task = asyncio.get_running_loop().create_task(
             supervision.keep_running(self.run, log)
         )
@@ -89,18 +101,29 @@
     async def run(self) -> None:
         """Connect and reconnect until the task is cancelled."""
         while True:
+            began_at = self.clock.monotonic()
+            was_up = False
             try:
                 await self.connect_once()
             except (OSError, TimeoutError, link.LinkClosedError) as error:
-                if self.link is not None:
-                    self.log.write(
-                        "dependency_lost",
-                        peer=self.address,
-                        reason=str(error) or type(error).__name__,
-                    )
+                was_up = self.link is not None
+                self.report_failure(error, began_at)
             finally:
                 self.close_link()
-            await asyncio.sleep(REDIAL_DELAY_S)
+            was_stable = self.clock.monotonic() - began_at > STABLE_LINK_S
+            if not (was_up and was_stable):
+                await asyncio.sleep(REDIAL_DELAY_S)
+
+    def report_failure(self, error: Exception, began_at: float) -> None:
+        """Log the loss of a link; tell the listener of a refused one."""
+        if self.link is not None:
+            self.log.write(
+                "dependency_lost",
+                peer=self.address,
+                reason=str(error) or type(error).__name__,
+            )
+        elif isinstance(error, ConnectionRefusedError):
+            self.listener.on_refused(self.address, began_at)
 
     async def connect_once(self) -> None:
         """Connect and handle messages until the link is lost.
--- a/src/hemlockkeel_bench/raft_simulation.py
+++ b/src/hemlockkeel_bench/raft_simulation.py
@@ -113,6 +113,8 @@
         self.next_value_number = 0
         self.last_member_number = 0
         self.check_count = 0
+        # Times at which members were last stopped.
+        self.stopped_at: dict[str, float] = {}
         peers = [
             messages.Peer(self.make_id(), f"host-{n}:1") for n in range(size)
         ]
@@ -151,6 +153,7 @@
 
     def start(self, member: SimulatedMember) -> None:
         """Start a member with the state on its disk."""
+        self.stopped_at[member.member_id] = self.now
         member.raft = core.RaftCore(
             member.member_id,
             member.disk.load(),
@@ -294,6 +297,28 @@
         """Stop a member, which loses what its disk has not stored."""
         member.raft = None
 
+    def notice_stop(
+        self, member: SimulatedMember, observer: SimulatedMember
+    ) -> None:
+        """Let a member learn that another one was stopped, maybe late.
+
+        That is, as a connection to it is refused.
+        """
+        pair = frozenset([member.member_id, observer.member_id])
+        if (
+            observer.raft is None
+            or observer is member
+            or pair in self.partitioned_pairs
+        ):
+            return
+        late_s = 0.0
+        if member.raft is not None:
+            late_s = self.now - self.stopped_at[member.member_id]
+        now = self.read_clock(observer)
+        observer.raft.record_ended(
+            member.member_id, now - late_s * observer.clock_rate, now
+        )
+
     def restart(self, member: SimulatedMember) -> None:
         """Start a stopped member again, unless its disk is lost."""
         if member.raft is None and not member.disk_lost:
@@ -375,8 +400,8 @@
             membership.get_peer_states(leader.raft),
         )
         if learner is not None:
-            promoted = membership.promote_learner(
-                leader.raft.membership, learner
+            promoted = membership.set_vote(
+                leader.raft.membership, learner, True
             )
             self.propose_membership(leader, promoted.peers)
             return
@@ -597,6 +622,7 @@
 ) -> None:
     """Run one random fault, or an action that ends or repairs one."""
     member_ids = list(cluster.members)
+    members = list(cluster.members.values())
     actions: list[collections.abc.Callable[[], object]] = [
         lambda: cluster.run(cluster.rng.uniform(0.0, MAX_RUN_DURATION_S)),
         lambda: cluster.drop(position),
@@ -607,6 +633,8 @@
         lambda: cluster.crash(member),
         lambda: cluster.restart(member),
         lambda: cluster.restart(member),
+        lambda: cluster.notice_stop(member, cluster.rng.choice(members)),
+        lambda: cluster.notice_stop(member, cluster.rng.choice(members)),
         lambda: cluster.isolate(member.member_id),
         lambda: cluster.partition_pair(
             member.member_id, cluster.rng.choice(member_ids)
--- a/src/hemlockkeel_bench/replacement_simulation.py
+++ b/src/hemlockkeel_bench/replacement_simulation.py
@@ -14,6 +14,7 @@
 from hemlockkeel._internal.consensus import messages
 from hemlockkeel._internal.coordinator import membership
 from hemlockkeel._internal.coordinator import process
+from hemlockkeel._internal.links import dialer
 from hemlockkeel_bench import member_rules
 from hemlockkeel_bench import raft_simulation
 
@@ -37,8 +38,9 @@
     """Control members on machines, with the loops of their processes.
 
     ``cuts`` are pairs of addresses between which no message passes, ``paused``
-    the addresses of machines that stand still, and ``lossy`` those that lose
-    half of their messages.
+    the addresses of machines that stand still, ``lossy`` those that lose half
+    of their messages, and ``refusing`` those that run without a member, so
+    that connections to them are refused.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         self.cuts: set[frozenset[str]] = set()
         self.paused: set[str] = set()
         self.lossy: set[str] = set()
+        self.refusing: set[str] = set()
         first = next(iter(self.members.values()))
         assert first.raft is not None
         self.machines = {
@@ -91,6 +94,7 @@
             self.make_id(), raft_simulation.SimulatedDisk()
         )
         self.machines[address] = Machine(address, member.member_id)
+        self.refusing.discard(address)
         self.addresses[member.member_id] = address
 
     def remove_machine(self, address: str) -> None:
@@ -104,6 +108,7 @@
 
     def restart_machine(self, address: str) -> None:
         """Start the member of a machine with its disk again."""
+        self.refusing.discard(address)
         self.restart(self.find_running(address))
 
     def cut_machines(self, some: set[str], others: set[str]) -> None:
@@ -168,11 +173,27 @@
             if self.is_due(f"{name} leaves", process.LEAVE_RETRY_INTERVAL_S):
                 self.leave(member)
             return
+        if self.is_due(f"{name} connects", dialer.REDIAL_DELAY_S):
+            self.connect(address, member)
         if self.is_due(f"{name} joins", process.JOIN_INTERVAL_S):
             self.ask_to_join(address, member)
         if self.is_due(f"{name} leads", process.LEADER_CHECK_INTERVAL_S):
             self.change_membership(member)
 
+    def connect(
+        self, address: str, member: raft_simulation.SimulatedMember
+    ) -> None:
+        """Notice which other members have ended."""
+        raft, now = member.raft, self.read_clock(member)
+        assert raft is not None
+        if not self.rule.notices_ends:
+            return
+        for peer in raft.members.peers:
+            if peer.address not in self.refusing:
+                continue
+            if self.is_reachable(address, peer.address):
+                raft.record_ended(peer.member_id, now, now)
+
     def ask_to_join(
         self, address: str, member: raft_simulation.SimulatedMember
     ) -> None:
--- a/tests/unit/test_consensus.py
+++ b/tests/unit/test_consensus.py
@@ -79,6 +79,10 @@
     def crash(self, position: int) -> None:
         self.cluster.crash(self.pick(position))
 
+    @stateful.rule(position=POSITIONS, observer=POSITIONS)
+    def notice_stop(self, position: int, observer: int) -> None:
+        self.cluster.notice_stop(self.pick(position), self.pick(observer))
+
     @stateful.rule(position=POSITIONS)
     def restart(self, position: int) -> None:
         self.cluster.restart(self.pick(position))
@@ -154,6 +158,17 @@
                 raft_simulation.take_random_action(cluster)
             cluster.heal_and_check()
 
+    def test_lease_holds_while_ends_of_processes_are_noticed(self) -> None:
+        """Who knows that the leader has ended may vote before its lease."""
+        for seed in range(300, 312):
+            rng = random.Random(seed)
+            cluster = raft_simulation.SimulatedCluster(rng.choice([3, 5]), rng)
+            for _ in range(1500):
+                members = list(cluster.members.values())
+                cluster.notice_stop(rng.choice(members), rng.choice(members))
+                raft_simulation.take_random_action(cluster)
+            cluster.heal_and_check()
+
     def test_unstored_votes_violate_an_invariant(self) -> None:
         """The invariant checks detect members that vote twice in a term.
 
@@ -180,6 +195,79 @@
                     cluster.heal_and_check()
 
 
+class TestEndedLeader(unittest.TestCase):
+    """A follower, b of a to d, whose leader's process has ended."""
+
+    def setUp(self) -> None:
+        peers = [messages.Peer(name, f"{name}:1") for name in "abcd"]
+        data = core.encode_membership(messages.Membership(peers))
+        log = log_module.Log()
+        log.append(messages.Entry(1, 1, messages.EntryKind.MEMBERSHIP, data))
+        self.raft = core.RaftCore(
+            "b",
+            core.PersistentState(messages.HardState(1), log),
+            core.Timing(),
+            random.Random(1),
+            0.0,
+        )
+        self.receive_heartbeat(10.0)
+
+    def receive_heartbeat(self, now: float) -> None:
+        """Receive a message from the leader, a."""
+        self.raft.receive(
+            messages.AppendRequest(
+                term=1,
+                sender="a",
+                receiver="b",
+                previous_index=1,
+                previous_term=1,
+                entries=[],
+                commit=1,
+                sent_at=now,
+            ),
+            now,
+        )
+        self.raft.take_effects()
+
+    def grants_vote(self, now: float) -> bool:
+        """Return whether the follower would vote for another member."""
+        self.raft.receive(
+            messages.VoteRequest(
+                term=2,
+                sender="c",
+                receiver="b",
+                last_index=1,
+                last_term=1,
+                pre=True,
+            ),
+            now,
+        )
+        replies = self.raft.take_effects().outgoing
+        return any(
+            isinstance(reply, messages.VoteReply) and reply.granted
+            for reply in replies
+        )
+
+    def test_votes_at_once_and_stands_for_election_soon(self) -> None:
+        self.assertFalse(self.grants_vote(10.01))
+        self.raft.record_ended("a", 10.01, 10.02)
+        self.assertTrue(self.grants_vote(10.03))
+        self.raft.tick(10.02 + self.raft.timing.heartbeat_s)
+        self.assertIs(self.raft.state, core.State.PRE_CANDIDATE)
+
+    def test_leader_that_has_sent_since_keeps_its_lease(self) -> None:
+        """It has started again, or the attempt to connect was long ago."""
+        self.raft.record_ended("a", 9.9, 10.01)
+        self.assertFalse(self.grants_vote(10.02))
+        self.raft.record_ended("a", 10.03, 10.04)
+        self.receive_heartbeat(10.05)
+        self.assertFalse(self.grants_vote(10.06))
+
+    def test_end_of_another_member_changes_nothing(self) -> None:
+        self.raft.record_ended("c", 10.01, 10.02)
+        self.assertFalse(self.grants_vote(10.03))
+
+
 def make_entry(index: int, term: int = 1) -> messages.Entry:
     """Return an entry whose data contains its index."""
     data = f"e{index}".encode()
--- a/tests/unit/test_links.py
+++ b/tests/unit/test_links.py
@@ -9,6 +9,7 @@
 from hemlockkeel._internal.links import link
 from hemlockkeel._internal.links import messages
 from hemlockkeel._internal.links import server
+from hemlockkeel._internal.utils import clock
 from tests.lib import logs
 from tests.lib import ports
 
@@ -295,6 +296,48 @@
                 await asyncio.sleep(0.01)
 
 
+class RefusalListener(dialer.NullListener):
+    """Records the addresses at which no process listens."""
+
+    def __init__(self) -> None:
+        self.refused: list[tuple[str, float]] = []
+
+    def on_refused(self, address: str, began_at: float) -> None:
+        self.refused.append((address, began_at))
+
+
+class TestRefusedConnections(unittest.IsolatedAsyncioTestCase):
+    """A peer whose process ends."""
+
+    async def test_listener_learns_of_it_with_the_time_of_the_attempt(
+        self,
+    ) -> None:
+        port = ports.find_free_port()
+        address = f"127.0.0.1:{port}"
+        accepting = server.LinkServer(RecordingService(), logs.make_log())
+        await accepting.start("127.0.0.1", port)
+        listener = RefusalListener()
+        dialers = dialer.DialerSet(
+            messages.Hello(role="control", name="c1"),
+            listener,
+            logs.make_log(),
+        )
+        self.addCleanup(dialers.set_addresses, set())
+        dialers.set_addresses({address})
+        async with asyncio.timeout(WAIT_S):
+            while not dialers.list_links():
+                await asyncio.sleep(0)
+        self.assertEqual(listener.refused, [])
+        ended_at = clock.SuspendAwareClock().monotonic()
+        accepting.stop()
+        async with asyncio.timeout(WAIT_S):
+            while not listener.refused:
+                await asyncio.sleep(0.01)
+        refused, began_at = listener.refused[0]
+        self.assertEqual(refused, address)
+        self.assertGreaterEqual(began_at, ended_at)
+
+
 class OnePeer(dialer.DialerSet):
     """Has the same link for each address."""
 
--- a/tests/unit/test_member_replacement.py
+++ b/tests/unit/test_member_replacement.py
@@ -10,6 +10,7 @@
 
 from hemlockkeel._internal.consensus import quorums
 from hemlockkeel._internal.coordinator import membership
+from hemlockkeel_bench import replacement_series
 from hemlockkeel_bench import replacement_simulation
 
 NEW = "host-new:1"
@@ -187,6 +188,106 @@
         self.assertIsNone(leader.raft.membership.get(added))
 
 
+class TestSilentMembers(unittest.TestCase):
+    """Members that are lost soon after a replaced one, but for good."""
+
+    # After a process ended, and after a machine fell silent: the time of an
+    # election and of the former leader's answer, with two leader checks.
+    ENDED_GAP_S = 1.0
+    SILENT_GAP_S = 2.0
+
+    def check(
+        self, size: int, leads: bool, refuses: bool, kind: str, seed: int
+    ) -> None:
+        """Remove a replaced machine, then lose as many as may be at once."""
+        replacement = Replacement(seed, size)
+        cluster = replacement.cluster
+        cluster.add_machine(NEW)
+        cluster.play(2 * CATCH_UP_S)
+        removed = replacement.choose_removed(leads)
+        if refuses:
+            cluster.refusing.add(removed)
+        cluster.remove_machine(removed)
+        cluster.play(self.ENDED_GAP_S if refuses else self.SILENT_GAP_S)
+        lost = replacement.rng.sample(list(cluster.machines), size // 2)
+        cluster.cut_machines(set(lost), set(cluster.machines))
+        if kind == "pause":
+            cluster.paused |= set(lost)
+        if kind == "removal":
+            for number, address in enumerate(lost):
+                cluster.remove_machine(address)
+                cluster.add_machine(f"host-more-{number}:1")
+        before = len(cluster.acknowledged_values)
+        cluster.play(RECOVERY_S)
+        self.assertGreater(len(cluster.acknowledged_values), before)
+        cluster.cuts.clear()
+        cluster.paused.clear()
+        cluster.check_recovery()
+
+    def test_second_loss_that_looks_like_a_cut(self) -> None:
+        """Two of four voters were left for good."""
+        for size, leads, refuses, kind, seed in itertools.product(
+            (3, 5),
+            (True, False),
+            (True, False),
+            ("cut", "pause", "removal"),
+            range(2),
+        ):
+            with self.subTest(
+                size=size, leads=leads, refuses=refuses, kind=kind, seed=seed
+            ):
+                self.check(size, leads, refuses, kind, seed)
+
+
+class TestSeries(unittest.TestCase):
+    """Random series of replacements with other losses around them.
+
+    Each combines what single cases leave out; `python -m
+    hemlockkeel_bench.replacement_series` plays more of them.
+    """
+
+    NOTICE_S = TestSilentMembers.SILENT_GAP_S
+
+    def check(self, size: int, seeds: range) -> None:
+        """Play series and check all guarantees."""
+        for seed in seeds:
+            with self.subTest(size=size, seed=seed):
+                replacement_series.Series(
+                    seed, size, notice_s=self.NOTICE_S
+                ).run()
+
+    def test_three_members(self) -> None:
+        self.check(3, range(60))
+
+    def test_five_members(self) -> None:
+        self.check(5, range(30))
+
+
+class TestLossLedger(unittest.TestCase):
+    """Machines that count as lost."""
+
+    def test_removed_machine_counts_until_its_successor_caught_up(
+        self,
+    ) -> None:
+        ledger = replacement_series.LossLedger(3, 4.0)
+        for address in "abc":
+            ledger.add(address, -4.0)
+        self.assertEqual(ledger.count(0.0), 0)
+        ledger.remove("a")
+        self.assertEqual(ledger.count(0.0), 1)
+        ledger.add("d", 1.0)
+        self.assertEqual([ledger.count(t) for t in (1.0, 4.9, 5.0)], [1, 1, 0])
+        # The other way round, only the new one counts.
+        ledger.add("e", 6.0)
+        ledger.leaving.add("b")
+        self.assertEqual([ledger.count(t) for t in (6.0, 10.0)], [1, 0])
+        ledger.remove("b")
+        self.assertEqual(ledger.count(10.0), 0)
+        ledger.away.add("c")
+        self.assertEqual(ledger.list_sound(10.0), ["d", "e"])
+        self.assertEqual(ledger.count(10.0), 1)
+
+
 class TestQuorums(unittest.TestCase):
     """Quorums of the same voters, some of which lose their disks."""
 
