Let a blank member join although its settings name nobody who is left

The others connect to it, as its former self is a voter, but it did not call on those links: it ran without a vote for good, and 503 was all that it answered.

Who sends consensus messages to the former member at its address is a member, and mostly the leader: the process connects to it and asks it. The test of test_coordinator timed out before.

--- a/src/hemlockkeel/_internal/coordinator/process.py
+++ b/src/hemlockkeel/_internal/coordinator/process.py
@@ -100,7 +100,7 @@
         self.stopping = False
         self.join_requests: dict[str, membership.JoinRequest] = {}
         # Address of the leader that a member named when this one asked to
-        # join; empty before.
+        # join, or of one that took it for its predecessor; empty before.
         self.named_leader = ""
         self.is_publication_scheduled = False
         self.sender = sender.LinkSender(self.loop, settings.link_address)
@@ -389,8 +389,12 @@
         if reply.done:
             self.join_cluster(reply.cluster_id)
         if reply.leader and reply.leader != self.named_leader:
-            self.named_leader = reply.leader
-            self.update_peer_addresses()
+            self.connect_to_leader(reply.leader)
+
+    def connect_to_leader(self, address: str) -> None:
+        """Connect to the member that probably leads."""
+        self.named_leader = address
+        self.update_peer_addresses()
 
     async def leave_cluster(self) -> None:
         """Leave the cluster if it can bear more failures without this member.
@@ -562,8 +566,11 @@
                 continue
             if message.receiver == self.node.member_id:
                 self.node.receive(message, batch.sender_address)
-            else:
-                self.answer_for_replaced(peer, message)
+                continue
+            self.answer_for_replaced(peer, message)
+            if self.peers.get(self.named_leader) is None:
+                # The members of the settings may all be gone.
+                self.connect_to_leader(batch.sender_address)
 
     def answer_for_replaced(
         self, peer: link.Link, message: consensus_messages.AnyMessage
--- a/tests/functional/test_coordinator.py
+++ b/tests/functional/test_coordinator.py
@@ -461,6 +461,22 @@
             lambda: back.node.member_id in back.node.membership.voters
         )
 
+    async def test_member_joins_though_its_settings_name_nobody_else(
+        self,
+    ) -> None:
+        """It was never added if all whom its settings name were replaced."""
+        await self.put(1, 5)
+        for gone in (1, 2):
+            await self.replace(gone, gone + 3)
+        await self.kill(3)
+        self.seeds = frozenset(
+            f"127.0.0.{number}:{self.link_port}" for number in (1, 2, 3)
+        )
+        back = await self.start(3, bootstrap=False, disk="blank")
+        await self.wait_for(
+            lambda: back.node.member_id in back.node.membership.voters
+        )
+
     async def test_disk_lost_right_after_a_leader_was_killed(self) -> None:
         await self.check_lost_disk_beside_a_killed_member(leads=True)
 
