Let a new member of the product's group take a lost one's vote

On the path of operators, `control add` made the new member a fourth voter beside the lost one, whose vote counted until `control remove`: a second loss between the two left two of four, and nothing was accepted any more.

The leader promotes learners with the rule of the coordinator: one takes the vote of a voter that is silent for the time of an election, if there is one. No other vote is taken there.

A fourth member that is added beside three sound ones still raises what a quorum needs until one is removed; `control replace` does both at once.

--- a/src/hemlockkeel/_internal/control/process.py
+++ b/src/hemlockkeel/_internal/control/process.py
@@ -157,26 +157,35 @@
             self.node.keep_contact()
 
     def promote_learner(self) -> None:
-        """If this member leads, make a learner that caught up a voter."""
+        """If this member leads, make a learner that caught up a voter.
+
+        It takes the vote of one that is silent, if there is one.
+        """
         with self.node.lock:
             raft = self.node.core
             if raft.state is not core.State.LEADER:
                 return
             if raft.has_pending_membership():
                 return
-            learner = membership.find_caught_up_learner(
+            view = membership.LeaderView(
                 raft.membership,
                 raft.member_id,
                 membership.get_peer_states(raft),
+                [],
+                self.clock.monotonic(),
             )
-            if learner is None:
-                return
-            promoted = membership.set_vote(raft.membership, learner, True)
+        # Operators take out members, so that no voter is spare.
+        policy = membership.VotePolicy(
+            len(view.members.voters), self.settings.timing.election_min_s
+        )
+        changed = membership.plan_votes(view, policy)
+        if changed is None:
+            return
         self.node.propose(
-            core.encode_membership(promoted),
+            core.encode_membership(changed),
             messages.EntryKind.MEMBERSHIP,
         )
-        logs.log_event("control_promoted", member=learner)
+        logs.log_event("control_votes_changed", voters=changed.voters)
 
     def drain(self) -> None:
         """Do nothing, as everything that was committed is on disk."""
--- a/tests/functional/test_control.py
+++ b/tests/functional/test_control.py
@@ -24,6 +24,8 @@
 RUN_LIMIT_S = 90.0
 # Shorter than the time after which a leader without a quorum steps down.
 SUSPENSION_S = 0.5
+# Longer than an election timeout.
+SILENT_S = 1.5
 # Changes of each client that have to be accepted.
 MIN_ACCEPTED = 3
 ITEM = "base/deployment/d1"
@@ -295,6 +297,33 @@
         self.base.write_text(BASE + "[services.more]\n")
         processes.run_tool("apply", str(self.base), env=self.group.env)
 
+    def test_second_loss_before_the_lost_member_is_taken_out(self) -> None:
+        """The lost member's vote was counted beside its successor's."""
+        before = self.read_state()
+        leader = self.group.find_leader()
+        lost, second = [m for m in self.group.members if m is not leader]
+        lost.kill()
+        killed_at = time.monotonic()
+        replacement = processes.ControlDaemon(self.folder / "m9", False)
+        self.group.members.append(replacement)
+        calls.wait_until(
+            lambda: time.monotonic() > killed_at + SILENT_S,
+            "the lost member is silent",
+        )
+        processes.run_tool(
+            "control",
+            "add",
+            replacement.member_id,
+            "--address",
+            replacement.address,
+            env=self.group.env,
+        )
+        second.kill()
+        after = self.read_state()
+        self.assertEqual(before["version"], after["version"])
+        self.base.write_text(BASE + "[services.more]\n")
+        processes.run_tool("apply", str(self.base), env=self.group.env)
+
     def test_member_has_a_vote_only_once_its_promotion_is_committed(
         self,
     ) -> None:
